--- /dev/null
+++ b/crates/agent/src/attempts.rs
@@ -0,0 +1,141 @@
+//! The traffic from entries.
+
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use actix::Addr;
+use actix_web::{HttpResponse, web};
+use bytes::{Bytes, BytesMut};
+use futures_util::Stream;
+use tamaracksail_model::id;
+use tamaracksail_policy::agent::Event;
+use tamaracksail_process::trace::{Span, SpanKind, Tracer};
+use tamaracksail_wire as wire;
+use tokio::sync::mpsc;
+use tokio_util::codec::{Encoder, LengthDelimitedCodec};
+use wire::Frame;
+
+use crate::control::{Begin, Control, Input};
+use crate::server::{self, Server};
+
+/// What the traffic threads share.
+#[derive(Clone)]
+pub struct State {
+    /// The control thread.
+    pub control: Addr<Control>,
+    /// The backend server.
+    pub server: Server,
+    /// Starts spans.
+    pub tracer: Tracer,
+}
+
+/// Takes an attempt and streams its frames.
+pub async fn receive(
+    state: web::Data<State>,
+    http: web::Data<awc::Client>,
+    body: web::Bytes,
+) -> HttpResponse {
+    let received = match wire::decode::<wire::Attempt>(&body) {
+        Ok(received) => received,
+        Err(error) => return HttpResponse::BadRequest().body(format!("{error}\n")),
+    };
+    let traceparent = received.traceparent.as_deref();
+    let span = state
+        .tracer
+        .span("agent.attempt", SpanKind::Server, traceparent);
+    let attempt = received.dispatch.attempt;
+    span.note("attempt", attempt.to_string());
+    let (frames, frame_receiver) = mpsc::unbounded_channel();
+    let (run, directives) = mpsc::unbounded_channel();
+    let content = wire::Content {
+        headers: with_trace(&span, received.content.headers),
+        ..received.content
+    };
+    let task = server::drive(
+        state.control.clone(),
+        awc::Client::clone(&http),
+        state.server.clone(),
+        attempt,
+        content,
+        directives,
+    );
+    let begin = Begin {
+        dispatch: received.dispatch,
+        frames,
+        run,
+    };
+    match state.control.send(begin).await {
+        Ok(true) => {}
+        Ok(false) => return HttpResponse::Conflict().finish(),
+        Err(_) => return HttpResponse::ServiceUnavailable().finish(),
+    }
+    actix_rt::spawn(task);
+    let control = state.control.clone();
+    let frames = Frames {
+        attempt,
+        control,
+        receiver: frame_receiver,
+        span: Some(span),
+    };
+    HttpResponse::Ok()
+        .content_type("application/octet-stream")
+        .streaming(frames)
+}
+
+fn with_trace(span: &Span, mut headers: Vec<wire::Header>) -> Vec<wire::Header> {
+    if let Some(value) = span.traceparent() {
+        headers.retain(|header| header.name != "traceparent");
+        headers.push(wire::Header {
+            name: "traceparent".to_owned(),
+            value,
+        });
+    }
+    headers
+}
+
+/// The frames of an attempt, as bytes. Dropped early, it abandons the attempt.
+struct Frames {
+    attempt: id::Attempt,
+    control: Addr<Control>,
+    receiver: mpsc::UnboundedReceiver<Frame>,
+    span: Option<Span>,
+}
+
+impl Stream for Frames {
+    type Item = Result<Bytes, std::io::Error>;
+
+    fn poll_next(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        let Poll::Ready(frame) = self.receiver.poll_recv(context) else {
+            return Poll::Pending;
+        };
+        let Some(frame) = frame else {
+            return Poll::Ready(None);
+        };
+        if let Frame::End { .. } | Frame::Failed { .. } = &frame
+            && let Some(span) = self.span.take()
+        {
+            let problem = match &frame {
+                Frame::Failed { failure, .. } => Some(format!("{:?}", failure.reason)),
+                _ => None,
+            };
+            span.end(problem);
+        }
+        let mut bytes = BytesMut::new();
+        let encoded = Bytes::from(wire::encode(&frame));
+        let result = LengthDelimitedCodec::new().encode(encoded, &mut bytes);
+        Poll::Ready(Some(result.map(|()| bytes.freeze())))
+    }
+}
+
+impl Drop for Frames {
+    fn drop(&mut self) {
+        self.control.do_send(Input(Event::Abandoned(self.attempt)));
+    }
+}
+
+/// Takes an operator's order to drain.
+pub async fn drain(state: web::Data<State>) -> HttpResponse {
+    log::info!("draining by order of an operator");
+    state.control.do_send(Input(Event::Drain));
+    HttpResponse::Accepted().finish()
+}
--- /dev/null
+++ b/crates/agent/src/main.rs
@@ -0,0 +1,116 @@
+//! The agent: one beside each backend server, the only way to it.
+//!
+//! `control` is the actor around the machine of `tamaracksail-policy`, `attempts` the traffic
+//! from entries, `server` the traffic to the backend server, `probe` its health.
+
+mod attempts;
+mod control;
+mod options;
+mod probe;
+mod server;
+mod weights;
+
+use actix::Actor;
+use actix_web::{App, HttpServer, web};
+use tamaracksail_control::follow::{Follow, Inbox, receive};
+use tamaracksail_control::peer;
+use tamaracksail_policy::agent::Settings;
+use tamaracksail_policy::version::follower;
+use tamaracksail_process::clock::Clock;
+use tamaracksail_process::health::{self, Readiness};
+use tamaracksail_process::trace::Tracer;
+use tamaracksail_process::{logs, settings, stop};
+
+use control::Control;
+use options::Options;
+
+/// Seconds that open connections get to end after the last attempt.
+const CLOSE_SECONDS: u64 = 2;
+
+#[actix_web::main]
+async fn main() -> std::io::Result<()> {
+    let options = Options::parse();
+    let shared = options.shared.clone();
+    logs::start(shared.log_format, shared.log_level);
+    let clock = Clock::start();
+    let tracer = Tracer::start("tamaracksail-agent", shared.otlp_endpoint.as_deref())
+        .unwrap_or_else(|problem| settings::fail(options::NAME, &problem));
+    let readiness = Readiness::default();
+    let registry = web::Data::new(prometheus::Registry::new());
+    let incarnation = clock.incarnation();
+
+    let thread = actix_rt::Arbiter::new();
+    let machine = Settings {
+        host: shared.host.clone(),
+        incarnation,
+        limit: options.limit,
+        queue: options.queue,
+        load_validity: options.load_validity,
+    };
+    let parts = control::Parts {
+        machine,
+        clock,
+        server: options.server.clone(),
+        serves: options.serves.clone(),
+        platform: shared.platform.clone(),
+        readiness: readiness.clone(),
+        registry: registry.clone(),
+    };
+    let control = Control::start_in_arbiter(&thread.handle(), move |_| Control::new(parts));
+    let follower = follower::Settings {
+        host: shared.host.name.clone(),
+        domain: shared.host.domain.clone(),
+        address: shared.host.address,
+        incarnation,
+        seeds: shared.seeds.clone(),
+        seed: incarnation.0,
+    };
+    let subscriber = control.clone().recipient();
+    let platform = shared.platform.clone();
+    let follow = Follow::start_in_arbiter(&thread.handle(), move |_| {
+        Follow::new(follower, clock, &platform, vec![subscriber])
+    });
+    let inbox = Inbox {
+        follow: follow.recipient(),
+        own: control.clone().recipient(),
+    };
+
+    let state = attempts::State {
+        control: control.clone(),
+        server: options.server,
+        tracer: tracer.clone(),
+    };
+    let app = move || {
+        App::new()
+            .app_data(web::Data::new(inbox.clone()))
+            .app_data(web::Data::new(state.clone()))
+            .app_data(web::Data::new(awc::Client::default()))
+            .app_data(web::Data::new(readiness.clone()))
+            .app_data(registry.clone())
+            .app_data(web::PayloadConfig::new(tamaracksail_wire::codec::MAX_BYTES))
+            .configure(health::routes)
+            .route(peer::CONTROL, web::post().to(receive))
+            .route("/v1/attempts", web::post().to(attempts::receive))
+            .route("/v1/drain", web::post().to(attempts::drain))
+            .route(
+                "/v1/weights/{model}/{version}",
+                web::get().to(weights::relay),
+            )
+    };
+    let http = HttpServer::new(app)
+        .workers(options.workers)
+        .disable_signals()
+        .shutdown_timeout(CLOSE_SECONDS)
+        .bind(shared.host.address)?
+        .run();
+    let handle = http.handle();
+    actix_rt::spawn(async move {
+        drop(stop::requested().await);
+        log::info!("stopping: finishing what is in flight");
+        control.send(control::Stop).await.ok();
+        handle.stop(true).await;
+    });
+    http.await?;
+    tracer.stop();
+    Ok(())
+}
--- /dev/null
+++ b/crates/agent/src/options.rs
@@ -0,0 +1,82 @@
+//! The agent's settings.
+
+use std::time::Duration;
+
+use tamaracksail_control::options::{self, Url};
+use tamaracksail_model::host::Role;
+use tamaracksail_model::id;
+use tamaracksail_process::settings::{About, Parser};
+
+use crate::server::{Kind, Server};
+
+/// The binary's name.
+pub const NAME: &str = "tamaracksail-agent";
+
+const HELP: &str = "\
+tamaracksail-agent runs beside one backend server and is the only way to it.
+
+  --server URL              the backend server
+  --kind engine|service     what it is
+  --serves NAME             the Pool or Service that it belongs to
+  --queue COUNT             attempts that may wait (default 8)
+  --load-validity-ms MS     how long entries may use a load report (default 3000)
+  --workers COUNT           traffic threads (default 2)
+";
+
+/// Checked settings.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Those shared with entries.
+    pub shared: options::Options,
+    /// The backend server.
+    pub server: Server,
+    /// The pool or service that it belongs to.
+    pub serves: id::Object,
+    /// Attempts that run at a time until the configuration says.
+    pub limit: u32,
+    /// Attempts that may wait.
+    pub queue: u32,
+    /// How long entries may use a load report.
+    pub load_validity: Duration,
+    /// Traffic threads.
+    pub workers: usize,
+}
+
+impl Options {
+    /// Reads the settings; exits if one is wrong.
+    pub fn parse() -> Self {
+        const DEFAULT_LIMIT: u32 = 8;
+        let help: &'static str = Box::leak(format!("{HELP}{}", options::HELP).into_boxed_str());
+        let about = About {
+            name: NAME,
+            version: env!("CARGO_PKG_VERSION"),
+            help,
+        };
+        let mut parser = Parser::new(about);
+        let mut shared = options::parse(&mut parser, Role::Agent);
+        let url = parser.required("--server", Url(String::new()));
+        let kind = parser.required("--kind", Kind::Engine);
+        let serves: String = parser.required("--serves", String::new());
+        let queue = parser.or("--queue", 8);
+        let validity: u64 = parser.or("--load-validity-ms", 3000);
+        let workers = parser.or("--workers", 2);
+        if workers == 0 {
+            parser.wrong("--workers", "must be at least 1");
+        }
+        if validity == 0 {
+            parser.wrong("--load-validity-ms", "must be at least 1");
+        }
+        parser.finish();
+        let serves = id::Object(serves);
+        shared.host.serves = Some(serves.clone());
+        Self {
+            shared,
+            server: Server { url: url.0, kind },
+            serves,
+            limit: DEFAULT_LIMIT,
+            queue,
+            load_validity: Duration::from_millis(validity),
+            workers,
+        }
+    }
+}
--- /dev/null
+++ b/crates/agent/src/server.rs
@@ -0,0 +1,340 @@
+//! Requests to the backend server.
+
+use std::collections::BTreeSet;
+use std::str::FromStr;
+use std::time::Duration;
+
+use actix::Addr;
+use awc::error::{PayloadError, SendRequestError};
+use awc::http::{Method, StatusCode};
+use bytes::Bytes;
+use eventsource_stream::Eventsource;
+use futures_util::{Stream, StreamExt};
+use serde_json::Value;
+use tamaracksail_model::id;
+use tamaracksail_policy::agent::Event;
+use tamaracksail_wire::{Content, Header, Order, Usage};
+use tokio::sync::mpsc;
+
+use crate::control::{Control, Input, Probed};
+use crate::probe;
+
+/// How long an order may take.
+const LOAD_TIMEOUT: Duration = Duration::from_mins(2);
+
+/// How long a request may take when its entry does not end it before.
+const RUN_TIMEOUT: Duration = Duration::from_hours(1);
+
+/// What a backend server is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// A model engine, which streams.
+    Engine,
+    /// A plain service.
+    Service,
+}
+
+impl FromStr for Kind {
+    type Err = &'static str;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "engine" => Ok(Self::Engine),
+            "service" => Ok(Self::Service),
+            _ => Err("must be engine or service"),
+        }
+    }
+}
+
+impl std::fmt::Display for Kind {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
+            Self::Engine => "engine",
+            Self::Service => "service",
+        })
+    }
+}
+
+/// The backend server.
+#[derive(Clone, Debug)]
+pub struct Server {
+    /// Its URL.
+    pub url: String,
+    /// What it is.
+    pub kind: Kind,
+}
+
+/// What to do with a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Directive {
+    /// Start it.
+    Run,
+    /// Cancel it.
+    Cancel,
+}
+
+/// Why a request to the server failed.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// It could not be sent.
+    #[error("{step} at {peer}: {source}")]
+    Send {
+        /// The step.
+        step: &'static str,
+        /// The server.
+        peer: String,
+        /// The cause.
+        source: SendRequestError,
+    },
+    /// The answer broke off.
+    #[error("{step} at {peer}: the answer broke off: {problem}")]
+    Broken {
+        /// The step.
+        step: &'static str,
+        /// The server.
+        peer: String,
+        /// The cause.
+        problem: String,
+    },
+    /// The server answered with an error of its own.
+    #[error("{step} at {peer}: answer {status}")]
+    Status {
+        /// The step.
+        step: &'static str,
+        /// The server.
+        peer: String,
+        /// The HTTP status.
+        status: StatusCode,
+    },
+}
+
+impl Error {
+    /// Whether the request may have reached the server.
+    fn is_sent(&self) -> bool {
+        !matches!(
+            self,
+            Self::Send {
+                source: SendRequestError::Connect(_),
+                ..
+            }
+        )
+    }
+}
+
+/// Waits for the directive to run, runs, and reports to the control thread.
+pub async fn drive(
+    control: Addr<Control>,
+    http: awc::Client,
+    server: Server,
+    attempt: id::Attempt,
+    content: Content,
+    mut directives: mpsc::UnboundedReceiver<Directive>,
+) {
+    if directives.recv().await != Some(Directive::Run) {
+        return;
+    }
+    let run = run(&control, &http, &server, attempt, content);
+    // Dropping the run closes the connection, by which the server cancels.
+    let result = tokio::select! {
+        result = run => result,
+        _ = directives.recv() => return,
+    };
+    if let Err(error) = result {
+        log::warn!("attempt {attempt}: {error}");
+        // A crash must be known before its attempts are seen to break.
+        control.do_send(Probed(probe::probe(&http, &server).await));
+        control.do_send(Input(Event::Broken {
+            attempt,
+            sent: error.is_sent(),
+        }));
+    }
+}
+
+async fn run(
+    control: &Addr<Control>,
+    http: &awc::Client,
+    server: &Server,
+    attempt: id::Attempt,
+    content: Content,
+) -> Result<(), Error> {
+    const STEP: &str = "run";
+    let peer = server.url.clone();
+    let method = Method::from_str(&content.method).unwrap_or(Method::GET);
+    let url = format!("{}{}", server.url, content.path);
+    let mut request = http
+        .request(method, url)
+        .timeout(RUN_TIMEOUT)
+        .no_decompress();
+    for header in &content.headers {
+        request = request.insert_header((header.name.as_str(), header.value.as_str()));
+    }
+    let response = request.send_body(content.body).await;
+    let response = response.map_err(|source| Error::Send {
+        step: STEP,
+        peer: peer.clone(),
+        source,
+    })?;
+    let status = response.status();
+    if server.kind == Kind::Engine && status.is_server_error() {
+        return Err(Error::Status {
+            step: STEP,
+            peer,
+            status,
+        });
+    }
+    let headers = end_to_end(response.headers());
+    control.do_send(Input(Event::Head {
+        attempt,
+        status: status.as_u16(),
+        headers,
+    }));
+    let outcome = if server.kind == Kind::Engine && status.is_success() {
+        pass_events(control, attempt, response).await
+    } else {
+        pass_bytes(control, attempt, response).await
+    };
+    let usage = outcome.map_err(|problem| Error::Broken {
+        step: STEP,
+        peer,
+        problem,
+    })?;
+    let versions = BTreeSet::new();
+    control.do_send(Input(Event::Finished {
+        attempt,
+        versions,
+        usage,
+    }));
+    Ok(())
+}
+
+/// The headers that belong to the answer and not to the connection.
+fn end_to_end(headers: &awc::http::header::HeaderMap) -> Vec<Header> {
+    const HOP_BY_HOP: [&str; 5] = [
+        "connection",
+        "keep-alive",
+        "transfer-encoding",
+        "content-length",
+        "date",
+    ];
+    let kept = headers
+        .iter()
+        .filter(|(name, _)| !HOP_BY_HOP.contains(&name.as_str()));
+    let headers = kept.filter_map(|(name, value)| {
+        let value = value.to_str().ok()?.to_owned();
+        Some(Header {
+            name: name.as_str().to_owned(),
+            value,
+        })
+    });
+    headers.collect()
+}
+
+/// Passes an engine's events on, one line of JSON each.
+async fn pass_events<S>(
+    control: &Addr<Control>,
+    attempt: id::Attempt,
+    response: S,
+) -> Result<Usage, String>
+where
+    S: Stream<Item = Result<Bytes, PayloadError>> + Unpin,
+{
+    let mut usage = Usage::default();
+    let mut events = response.eventsource();
+    while let Some(event) = events.next().await {
+        let data = event.map_err(|error| error.to_string())?.data;
+        if data == "[DONE]" {
+            return Ok(usage);
+        }
+        let chunk: Value = serde_json::from_str(&data).map_err(|error| error.to_string())?;
+        if let Some(reported) = read_usage(&chunk) {
+            usage = reported;
+        }
+        let version = read_version(&chunk);
+        let bytes = Bytes::from(data + "\n");
+        control.do_send(Input(Event::Chunk {
+            attempt,
+            bytes,
+            version,
+        }));
+    }
+    Err("no end mark".to_owned())
+}
+
+/// The number behind `MODEL@` in `system_fingerprint`.
+fn read_version(chunk: &Value) -> Option<id::Version> {
+    let (_, number) = chunk["system_fingerprint"].as_str()?.rsplit_once('@')?;
+    number.parse().ok().map(id::Version)
+}
+
+fn read_usage(chunk: &Value) -> Option<Usage> {
+    let usage = chunk.get("usage")?.as_object()?;
+    let count = |name: &str| usage.get(name).and_then(Value::as_u64).unwrap_or(0);
+    let cached = usage
+        .get("prompt_tokens_details")
+        .and_then(|details| details.get("cached_tokens"));
+    Some(Usage {
+        prompt_tokens: count("prompt_tokens"),
+        cached_tokens: cached.and_then(Value::as_u64).unwrap_or(0),
+        completion_tokens: count("completion_tokens"),
+    })
+}
+
+async fn pass_bytes<S>(
+    control: &Addr<Control>,
+    attempt: id::Attempt,
+    mut response: S,
+) -> Result<Usage, String>
+where
+    S: Stream<Item = Result<Bytes, PayloadError>> + Unpin,
+{
+    while let Some(bytes) = response.next().await {
+        let bytes = bytes.map_err(|error| error.to_string())?;
+        control.do_send(Input(Event::Chunk {
+            attempt,
+            bytes,
+            version: None,
+        }));
+    }
+    Ok(Usage::default())
+}
+
+/// Gives an order to the engine and waits until it is carried out.
+///
+/// # Errors
+/// Why it may not have been. The engine's own report counts in any case.
+pub async fn load(
+    http: &awc::Client,
+    server: &Server,
+    platform: &str,
+    order: &Order,
+) -> Result<(), Error> {
+    const STEP: &str = "load";
+    let (model, version) = (&order.model, order.version.0);
+    let url = match &order.source {
+        Some(host) => format!("http://{}/v1/weights/{model}/{version}", host.address),
+        None => format!("{platform}/weights/{model}/{version}"),
+    };
+    let body = serde_json::json!({
+        "model": model, "version": version, "fence": order.fence, "url": url,
+    });
+    let peer = server.url.clone();
+    let request = http
+        .post(format!("{}/load", server.url))
+        .timeout(LOAD_TIMEOUT);
+    let response = request.send_json(&body).await;
+    let response = response.map_err(|source| Error::Send {
+        step: STEP,
+        peer: peer.clone(),
+        source,
+    })?;
+    let status = response.status();
+    if status.is_success() {
+        Ok(())
+    } else {
+        Err(Error::Status {
+            step: STEP,
+            peer,
+            status,
+        })
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/commands/cost.rs
@@ -0,0 +1,75 @@
+//! `cost`: tokens and money of a day.
+
+use std::collections::BTreeMap;
+
+use tamaracksail_model::object::Spec;
+use tamaracksail_model::store;
+use tamaracksail_policy::process::cost::Sheet;
+use tamaracksail_policy::process::status;
+use tamaracksail_process::clock::Clock;
+use tamaracksail_process::settings::Parser;
+
+use crate::{Failure, link, output};
+
+/// The help text.
+pub const HELP: &str = "\
+tamaracksailctl cost [--day N] [-o json]
+
+Sums what the entries wrote for a day: tokens by caller, model, class and use, with the price of
+the Price object in force. --day counts days since the Unix epoch; today if missing. A process
+that dies loses at most its last status period.
+";
+
+/// Runs the command.
+pub async fn run(mut parser: Parser) -> Result<(), Failure> {
+    let form = output::form(&mut parser);
+    let day: Option<u64> = parser.optional("--day");
+    let client = link::platform(&mut parser);
+    parser.finish();
+    let day = day.unwrap_or(status::day(Clock::start().now()));
+    let (_, snapshot) = link::fetch(&client, None).await?;
+    let prices: BTreeMap<_, _> = snapshot
+        .objects
+        .values()
+        .filter_map(|spec| match spec {
+            Spec::Price(price) => Some((price.model.clone(), price.millis_per_million_tokens)),
+            _ => None,
+        })
+        .collect();
+    let mut total = Sheet::default();
+    for key in client.list(&status::cost_prefix(day)).await? {
+        if let Some(value) = link::get(&client, &key).await? {
+            total.merge(&store::decode(&key, &value)?);
+        }
+    }
+    let rows: Vec<Vec<String>> = total
+        .sums
+        .iter()
+        .map(|(account, sum)| {
+            let price = prices.get(&account.target).copied().unwrap_or(0);
+            let micros = sum.completion_tokens * price / 1000;
+            vec![
+                account.caller.to_string(),
+                account.target.to_string(),
+                format!("{:?}", account.class).to_lowercase(),
+                format!("{:?}", account.usage).to_lowercase(),
+                sum.attempts.to_string(),
+                sum.prompt_tokens.to_string(),
+                sum.completion_tokens.to_string(),
+                format!("{}.{:06}", micros / 1_000_000, micros % 1_000_000),
+            ]
+        })
+        .collect();
+    let header = [
+        "CALLER",
+        "TARGET",
+        "CLASS",
+        "USE",
+        "ATTEMPTS",
+        "PROMPT",
+        "COMPLETION",
+        "PRICE",
+    ];
+    output::print(form, &total, &header, &rows);
+    Ok(())
+}
--- /dev/null
+++ b/crates/ctl/src/commands/drain.rs
@@ -0,0 +1,59 @@
+//! `drain`: takes a host out of service.
+
+use std::time::Duration;
+
+use tamaracksail_model::host::{Host, Role};
+use tamaracksail_model::store;
+use tamaracksail_process::settings::Parser;
+
+use crate::{Failure, link};
+
+/// The help text.
+pub const HELP: &str = "\
+tamaracksailctl drain HOST
+
+Tells the host's agent to take no new work; what is in flight finishes. Works while the platform
+is up, since the host's address is read from its host list. Stop the process with SIGTERM when
+`status` shows nothing running; SIGTERM alone drains as well.
+";
+
+/// Runs the command.
+pub async fn run(mut parser: Parser) -> Result<(), Failure> {
+    const TIMEOUT: Duration = Duration::from_secs(5);
+    let client = link::platform(&mut parser);
+    let names = parser.free();
+    if names.len() != 1 {
+        parser.wrong("HOST", "give exactly one");
+    }
+    parser.finish();
+    let hosts = link::get(&client, "hosts")
+        .await?
+        .unwrap_or_else(|| b"[]".to_vec());
+    let hosts: Vec<Host> = store::decode("hosts", &hosts)?;
+    let host = hosts.iter().find(|host| host.name.as_str() == names[0]);
+    let host = host.ok_or_else(|| Failure::one(format!("{}: not on the host list", names[0])))?;
+    if host.role != Role::Agent {
+        return Err(Failure::one(format!(
+            "{}: no agent; stop it with SIGTERM",
+            host.name
+        )));
+    }
+    let url = format!("http://{}/v1/drain", host.address);
+    let response = awc::Client::default()
+        .post(url)
+        .timeout(TIMEOUT)
+        .send()
+        .await;
+    match response {
+        Ok(response) if response.status().is_success() => {
+            println!("{} takes no new work", host.name);
+            Ok(())
+        }
+        Ok(response) => Err(Failure::one(format!(
+            "drain {}: {}",
+            host.name,
+            response.status()
+        ))),
+        Err(error) => Err(Failure::one(format!("drain {}: {error}", host.name))),
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/commands/history.rs
@@ -0,0 +1,40 @@
+//! `history`: accepted changes.
+
+use tamaracksail_policy::version::head::Accepted;
+use tamaracksail_process::settings::Parser;
+
+use crate::{Failure, link, output};
+
+/// The help text.
+pub const HELP: &str = "\
+tamaracksailctl history [-o json]
+
+Lists the accepted changes that the platform still holds, the newest first.
+";
+
+/// Runs the command.
+pub async fn run(mut parser: Parser) -> Result<(), Failure> {
+    let form = output::form(&mut parser);
+    let client = link::platform(&mut parser);
+    parser.finish();
+    let (head, _) = link::fetch(&client, None).await?;
+    let newest_first: Vec<&Accepted> = head.history.iter().rev().collect();
+    let row = |accepted: &&Accepted| {
+        let objects = accepted
+            .objects
+            .iter()
+            .map(ToString::to_string)
+            .collect::<Vec<_>>();
+        vec![
+            accepted.generation.0.to_string(),
+            (accepted.at.0 / 1_000_000).to_string(),
+            accepted.author.clone(),
+            format!("{:x}", accepted.change.0),
+            objects.join(" "),
+        ]
+    };
+    let rows: Vec<Vec<String>> = newest_first.iter().map(row).collect();
+    let header = ["GENERATION", "UNIX TIME", "AUTHOR", "CHANGE", "OBJECTS"];
+    output::print(form, &newest_first, &header, &rows);
+    Ok(())
+}
--- /dev/null
+++ b/crates/ctl/src/link.rs
@@ -0,0 +1,74 @@
+//! Calls to the platform.
+
+use tamaracksail_control::options::Url;
+use tamaracksail_model::config::Snapshot;
+use tamaracksail_model::id::Generation;
+use tamaracksail_model::store::{Answer, Call, Op, Reply, Ticket, Tickets};
+use tamaracksail_platform::Client;
+use tamaracksail_policy::version::fetch::{Done, Fetch};
+use tamaracksail_policy::version::head::Head;
+use tamaracksail_process::settings::Parser;
+
+use crate::Failure;
+
+/// A client of the platform that the settings name.
+pub fn platform(parser: &mut Parser) -> Client {
+    Client::new(&parser.required("--platform", Url(String::new())).0)
+}
+
+/// Carries out a call of a machine.
+pub async fn reply(client: &Client, call: &Call) -> Reply {
+    let answer = match client.call(call).await {
+        Ok(answer) => answer,
+        Err(error) => {
+            eprintln!("{}: {error}", crate::NAME);
+            Answer::Lost
+        }
+    };
+    Reply {
+        ticket: call.ticket,
+        answer,
+    }
+}
+
+/// Reads an object; none if there is no such object.
+///
+/// # Errors
+/// If the platform does not answer.
+pub async fn get(client: &Client, key: &str) -> Result<Option<Vec<u8>>, Failure> {
+    let call = Call {
+        ticket: Ticket(0),
+        key: key.to_owned(),
+        op: Op::Get,
+    };
+    match client.call(&call).await? {
+        Answer::Value { value, .. } => Ok(Some(value)),
+        _ => Ok(None),
+    }
+}
+
+/// Reads the head and the newest set, or that of `generation`.
+///
+/// # Errors
+/// If the platform does not answer or the generation is not listed.
+pub async fn fetch(
+    client: &Client,
+    generation: Option<Generation>,
+) -> Result<(Head, Snapshot), Failure> {
+    let mut tickets = Tickets::default();
+    let (mut fetch, mut call) = Fetch::start(&mut tickets, generation);
+    loop {
+        let reply = reply(client, &call).await;
+        match fetch.reply(&mut tickets, &reply) {
+            Ok(Some(next)) => call = next,
+            Ok(None) => return Err(Failure::one("read configuration: unexpected reply")),
+            Err(Done::Found(_, head, snapshot)) => return Ok((head, snapshot)),
+            Err(Done::Unlisted) => return Err(Failure::one("that generation is not listed")),
+            Err(Done::Failed) => {
+                return Err(Failure::one(
+                    "read configuration: the platform does not answer",
+                ));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/api/mod.rs
@@ -0,0 +1,43 @@
+//! The HTTP API of callers.
+
+mod chunks;
+mod common;
+mod models;
+mod openai;
+mod problem;
+mod services;
+
+use std::sync::Arc;
+
+use actix::Addr;
+use actix_web::web;
+use arc_swap::ArcSwap;
+use tamaracksail_model::config::Snapshot;
+use tamaracksail_process::clock::Clock;
+use tamaracksail_process::trace::Tracer;
+
+use crate::control::Control;
+
+/// What the traffic threads share.
+#[derive(Clone)]
+pub struct State {
+    /// The control thread.
+    pub control: Addr<Control>,
+    /// The clock.
+    pub clock: Clock,
+    /// The configuration in force.
+    pub config: Arc<ArcSwap<Snapshot>>,
+    /// Starts spans.
+    pub tracer: Tracer,
+}
+
+/// Adds the routes.
+pub fn routes(config: &mut web::ServiceConfig) {
+    config
+        .route("/v1/chat/completions", web::post().to(openai::chat))
+        .route("/v1/completions", web::post().to(openai::complete))
+        .route("/v1/models", web::get().to(models::list))
+        .route("/v1/models/{model}", web::get().to(models::show))
+        .route("/services/{service}/{path:.*}", web::to(services::call))
+        .default_service(web::to(problem::no_route));
+}
--- /dev/null
+++ b/crates/entry/src/api/models.rs
@@ -0,0 +1,28 @@
+//! `GET /v1/models`.
+
+use actix_web::{HttpResponse, web};
+use serde_json::{Value, json};
+use tamaracksail_model::id;
+
+use super::State;
+use super::problem::Problem;
+
+fn describe(name: &id::Object) -> Value {
+    json!({ "id": name, "object": "model", "created": 0, "owned_by": "tamaracksail" })
+}
+
+/// Lists the models.
+pub async fn list(state: web::Data<State>) -> HttpResponse {
+    let config = state.config.load();
+    let models: Vec<Value> = config.models().map(describe).collect();
+    HttpResponse::Ok().json(json!({ "object": "list", "data": models }))
+}
+
+/// Shows one model.
+pub async fn show(state: web::Data<State>, model: web::Path<String>) -> HttpResponse {
+    let name = id::Object(model.into_inner());
+    if state.config.load().target(&name).is_none() {
+        return Problem::not_found(&format!("there is no model {name}")).respond();
+    }
+    HttpResponse::Ok().json(describe(&name))
+}
--- /dev/null
+++ b/crates/entry/src/api/openai.rs
@@ -0,0 +1,296 @@
+//! `POST /v1/chat/completions` and `/v1/completions`, whole and streamed.
+//!
+//! Towards the engine every request is a stream, so that each chunk names its version; whole
+//! answers are put together here.
+
+use actix_web::http::StatusCode;
+use actix_web::{HttpRequest, HttpResponse, web};
+use bytes::Bytes;
+use serde_json::{Map, Value, json};
+use tamaracksail_model::id;
+use tamaracksail_model::outcome::Outcome;
+use tamaracksail_policy::entry::Answer;
+use tamaracksail_policy::request::arrival::{Arrival, Target};
+use tamaracksail_process::trace::{Span, SpanKind};
+use tamaracksail_wire::{Content, Header};
+use tokio::sync::mpsc;
+
+use super::common::{self, Terms};
+use super::problem::{self, Problem};
+use super::{State, chunks};
+use crate::pump::{self, Reply, Request};
+
+/// The characters of a prompt that servers are expected to cache.
+const PREFIX_CHARS: usize = 256;
+
+/// A kind of completion.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// `/v1/chat/completions`.
+    Chat,
+    /// `/v1/completions`.
+    Text,
+}
+
+impl Kind {
+    fn path(self) -> &'static str {
+        match self {
+            Self::Chat => "/v1/chat/completions",
+            Self::Text => "/v1/completions",
+        }
+    }
+}
+
+/// A parsed request.
+struct Parsed {
+    model: id::Object,
+    streamed: bool,
+    include_usage: bool,
+    body: Map<String, Value>,
+}
+
+fn parse(kind: Kind, bytes: &[u8]) -> Result<Parsed, Problem> {
+    let mut body: Map<String, Value> = serde_json::from_slice(bytes)
+        .map_err(|error| Problem::bad_request(&format!("body: {error}")))?;
+    let model = body.get("model").and_then(Value::as_str);
+    let model = model.ok_or_else(|| Problem::bad_request("model: must be text"))?;
+    let model = id::Object::from(model);
+    let streamed = match body.get("stream") {
+        None | Some(Value::Null) => false,
+        Some(value) => value
+            .as_bool()
+            .ok_or_else(|| Problem::bad_request("stream: must be true or false"))?,
+    };
+    let input = match kind {
+        Kind::Chat => (
+            "messages",
+            body.get("messages").is_some_and(Value::is_array),
+        ),
+        Kind::Text => ("prompt", body.contains_key("prompt")),
+    };
+    if !input.1 {
+        return Err(Problem::bad_request(&format!(
+            "{}: missing or of a wrong type",
+            input.0
+        )));
+    }
+    let options = body.get("stream_options");
+    let include_usage = options
+        .and_then(|o| o.get("include_usage")?.as_bool())
+        .unwrap_or(false);
+    body.insert("stream".to_owned(), json!(true));
+    body.insert(
+        "stream_options".to_owned(),
+        json!({ "include_usage": true }),
+    );
+    Ok(Parsed {
+        model,
+        streamed,
+        include_usage,
+        body,
+    })
+}
+
+/// `POST /v1/chat/completions`.
+pub async fn chat(
+    state: web::Data<State>,
+    http: web::Data<awc::Client>,
+    request: HttpRequest,
+    body: web::Bytes,
+) -> HttpResponse {
+    serve(Kind::Chat, &state, &http, &request, &body)
+        .await
+        .unwrap_or_else(|p| p.respond())
+}
+
+/// `POST /v1/completions`.
+pub async fn complete(
+    state: web::Data<State>,
+    http: web::Data<awc::Client>,
+    request: HttpRequest,
+    body: web::Bytes,
+) -> HttpResponse {
+    serve(Kind::Text, &state, &http, &request, &body)
+        .await
+        .unwrap_or_else(|p| p.respond())
+}
+
+async fn serve(
+    kind: Kind,
+    state: &State,
+    http: &awc::Client,
+    request: &HttpRequest,
+    body: &[u8],
+) -> Result<HttpResponse, Problem> {
+    let terms = Terms::read(request)?;
+    let parsed = parse(kind, body)?;
+    let span = state.tracer.span(
+        "entry.completion",
+        SpanKind::Server,
+        terms.traceparent.as_deref(),
+    );
+    let id = common::new_request();
+    span.note("request", id.to_string());
+    let input = &parsed.body[if kind == Kind::Chat {
+        "messages"
+    } else {
+        "prompt"
+    }];
+    let input = input.to_string();
+    let prefix: String = input.chars().take(PREFIX_CHARS).collect();
+    let arrival = Arrival {
+        request: id,
+        caller: terms.caller,
+        target: Target::Model(parsed.model.clone()),
+        class: terms.class,
+        once: terms.once,
+        key: terms.key,
+        fingerprint: id::fingerprint(format!("{} {input}", parsed.model).as_bytes()),
+        prefix: Some(id::fingerprint(prefix.as_bytes())),
+        deadline: state.clock.now().after(terms.timeout),
+        streamed: parsed.streamed,
+        resumable: parsed.streamed && is_resumable(&parsed.body),
+    };
+    let content = Content {
+        method: "POST".to_owned(),
+        path: kind.path().to_owned(),
+        headers: vec![Header {
+            name: "content-type".to_owned(),
+            value: "application/json".to_owned(),
+        }],
+        body: Bytes::from(Value::Object(parsed.body.clone()).to_string()),
+    };
+    let resume = Box::new(move |content: &Content, given: &[u8]| resume(kind, content, given));
+    let traceparent = span.traceparent();
+    let mut replies = pump::start(
+        &state.control,
+        http,
+        Request {
+            arrival,
+            content,
+            resume,
+            traceparent,
+        },
+    );
+    let created = state.clock.now().0 / 1_000_000;
+    let identity = chunks::Identity {
+        request: id,
+        created,
+        include_usage: parsed.include_usage,
+    };
+    match replies.recv().await {
+        Some(Reply::Answer(answer)) => Ok(finish(kind, &identity, &answer, span)),
+        Some(Reply::Start { status, headers }) => {
+            Ok(stream(identity, status, &headers, replies, span))
+        }
+        _ => Ok(HttpResponse::ServiceUnavailable().finish()),
+    }
+}
+
+/// Whether another engine can go on in the middle: one answer of plain text.
+fn is_resumable(body: &Map<String, Value>) -> bool {
+    let is_one = body.get("n").is_none_or(|n| n.as_u64() == Some(1));
+    let is_plain = ["tools", "logprobs", "response_format", "echo", "suffix"]
+        .iter()
+        .all(|field| {
+            body.get(*field)
+                .is_none_or(|value| value.is_null() || value == false)
+        });
+    is_one && is_plain && body.get("prompt").is_none_or(Value::is_string)
+}
+
+/// The request that goes on after the text of the given chunks.
+fn resume(kind: Kind, content: &Content, given: &[u8]) -> Content {
+    let Ok(mut body) = serde_json::from_slice::<Map<String, Value>>(&content.body) else {
+        return content.clone();
+    };
+    let (text, tokens) = chunks::text(given);
+    match kind {
+        Kind::Chat => {
+            if let Some(messages) = body.get_mut("messages").and_then(Value::as_array_mut) {
+                messages.push(json!({ "role": "assistant", "content": text }));
+            }
+            body.insert("continue_final_message".to_owned(), json!(true));
+            body.insert("add_generation_prompt".to_owned(), json!(false));
+        }
+        Kind::Text => {
+            let prompt = body
+                .get("prompt")
+                .and_then(Value::as_str)
+                .unwrap_or_default();
+            body.insert("prompt".to_owned(), json!(format!("{prompt}{text}")));
+        }
+    }
+    for limit in ["max_tokens", "max_completion_tokens"] {
+        if let Some(most) = body.get(limit).and_then(Value::as_u64) {
+            body.insert(limit.to_owned(), json!(most.saturating_sub(tokens).max(1)));
+        }
+    }
+    Content {
+        body: Bytes::from(Value::Object(body).to_string()),
+        ..content.clone()
+    }
+}
+
+fn finish(kind: Kind, identity: &chunks::Identity, answer: &Answer, span: Span) -> HttpResponse {
+    span.note("versions", common::versions(answer));
+    span.end(answer.problem.as_ref().map(ToString::to_string));
+    if answer.outcome != Outcome::Done {
+        return problem::respond(identity.request, answer);
+    }
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut response = HttpResponse::build(status);
+    common::name_answer(&mut response, identity.request, answer);
+    if !status.is_success() {
+        return response
+            .content_type("application/json")
+            .body(answer.body.clone());
+    }
+    response.json(chunks::join(kind, identity, answer))
+}
+
+fn stream(
+    identity: chunks::Identity,
+    status: u16,
+    headers: &[Header],
+    mut replies: mpsc::UnboundedReceiver<Reply>,
+    span: Span,
+) -> HttpResponse {
+    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::OK);
+    let mut response = HttpResponse::build(status);
+    response.insert_header(("tamaracksail-request", identity.request.0.to_string()));
+    if status.is_success() {
+        response
+            .content_type("text/event-stream")
+            .insert_header(("cache-control", "no-cache"));
+    } else {
+        let kind = headers.iter().find(|header| header.name == "content-type");
+        response.content_type(kind.map_or("application/json", |header| header.value.as_str()));
+    }
+    let (sender, receiver) = mpsc::channel::<Result<Bytes, std::io::Error>>(16);
+    actix_rt::spawn(async move {
+        let mut writer = chunks::Writer::new(identity, status.is_success());
+        let mut span = Some(span);
+        while let Some(reply) = replies.recv().await {
+            let (bytes, is_over) = match reply {
+                Reply::Start { .. } => continue,
+                Reply::Bytes(bytes) => (writer.write(&bytes), false),
+                Reply::Answer(answer) => {
+                    if let Some(span) = span.take() {
+                        span.note("versions", common::versions(&answer));
+                        span.end(answer.problem.as_ref().map(ToString::to_string));
+                    }
+                    (writer.finish(&answer), true)
+                }
+            };
+            // A closed channel means that the caller has gone; dropping `replies` tells the pump.
+            if !bytes.is_empty() && sender.send(Ok(bytes)).await.is_err() || is_over {
+                return;
+            }
+        }
+    });
+    let stream = futures_util::stream::unfold(receiver, async |mut receiver| {
+        receiver.recv().await.map(|item| (item, receiver))
+    });
+    response.streaming(stream)
+}
--- /dev/null
+++ b/crates/entry/src/api/problem.rs
@@ -0,0 +1,147 @@
+//! Errors as `application/problem+json`, with the member `error` that `OpenAI` clients read.
+
+use std::time::Duration;
+
+use actix_web::http::StatusCode;
+use actix_web::{HttpRequest, HttpResponse};
+use serde_json::{Value, json};
+use tamaracksail_model::id;
+use tamaracksail_model::outcome::Outcome;
+use tamaracksail_policy::entry::{self, Answer, Cause};
+
+use super::common;
+
+/// An error that was found before the request was accepted: it did not run.
+#[derive(Clone, Debug)]
+pub struct Problem {
+    status: StatusCode,
+    detail: String,
+}
+
+impl Problem {
+    /// The request is malformed.
+    pub fn bad_request(detail: &str) -> Self {
+        Self {
+            status: StatusCode::BAD_REQUEST,
+            detail: detail.to_owned(),
+        }
+    }
+
+    /// There is no such thing.
+    pub fn not_found(detail: &str) -> Self {
+        Self {
+            status: StatusCode::NOT_FOUND,
+            detail: detail.to_owned(),
+        }
+    }
+
+    /// The error as a response.
+    pub fn respond(&self) -> HttpResponse {
+        let body = body(self.status, &self.detail, Outcome::NotRun, None, None);
+        HttpResponse::build(self.status)
+            .content_type("application/problem+json")
+            .insert_header(("x-should-retry", "false"))
+            .insert_header(("tamaracksail-outcome", Outcome::NotRun.to_string()))
+            .body(body.to_string())
+    }
+}
+
+fn body(
+    status: StatusCode,
+    detail: &str,
+    outcome: Outcome,
+    request: Option<id::Request>,
+    problem: Option<&entry::Problem>,
+) -> Value {
+    let title = status.canonical_reason().unwrap_or("Error");
+    let kind = match status.as_u16() {
+        400 | 422 => "invalid_request_error",
+        404 => "not_found_error",
+        409 => "conflict_error",
+        429 => "rate_limit_error",
+        _ => "server_error",
+    };
+    json!({
+        "type": "about:blank",
+        "title": title,
+        "status": status.as_u16(),
+        "detail": detail,
+        "outcome": outcome,
+        "step": problem.map(|problem| problem.step),
+        "peer": problem.and_then(|problem| problem.peer.clone()),
+        "request": request.map(|request| request.0),
+        "error": { "message": detail, "type": kind, "param": null, "code": outcome },
+    })
+}
+
+/// A sentence for people.
+fn explain(cause: Cause, outcome: Outcome) -> String {
+    let reason = match cause {
+        Cause::NotReady => "this host has no configuration yet".to_owned(),
+        Cause::Stopping => "this host is stopping".to_owned(),
+        Cause::UnknownTarget => "there is no such model or service".to_owned(),
+        Cause::Deadline => "the deadline passed".to_owned(),
+        Cause::Overload => "more requests wait than can be served in time".to_owned(),
+        Cause::NoServer => "no backend server can take the request".to_owned(),
+        Cause::RetryBudget => "servers failed and the retry budget is spent".to_owned(),
+        Cause::Suspect => "requests with this content crashed several servers".to_owned(),
+        Cause::Platform => "the platform did not confirm the claim of the key".to_owned(),
+        Cause::Running => "a request with this key is still running".to_owned(),
+        Cause::MayHaveRun => {
+            "a request with this key may have run and will not be run again".to_owned()
+        }
+        Cause::CallerGone => "the caller closed its connection".to_owned(),
+        Cause::Link => "the link to the backend server failed".to_owned(),
+        Cause::Server(reason) => format!("the backend server's agent reported {reason:?}"),
+    };
+    match outcome {
+        Outcome::NotRun => format!("{reason}; the request was not run"),
+        _ => format!("{reason}; the request may have run"),
+    }
+}
+
+/// The body for an answer that is not whole.
+pub fn body_of(request: id::Request, answer: &Answer) -> Value {
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let problem = answer.problem.as_ref();
+    let detail = problem.map_or_else(
+        || "no whole answer".to_owned(),
+        |problem| explain(problem.cause, answer.outcome),
+    );
+    body(status, &detail, answer.outcome, Some(request), problem)
+}
+
+/// The response for an answer that is not whole.
+pub fn respond(request: id::Request, answer: &Answer) -> HttpResponse {
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut response = HttpResponse::build(status);
+    common::name_answer(&mut response, request, answer);
+    match answer.retry_after {
+        Some(after) => {
+            response
+                .insert_header(("retry-after", seconds_up(after).to_string()))
+                .insert_header(("retry-after-ms", after.as_millis().to_string()));
+        }
+        None => {
+            response.insert_header(("x-should-retry", "false"));
+        }
+    }
+    response
+        .content_type("application/problem+json")
+        .body(body_of(request, answer).to_string())
+}
+
+/// Whole seconds, rounded up: `Retry-After` has no fractions.
+fn seconds_up(duration: Duration) -> u64 {
+    duration.as_secs() + u64::from(duration.subsec_nanos() > 0)
+}
+
+/// Answers paths that are no routes.
+pub async fn no_route(request: HttpRequest) -> HttpResponse {
+    Problem::not_found(&format!(
+        "{} {} is no route",
+        request.method(),
+        request.path()
+    ))
+    .respond()
+}
--- /dev/null
+++ b/crates/entry/src/main.rs
@@ -0,0 +1,125 @@
+//! The entry: callers' and trainers' HTTP API.
+//!
+//! `control` is the actor around the machines of `tamaracksail-policy`, `api` the traffic from
+//! callers, `pump` what one request does between the two, `link` the traffic to agents.
+
+mod api;
+mod control;
+mod link;
+mod options;
+mod pump;
+
+use std::sync::Arc;
+
+use actix::Actor;
+use actix_web::{App, HttpServer, web};
+use arc_swap::ArcSwap;
+use tamaracksail_control::follow::{Follow, Inbox, receive};
+use tamaracksail_control::peer;
+use tamaracksail_model::config::Snapshot;
+use tamaracksail_policy::entry::Settings;
+use tamaracksail_policy::version::follower;
+use tamaracksail_process::clock::Clock;
+use tamaracksail_process::health::{self, Readiness};
+use tamaracksail_process::trace::Tracer;
+use tamaracksail_process::{logs, settings, stop};
+
+use control::Control;
+use options::Options;
+
+/// Seconds that open connections get to end after the last answer.
+const CLOSE_SECONDS: u64 = 2;
+
+#[actix_web::main]
+async fn main() -> std::io::Result<()> {
+    let options = Options::parse();
+    let shared = options.shared.clone();
+    logs::start(shared.log_format, shared.log_level);
+    let clock = Clock::start();
+    let tracer = Tracer::start("tamaracksail-entry", shared.otlp_endpoint.as_deref())
+        .unwrap_or_else(|problem| settings::fail(options::NAME, &problem));
+    let readiness = Readiness::default();
+    let registry = web::Data::new(prometheus::Registry::new());
+    let incarnation = clock.incarnation();
+    let config = Arc::new(ArcSwap::from_pointee(Snapshot::default()));
+
+    let thread = actix_rt::Arbiter::new();
+    let machine = Settings::builder(shared.host.clone(), incarnation, incarnation.0)
+        .stall(options.stall)
+        .remote_cost(options.remote_cost)
+        .queue(options.queue)
+        .build()
+        .unwrap_or_else(|errors| settings::fail(options::NAME, &list(&errors)));
+    let parts = control::Parts {
+        machine,
+        clock,
+        platform: shared.platform.clone(),
+        readiness: readiness.clone(),
+        registry: registry.clone(),
+        status_period: options.status_period,
+        config: Arc::clone(&config),
+    };
+    let control = Control::start_in_arbiter(&thread.handle(), move |_| Control::new(parts));
+    let follower = follower::Settings {
+        host: shared.host.name.clone(),
+        domain: shared.host.domain.clone(),
+        address: shared.host.address,
+        incarnation,
+        seeds: shared.seeds.clone(),
+        seed: incarnation.0,
+    };
+    let subscriber = control.clone().recipient();
+    let platform = shared.platform.clone();
+    let follow = Follow::start_in_arbiter(&thread.handle(), move |_| {
+        Follow::new(follower, clock, &platform, vec![subscriber])
+    });
+    let inbox = Inbox {
+        follow: follow.recipient(),
+        own: control.clone().recipient(),
+    };
+
+    let state = api::State {
+        control: control.clone(),
+        clock,
+        config,
+        tracer: tracer.clone(),
+    };
+    let app = move || {
+        App::new()
+            .app_data(web::Data::new(inbox.clone()))
+            .app_data(web::Data::new(state.clone()))
+            .app_data(web::Data::new(awc::Client::default()))
+            .app_data(web::Data::new(readiness.clone()))
+            .app_data(registry.clone())
+            .app_data(web::PayloadConfig::new(
+                tamaracksail_wire::codec::MAX_BYTES / 2,
+            ))
+            .configure(health::routes)
+            .configure(api::routes)
+            .route(peer::CONTROL, web::post().to(receive))
+    };
+    let http = HttpServer::new(app)
+        .workers(options.workers)
+        .disable_signals()
+        .shutdown_timeout(CLOSE_SECONDS)
+        .bind(shared.host.address)?
+        .run();
+    let handle = http.handle();
+    actix_rt::spawn(async move {
+        drop(stop::requested().await);
+        log::info!("stopping: finishing what is in flight");
+        control.send(control::Stop).await.ok();
+        handle.stop(true).await;
+    });
+    http.await?;
+    tracer.stop();
+    Ok(())
+}
+
+fn list<T: ToString>(errors: &[T]) -> String {
+    errors
+        .iter()
+        .map(ToString::to_string)
+        .collect::<Vec<_>>()
+        .join("; ")
+}
--- /dev/null
+++ b/crates/entry/src/options.rs
@@ -0,0 +1,76 @@
+//! The entry's settings.
+
+use std::time::Duration;
+
+use tamaracksail_control::options;
+use tamaracksail_model::host::Role;
+use tamaracksail_process::settings::{About, Parser};
+
+/// The binary's name.
+pub const NAME: &str = "tamaracksail-entry";
+
+const HELP: &str = "\
+tamaracksail-entry serves callers and trainers on an entry host.
+
+  --stall-ms MS             how long an attempt may be silent (default 5000)
+  --remote-cost-ms MS       the delay that another failure domain must save (default 20)
+  --queue COUNT             requests that may wait for a server (default 256)
+  --status-period-ms MS     between two writes of status and cost (default 60000)
+  --workers COUNT           traffic threads (default 2)
+";
+
+/// Checked settings.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Those shared with agents.
+    pub shared: options::Options,
+    /// How long an attempt may be silent.
+    pub stall: Duration,
+    /// The delay that another failure domain must save.
+    pub remote_cost: Duration,
+    /// Requests that may wait.
+    pub queue: usize,
+    /// The time between two writes of status and cost.
+    pub status_period: Duration,
+    /// Traffic threads.
+    pub workers: usize,
+}
+
+impl Options {
+    /// Reads the settings; exits if one is wrong.
+    pub fn parse() -> Self {
+        let help: &'static str = Box::leak(format!("{HELP}{}", options::HELP).into_boxed_str());
+        let about = About {
+            name: NAME,
+            version: env!("CARGO_PKG_VERSION"),
+            help,
+        };
+        let mut parser = Parser::new(about);
+        let shared = options::parse(&mut parser, Role::Entry);
+        let stall: u64 = parser.or("--stall-ms", 5000);
+        let remote_cost: u64 = parser.or("--remote-cost-ms", 20);
+        let queue = parser.or("--queue", 256);
+        let status_period: u64 = parser.or("--status-period-ms", 60_000);
+        let workers = parser.or("--workers", 2);
+        let positive = [
+            ("--stall-ms", stall == 0),
+            ("--queue", queue == 0),
+            ("--status-period-ms", status_period == 0),
+            ("--workers", workers == 0),
+        ];
+        for (flag, is_zero) in positive {
+            if is_zero {
+                parser.wrong(flag, "must be at least 1");
+            }
+        }
+        parser.finish();
+        Self {
+            shared,
+            stall: Duration::from_millis(stall),
+            remote_cost: Duration::from_millis(remote_cost),
+            queue,
+            status_period: Duration::from_millis(status_period),
+            workers,
+        }
+    }
+}
--- /dev/null
+++ b/crates/model/src/change.rs
@@ -0,0 +1,79 @@
+//! Differences between sets, and the merge of an operator's changes onto a newer generation.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::check;
+use crate::config::{Objects, Snapshot};
+use crate::object::{Key, Spec};
+
+plain! {
+    /// The changes from one set to another: the new spec, or none for a removal.
+    #[derive(Default)]
+    pub struct Change {
+        /// The specs by key, as a list since keys are not text.
+        pub specs: Vec<(Key, Option<Spec>)>,
+    }
+}
+
+/// Why a change cannot be published.
+#[derive(Clone, Debug, PartialEq, thiserror::Error)]
+pub enum Refusal {
+    /// Another operator changed the same objects.
+    #[error("conflict: changed by another operator since: {}", list(.0))]
+    Conflict(Vec<Key>),
+    /// The merged set does not hold together.
+    #[error("the merged set is wrong: {}", list(.0))]
+    Invalid(Vec<check::Error>),
+}
+
+fn list<T: ToString>(items: &[T]) -> String {
+    items
+        .iter()
+        .map(ToString::to_string)
+        .collect::<Vec<_>>()
+        .join("; ")
+}
+
+/// The changes that lead from `old` to `new`.
+#[must_use]
+pub fn diff(old: &Objects, new: &Objects) -> Change {
+    let keys: BTreeSet<&Key> = old.keys().chain(new.keys()).collect();
+    let changed = keys.into_iter().filter(|key| old.get(key) != new.get(key));
+    Change {
+        specs: changed
+            .map(|key| (key.clone(), new.get(key).cloned()))
+            .collect(),
+    }
+}
+
+/// Applies `change`, which was made against `base`, to `head`.
+///
+/// # Errors
+/// [`Refusal::Conflict`] if both changed an object differently; [`Refusal::Invalid`] if the
+/// merged set fails the whole-set check.
+pub fn merge(base: &Snapshot, change: &Change, head: &Snapshot) -> Result<Snapshot, Refusal> {
+    let theirs: BTreeMap<_, _> = diff(&base.objects, &head.objects)
+        .specs
+        .into_iter()
+        .collect();
+    let conflicts = change
+        .specs
+        .iter()
+        .filter(|(key, spec)| theirs.get(key).is_some_and(|other| other != spec));
+    let conflicts: Vec<Key> = conflicts.map(|(key, _)| key.clone()).collect();
+    if !conflicts.is_empty() {
+        return Err(Refusal::Conflict(conflicts));
+    }
+    let mut objects = head.objects.clone();
+    for (key, spec) in &change.specs {
+        match spec {
+            Some(spec) => objects.insert(key.clone(), spec.clone()),
+            None => objects.remove(key),
+        };
+    }
+    check::check(&objects).map_err(Refusal::Invalid)?;
+    Ok(Snapshot {
+        generation: head.generation.next(),
+        objects,
+    })
+}
--- /dev/null
+++ b/crates/model/src/lib.rs
@@ -0,0 +1,19 @@
+//! Objects, identifiers, units and the whole-set check. No I/O.
+//!
+//! Start with [`object`] for what operators declare, [`config`] for the immutable
+//! snapshot that every process holds, and [`check`] for the rules a set must meet.
+//! Messages between processes are in `tamaracksail-wire`.
+
+#[macro_use]
+mod derive;
+
+pub mod change;
+pub mod check;
+pub mod config;
+pub mod host;
+pub mod id;
+pub mod manifest;
+pub mod object;
+pub mod outcome;
+pub mod store;
+pub mod time;
--- /dev/null
+++ b/crates/model/src/store.rs
@@ -0,0 +1,122 @@
+//! Calls to the platform's object API, as the machines make them.
+
+use std::fmt;
+
+use crate::id::Revision;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// The largest value of the platform, in bytes.
+pub const MAX_VALUE_BYTES: usize = 1_000_000;
+
+key! {
+    /// Matches a reply to its call, within one machine.
+    pub struct Ticket(pub u64);
+}
+
+plain! {
+    /// What to do with an object.
+    pub enum Op {
+        /// Read it.
+        Get,
+        /// Replace it if it still is at `revision`; revision zero creates it.
+        Put {
+            /// The revision that must still be current.
+            revision: Revision,
+            /// The new value.
+            value: Vec<u8>,
+        },
+    }
+}
+
+plain! {
+    /// One call.
+    pub struct Call {
+        /// Its ticket.
+        pub ticket: Ticket,
+        /// The object's name.
+        pub key: String,
+        /// What to do.
+        pub op: Op,
+    }
+}
+
+plain! {
+    /// What became of a call.
+    pub enum Answer {
+        /// The object's value.
+        Value {
+            /// Its revision.
+            revision: Revision,
+            /// The value.
+            value: Vec<u8>,
+        },
+        /// No such object.
+        Missing,
+        /// The write took effect.
+        Written {
+            /// The new revision.
+            revision: Revision,
+        },
+        /// The object is at another revision; nothing was written.
+        Conflict,
+        /// No answer. A write may have taken effect.
+        Lost,
+    }
+}
+
+plain! {
+    /// The reply to a call.
+    pub struct Reply {
+        /// The call's ticket.
+        pub ticket: Ticket,
+        /// What became of it.
+        pub answer: Answer,
+    }
+}
+
+/// Hands out tickets.
+#[derive(Clone, Debug, Default)]
+pub struct Tickets(u64);
+
+impl Tickets {
+    /// A ticket that was not handed out before.
+    pub fn issue(&mut self) -> Ticket {
+        self.0 += 1;
+        Ticket(self.0)
+    }
+}
+
+/// A stored value cannot be read.
+#[derive(Debug, thiserror::Error)]
+#[error("read {key}: {source}")]
+pub struct Error {
+    key: String,
+    source: serde_json::Error,
+}
+
+/// Decodes a stored value.
+///
+/// # Errors
+/// If the value is not of this type.
+pub fn decode<T: DeserializeOwned>(key: &str, value: &[u8]) -> Result<T, Error> {
+    serde_json::from_slice(value).map_err(|source| Error {
+        key: key.to_owned(),
+        source,
+    })
+}
+
+/// Encodes a value to store.
+///
+/// # Panics
+/// Never for the types of this crate: all of them can be represented.
+#[must_use]
+pub fn encode<T: Serialize>(value: &T) -> Vec<u8> {
+    serde_json::to_vec(value).expect("stored types can be represented")
+}
+
+impl fmt::Display for Ticket {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "ticket{}", self.0)
+    }
+}
--- /dev/null
+++ b/crates/policy/src/entry/admit.rs
@@ -0,0 +1,134 @@
+//! Admission: what is refused at once, and the claims of keyed requests.
+
+use rand::RngCore;
+use tamaracksail_model::id;
+use tamaracksail_model::time::Instant;
+
+use super::action::{Action, Cause, Problem, Step};
+use super::machine::Entry;
+use super::request::{Phase, Request};
+use crate::request::arrival::{Arrival, Target};
+use crate::request::claim::{self, Decision, Wish};
+use crate::request::suspicion::Verdict;
+use crate::store::Reply;
+
+impl Entry {
+    pub(super) fn admit(&mut self, now: Instant, arrival: Arrival) {
+        self.counters.arrived += 1;
+        let id = arrival.request;
+        if self.requests.contains_key(&id) {
+            self.counters.misfits += 1;
+            return;
+        }
+        let refusal = self.refusal(now, &arrival);
+        self.requests.insert(id, Request::new(now, arrival));
+        match refusal {
+            Some(cause) => self.give_up(now, id, Step::Admit, cause),
+            None if self.requests[&id].arrival.key.is_some() => self.claim(now, id),
+            None => self.route(now, id),
+        }
+    }
+
+    fn refusal(&self, now: Instant, arrival: &Arrival) -> Option<Cause> {
+        if self.stopping {
+            return Some(Cause::Stopping);
+        }
+        let Some(config) = &self.config else {
+            return Some(Cause::NotReady);
+        };
+        let is_known = match &arrival.target {
+            Target::Model(model) => config.target(model).is_some(),
+            Target::Service(service) => config.service(service).is_some(),
+        };
+        if !is_known {
+            return Some(Cause::UnknownTarget);
+        }
+        if arrival.deadline <= now {
+            return Some(Cause::Deadline);
+        }
+        let is_refused = self.suspicion.verdict(now, arrival.fingerprint) == Verdict::Refused;
+        is_refused.then_some(Cause::Suspect)
+    }
+
+    fn claim(&mut self, now: Instant, id: id::Request) {
+        let nonce = id::Nonce(self.random.next_u64());
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        let Some(key) = &request.arrival.key else {
+            return;
+        };
+        request.phase = Phase::Claiming;
+        request.nonce = Some(nonce);
+        let wish = Wish {
+            request: id,
+            name: claim::name(&request.arrival.caller, key),
+            nonce,
+            until: request.arrival.deadline,
+            once: request.arrival.once,
+        };
+        let step = self.claims.want(now, &mut self.tickets, wish);
+        self.follow_claims(now, step);
+    }
+
+    pub(super) fn take_reply(&mut self, now: Instant, reply: &Reply) {
+        if let Some(step) = self.claims.reply(now, &mut self.tickets, reply) {
+            self.follow_claims(now, step);
+        }
+    }
+
+    fn follow_claims(&mut self, now: Instant, step: claim::Step) {
+        self.out.extend(step.calls.into_iter().map(Action::Store));
+        for (request, decision) in step.decisions {
+            self.take_decision(now, request, decision);
+        }
+    }
+
+    fn take_decision(&mut self, now: Instant, id: id::Request, decision: Decision) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        if request.phase != Phase::Claiming {
+            return;
+        }
+        if decision != Decision::Won {
+            // The claim is another's; its end is not ours to record.
+            request.nonce = None;
+        }
+        match decision {
+            Decision::Won => {
+                request.phase = Phase::Waiting;
+                self.route(now, id);
+            }
+            Decision::Kept(kept) => self.finish_kept(now, id, kept),
+            Decision::Running(until) => self.finish_running(now, id, until),
+            Decision::Unknown => {
+                request.may_have_run = true;
+                self.give_up(now, id, Step::Claim, Cause::MayHaveRun);
+            }
+            // What may be repeated is worth running without a claim.
+            Decision::Unavailable if !request.arrival.once => {
+                request.phase = Phase::Waiting;
+                self.route(now, id);
+            }
+            Decision::Unavailable => self.give_up(now, id, Step::Claim, Cause::Platform),
+        }
+    }
+
+    pub(super) fn lose_caller(&mut self, now: Instant, id: id::Request) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        if request.arrival.once && request.phase == Phase::Running {
+            // It runs on, so that the caller's repeat finds its answer.
+            let problem = Problem {
+                step: Step::Relay,
+                peer: None,
+                cause: Cause::CallerGone,
+            };
+            request.problem = Some(problem);
+            return;
+        }
+        self.give_up(now, id, Step::Relay, Cause::CallerGone);
+    }
+}
--- /dev/null
+++ b/crates/policy/src/entry/finish.rs
@@ -0,0 +1,219 @@
+//! Final answers. Each request gets one, at once when it is known.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use bytes::Bytes;
+use tamaracksail_model::id;
+use tamaracksail_model::outcome::Outcome;
+use tamaracksail_model::time::Instant;
+use tamaracksail_wire::Usage;
+
+use super::action::{Action, Answer, Cause, Problem, Step};
+use super::machine::Entry;
+use super::request::{Attempt, Phase, Request};
+use crate::process::cost::{Account, Use};
+use crate::request::claim::{self, Kept, State};
+
+/// The least time after which a caller is asked to come back.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
+
+impl Entry {
+    /// Answers a request that has no whole answer, with the outcome that is proved.
+    pub(super) fn give_up(&mut self, now: Instant, id: id::Request, step: Step, cause: Cause) {
+        let retry_after = self.retry_after(now, id).max(MIN_RETRY_AFTER);
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
+        let is_proved = request.live.is_empty() && !request.may_have_run;
+        let outcome = if is_proved {
+            Outcome::NotRun
+        } else {
+            Outcome::Unknown
+        };
+        let peer = request
+            .problem
+            .as_ref()
+            .and_then(|problem| problem.peer.clone());
+        let problem = Problem { step, peer, cause };
+        let answer = Answer {
+            outcome,
+            status: status(cause, outcome),
+            headers: Vec::new(),
+            body: Bytes::new(),
+            versions: request.versions.clone(),
+            usage: request.usage,
+            attempts: request.attempts,
+            problem: Some(problem),
+            retry_after: helps_to_return(cause, outcome, request.arrival.once)
+                .then_some(retry_after),
+            generation: self.generation(),
+        };
+        let end = (outcome == Outcome::Unknown).then_some(State::Unknown);
+        self.finish(now, id, answer, end);
+    }
+
+    pub(super) fn finish_done(&mut self, now: Instant, attempt: Attempt, usage: Usage) {
+        let id = attempt.request;
+        self.count(&attempt.account, Use::Delivered, usage);
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
+        let mut versions = attempt.versions;
+        versions.extend(request.versions.iter().copied());
+        let (status, headers) = attempt.head.unwrap_or((200, Vec::new()));
+        let body = attempt.body.freeze();
+        let kept = Kept {
+            status,
+            headers: headers.clone(),
+            body: (!request.arrival.streamed).then(|| body.to_vec()),
+        };
+        let is_unread = request.arrival.streamed && request.relayed == 0;
+        if is_unread {
+            let headers = headers.clone();
+            self.out.push(Action::Start {
+                request: id,
+                status,
+                headers,
+            });
+        }
+        let answer = Answer {
+            outcome: Outcome::Done,
+            status,
+            headers,
+            body,
+            versions,
+            usage,
+            attempts: request.attempts,
+            problem: None,
+            retry_after: None,
+            generation: self.generation(),
+        };
+        self.finish(now, id, answer, Some(State::Done(kept)));
+    }
+
+    /// Answers a repeat with the answer of the first run.
+    pub(super) fn finish_kept(&mut self, now: Instant, id: id::Request, kept: Kept) {
+        if self
+            .requests
+            .get(&id)
+            .is_some_and(|request| request.arrival.streamed)
+        {
+            let (status, headers) = (kept.status, kept.headers.clone());
+            self.out.push(Action::Start {
+                request: id,
+                status,
+                headers,
+            });
+            let bytes = Bytes::from(kept.body.clone().unwrap_or_default());
+            self.out.push(Action::Relay {
+                request: id,
+                version: None,
+                bytes,
+            });
+        }
+        let answer = Answer {
+            outcome: Outcome::Done,
+            status: kept.status,
+            headers: kept.headers,
+            body: Bytes::from(kept.body.unwrap_or_default()),
+            versions: BTreeSet::new(),
+            usage: Usage::default(),
+            attempts: 0,
+            problem: None,
+            retry_after: None,
+            generation: self.generation(),
+        };
+        self.finish(now, id, answer, None);
+    }
+
+    /// Answers a repeat whose first run is not over. This request itself did not run.
+    pub(super) fn finish_running(&mut self, now: Instant, id: id::Request, until: Instant) {
+        let problem = Problem {
+            step: Step::Claim,
+            peer: None,
+            cause: Cause::Running,
+        };
+        let answer = Answer {
+            outcome: Outcome::Unknown,
+            status: status(Cause::Running, Outcome::Unknown),
+            headers: Vec::new(),
+            body: Bytes::new(),
+            versions: BTreeSet::new(),
+            usage: Usage::default(),
+            attempts: 0,
+            problem: Some(problem),
+            retry_after: Some(
+                until
+                    .since(now)
+                    .clamp(MIN_RETRY_AFTER, Duration::from_secs(1)),
+            ),
+            generation: self.generation(),
+        };
+        self.finish(now, id, answer, None);
+    }
+
+    fn finish(&mut self, now: Instant, id: id::Request, answer: Answer, end: Option<State>) {
+        let Some(request) = self.requests.remove(&id) else {
+            return;
+        };
+        match answer.outcome {
+            Outcome::Done => self.counters.done += 1,
+            Outcome::NotRun => self.counters.not_run += 1,
+            Outcome::Unknown => self.counters.unknown += 1,
+        }
+        for attempt in &request.live {
+            self.revoke(*attempt);
+        }
+        self.out.push(Action::Answer {
+            request: id,
+            answer: Box::new(answer),
+        });
+        self.end_claim(now, &request, end);
+    }
+
+    fn end_claim(&mut self, now: Instant, request: &Request, end: Option<State>) {
+        let (Some(nonce), Some(key)) = (request.nonce, &request.arrival.key) else {
+            return;
+        };
+        let name = claim::name(&request.arrival.caller, key);
+        if request.phase == Phase::Claiming {
+            return self.claims.abandon(&name, nonce);
+        }
+        let calls = self
+            .claims
+            .settle(now, &mut self.tickets, &name, (nonce, end));
+        self.out.extend(calls.into_iter().map(Action::Store));
+    }
+
+    /// Counts the cost of an attempt.
+    pub(super) fn count(&mut self, account: &Account, usage_kind: Use, usage: Usage) {
+        let account = Account {
+            usage: usage_kind,
+            ..account.clone()
+        };
+        self.sheet.count(account, usage);
+    }
+}
+
+/// The HTTP status of a request without a whole answer.
+fn status(cause: Cause, outcome: Outcome) -> u16 {
+    match cause {
+        Cause::UnknownTarget => 404,
+        Cause::Suspect => 422,
+        Cause::Running | Cause::MayHaveRun => 409,
+        Cause::Overload => 429,
+        Cause::Deadline => 504,
+        _ if outcome == Outcome::Unknown => 502,
+        _ => 503,
+    }
+}
+
+/// Whether a caller that sends the request again can expect more.
+fn helps_to_return(cause: Cause, outcome: Outcome, once: bool) -> bool {
+    let is_final = matches!(
+        cause,
+        Cause::UnknownTarget | Cause::Suspect | Cause::MayHaveRun
+    );
+    !is_final && (outcome == Outcome::NotRun || !once)
+}
--- /dev/null
+++ b/crates/policy/src/entry/frames.rs
@@ -0,0 +1,257 @@
+//! Frames, refusals and lost links: what becomes of an attempt.
+
+use bytes::Bytes;
+use tamaracksail_model::id;
+use tamaracksail_model::time::Instant;
+use tamaracksail_wire::{Failure, Frame, Load, Reason, Revoked, Usage};
+
+use super::action::{Action, Cause, Problem, Step};
+use super::machine::Entry;
+use super::request::Attempt;
+use crate::process::cost::Use;
+
+impl Entry {
+    pub(super) fn take_frame(&mut self, now: Instant, frame: Frame) {
+        let id = frame.attempt();
+        let Some(attempt) = self.attempts.get_mut(&id) else {
+            self.counters.misfits += 1;
+            return;
+        };
+        attempt.heard = now;
+        match frame {
+            Frame::Head {
+                status, headers, ..
+            } => {
+                if attempt.head.is_none() {
+                    attempt.head = Some((status, headers));
+                }
+            }
+            Frame::Data {
+                offset,
+                version,
+                bytes,
+                ..
+            } => {
+                self.take_data(now, id, offset, version, bytes);
+            }
+            Frame::End {
+                length,
+                versions,
+                usage,
+                load,
+                ..
+            } => {
+                self.hear_load(now, id, load);
+                self.take_end(now, id, length, versions, usage);
+            }
+            Frame::Failed {
+                failure,
+                usage,
+                load,
+                ..
+            } => {
+                self.hear_load(now, id, load);
+                self.take_failure(now, id, &failure, usage);
+            }
+        }
+    }
+
+    fn hear_load(&mut self, now: Instant, id: id::Attempt, load: Load) {
+        if let Some(view) = self
+            .attempts
+            .get(&id)
+            .and_then(|a| self.servers.get_mut(a.server))
+        {
+            view.hear(now, load);
+            view.breaker.succeed();
+        }
+    }
+
+    fn take_data(
+        &mut self,
+        now: Instant,
+        id: id::Attempt,
+        offset: u64,
+        version: Option<id::Version>,
+        bytes: Bytes,
+    ) {
+        let Some(attempt) = self.attempts.get_mut(&id) else {
+            return;
+        };
+        if !attempt.take(offset, &bytes) {
+            self.counters.misfits += 1;
+            return self.fail_attempt(now, id, false, Cause::Server(Reason::Failed));
+        }
+        attempt.versions.extend(version);
+        let Some(request) = self.requests.get_mut(&attempt.request) else {
+            return;
+        };
+        if !request.arrival.streamed {
+            attempt.body.extend_from_slice(&bytes);
+            return;
+        }
+        if request.source.is_none() {
+            // A second attempt that started from fewer bytes would repeat what was relayed.
+            if offset != request.relayed {
+                return self.fail_attempt(now, id, false, Cause::Server(Reason::Failed));
+            }
+            request.source = Some(id);
+            if offset == 0
+                && let Some((status, headers)) = attempt.head.clone()
+            {
+                self.out.push(Action::Start {
+                    request: attempt.request,
+                    status,
+                    headers,
+                });
+            }
+        }
+        if request.source == Some(id) {
+            request.relayed += bytes.len() as u64;
+            request.versions.extend(version);
+            self.out.push(Action::Relay {
+                request: attempt.request,
+                version,
+                bytes,
+            });
+        } else {
+            self.revoke(id);
+        }
+    }
+
+    fn take_end(
+        &mut self,
+        now: Instant,
+        id: id::Attempt,
+        length: u64,
+        versions: std::collections::BTreeSet<id::Version>,
+        usage: Usage,
+    ) {
+        let Some(attempt) = self.attempts.get_mut(&id) else {
+            return;
+        };
+        attempt.versions.extend(versions);
+        let is_whole = attempt.head.is_some() && attempt.received == length;
+        let is_source = self.requests.get(&attempt.request).is_some_and(|request| {
+            !request.arrival.streamed
+                || request.source == Some(id)
+                || (request.source.is_none() && request.relayed == length)
+        });
+        if !is_whole {
+            self.counters.misfits += 1;
+            return self.fail_attempt(now, id, false, Cause::Server(Reason::Failed));
+        }
+        let Some(attempt) = self.end_attempt(id) else {
+            return;
+        };
+        if let Some(view) = self.servers.get_mut(attempt.server) {
+            view.grow_limit();
+        }
+        if attempt.alone
+            && let Some(request) = self.requests.get(&attempt.request)
+        {
+            self.suspicion.clear(request.arrival.fingerprint);
+        }
+        if is_source {
+            self.finish_done(now, attempt, usage);
+        } else {
+            self.count(&attempt.account, Use::Loser, usage);
+        }
+        self.route_waiting(now);
+    }
+
+    fn take_failure(&mut self, now: Instant, id: id::Attempt, failure: &Failure, usage: Usage) {
+        let Some(attempt) = self.attempts.get(&id) else {
+            return;
+        };
+        let server = attempt.server;
+        let (request, alone, account) = (attempt.request, attempt.alone, attempt.account.clone());
+        let crash = failure.crash.map(|count| (attempt.host.clone(), count));
+        let view = self.servers.get_mut(attempt.server);
+        match (failure.reason, view) {
+            (Reason::Busy, Some(view)) => view.shrink_limit(),
+            (Reason::OtherIncarnation, Some(view)) => view.incarnation = None,
+            _ => {}
+        }
+        if failure.reason == Reason::OtherIncarnation {
+            self.greet(now, server);
+        }
+        let kind = if self.requests.contains_key(&request) {
+            Use::Retried
+        } else {
+            Use::Loser
+        };
+        if usage != Usage::default() {
+            self.count(&account, kind, usage);
+        }
+        if let (Some(crash), Some(request)) = (crash, self.requests.get(&request)) {
+            self.suspicion
+                .record(now, request.arrival.fingerprint, crash, alone);
+        }
+        self.fail_attempt(now, id, failure.not_run, Cause::Server(failure.reason));
+    }
+
+    pub(super) fn lose_link(&mut self, now: Instant, id: id::Attempt, sent: bool) {
+        let Some(attempt) = self.attempts.get(&id) else {
+            return;
+        };
+        if let Some(view) = self.servers.get_mut(attempt.server) {
+            view.breaker.fail(now);
+        }
+        self.fail_attempt(now, id, !sent, Cause::Link);
+    }
+
+    pub(super) fn take_revoked(&mut self, now: Instant, revoked: &Revoked) {
+        if revoked.not_run && self.attempts.contains_key(&revoked.attempt) {
+            self.fail_attempt(now, revoked.attempt, true, Cause::Server(Reason::Revoked));
+        }
+    }
+
+    /// An attempt is over.
+    pub(super) fn end_attempt(&mut self, id: id::Attempt) -> Option<Attempt> {
+        let attempt = self.attempts.remove(&id)?;
+        if let Some(view) = self.servers.get_mut(attempt.server) {
+            view.finish(id);
+        }
+        if let Some(request) = self.requests.get_mut(&attempt.request) {
+            request.live.remove(&id);
+        }
+        Some(attempt)
+    }
+
+    /// An attempt ended without a whole answer: retries its request, or gives it up.
+    fn fail_attempt(&mut self, now: Instant, id: id::Attempt, not_run: bool, cause: Cause) {
+        self.revoke(id);
+        let Some(attempt) = self.end_attempt(id) else {
+            return;
+        };
+        let Some(request) = self.requests.get_mut(&attempt.request) else {
+            return;
+        };
+        let peer = Some(attempt.host);
+        request.problem = Some(Problem {
+            step: Step::Run,
+            peer,
+            cause,
+        });
+        request.may_have_run |= !not_run;
+        if request.source == Some(id) {
+            request.source = None;
+        }
+        let is_repeatable = not_run || !request.arrival.once;
+        let can_resume = request.relayed == 0 || request.arrival.resumable;
+        if !request.live.is_empty() {
+            return;
+        }
+        // A planned stop is no failure, so its retries are free; each server causes one at most.
+        let is_free = cause == Cause::Server(Reason::Leaving);
+        if is_repeatable && can_resume && (is_free || self.pay_retry(attempt.request)) {
+            self.route(now, attempt.request);
+        } else if is_repeatable && can_resume {
+            self.give_up(now, attempt.request, Step::Run, Cause::RetryBudget);
+        } else {
+            self.give_up(now, attempt.request, Step::Run, cause);
+        }
+        self.route_waiting(now);
+    }
+}
--- /dev/null
+++ b/crates/policy/src/entry/machine.rs
@@ -0,0 +1,352 @@
+//! The entry's state and the dispatch of its events.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use slotmap::SlotMap;
+use tamaracksail_model::config::Snapshot;
+use tamaracksail_model::host::{Host, Phase as HostPhase, Role};
+use tamaracksail_model::id;
+use tamaracksail_model::outcome::Class;
+use tamaracksail_model::plain;
+use tamaracksail_model::time::Instant;
+use tamaracksail_wire::{Hello, Report, Sender};
+
+use super::action::{Action, Cause, Step};
+use super::event::Event;
+use super::request::{Attempt, Phase, Request};
+use super::settings::Settings;
+use crate::connection::choice::Chooser;
+use crate::connection::view::{Server, View};
+use crate::process::cost::Sheet;
+use crate::process::status::{self, Status};
+use crate::process::subset;
+use crate::request::budget::Budget;
+use crate::request::claim::Claims;
+use crate::request::suspicion::Suspicion;
+use crate::store::Tickets;
+
+plain! {
+    /// What an entry has counted since its start.
+    #[derive(Copy, Default)]
+    pub struct Counters {
+        /// Requests that arrived.
+        pub arrived: u64,
+        /// Requests answered in full.
+        pub done: u64,
+        /// Requests answered as not run.
+        pub not_run: u64,
+        /// Requests answered as unknown.
+        pub unknown: u64,
+        /// First attempts.
+        pub firsts: u64,
+        /// Further attempts that the retry budget paid for.
+        pub retries: u64,
+        /// Requests refused for overload.
+        pub shed: u64,
+        /// Frames that did not fit their attempt.
+        pub misfits: u64,
+    }
+}
+
+/// The state of an entry.
+#[derive(Debug)]
+pub struct Entry {
+    pub(super) settings: Settings,
+    pub(super) random: SmallRng,
+    pub(super) chooser: Chooser,
+    pub(super) config: Option<Arc<Snapshot>>,
+    pub(super) hosts: Vec<Host>,
+    pub(super) servers: SlotMap<Server, View>,
+    pub(super) by_host: BTreeMap<id::Host, Server>,
+    pub(super) requests: BTreeMap<id::Request, Request>,
+    pub(super) attempts: BTreeMap<id::Attempt, Attempt>,
+    pub(super) last_attempt: u64,
+    pub(super) budgets: BTreeMap<Class, Budget>,
+    pub(super) claims: Claims,
+    pub(super) tickets: Tickets,
+    pub(super) suspicion: Suspicion,
+    pub(super) sheet: Sheet,
+    pub(super) counters: Counters,
+    pub(super) next_heartbeat: Instant,
+    pub(super) stopping: bool,
+    pub(super) out: Vec<Action>,
+}
+
+impl Entry {
+    /// An entry that has heard nothing yet. It refuses requests until it has a configuration.
+    #[must_use]
+    pub fn new(settings: Settings) -> Self {
+        let budget = Budget::new(settings.retry_reserve);
+        Self {
+            random: SmallRng::seed_from_u64(settings.seed),
+            chooser: Chooser::new(settings.rule, settings.remote_cost),
+            config: None,
+            hosts: Vec::new(),
+            servers: SlotMap::with_key(),
+            by_host: BTreeMap::new(),
+            requests: BTreeMap::new(),
+            attempts: BTreeMap::new(),
+            last_attempt: 0,
+            budgets: Class::ALL
+                .into_iter()
+                .map(|class| (class, budget.clone()))
+                .collect(),
+            claims: Claims::default(),
+            tickets: Tickets::default(),
+            suspicion: Suspicion::default(),
+            sheet: Sheet::default(),
+            counters: Counters::default(),
+            next_heartbeat: Instant::default(),
+            stopping: false,
+            out: Vec::new(),
+            settings,
+        }
+    }
+
+    /// Takes one event and returns what is to be done, in this order.
+    pub fn handle(&mut self, now: Instant, event: Event) -> Vec<Action> {
+        match event {
+            Event::Arrived(arrival) => self.admit(now, arrival),
+            Event::CallerGone(request) => self.lose_caller(now, request),
+            Event::Frame(frame) => self.take_frame(now, frame),
+            Event::Failed { attempt, sent } => self.lose_link(now, attempt, sent),
+            Event::Revoked(revoked) => self.take_revoked(now, &revoked),
+            Event::Report(report) => self.take_report(now, &report),
+            Event::Silent(host) => self.lose_heartbeat(now, &host),
+            Event::Config(config) => self.take_config(now, config),
+            Event::Hosts(hosts) => self.take_hosts(now, hosts),
+            Event::Stored(reply) => self.take_reply(now, &reply),
+            Event::Tick => self.tick(now),
+            Event::Stop => self.stopping = true,
+        }
+        self.exit_if_idle();
+        std::mem::take(&mut self.out)
+    }
+
+    /// What it has counted.
+    #[must_use]
+    pub fn counters(&self) -> Counters {
+        self.counters
+    }
+
+    /// Whether it takes requests.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.config.is_some() && !self.stopping
+    }
+
+    /// Requests without a final answer.
+    #[must_use]
+    pub fn in_flight(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// The costs counted since the start of the process.
+    #[must_use]
+    pub fn sheet(&self) -> &Sheet {
+        &self.sheet
+    }
+
+    /// What it writes of itself to the platform.
+    #[must_use]
+    pub fn status(&self, now: Instant) -> Status {
+        let server = |view: &View| status::Server {
+            host: view.host.clone(),
+            is_eligible: view.is_eligible(now),
+            running: view.load(now).map_or(0, |load| load.running),
+            versions: view.versions.clone(),
+        };
+        Status {
+            host: self.settings.host.name.clone(),
+            incarnation: self.settings.incarnation,
+            at: now,
+            generation: self.generation(),
+            counters: self.counters,
+            servers: self.servers.values().map(server).collect(),
+        }
+    }
+
+    pub(super) fn sender(&self) -> Sender {
+        Sender {
+            host: self.settings.host.name.clone(),
+            incarnation: self.settings.incarnation,
+            domain: self.settings.host.domain.clone(),
+            generation: self.generation(),
+        }
+    }
+
+    pub(super) fn generation(&self) -> id::Generation {
+        self.config
+            .as_ref()
+            .map_or(id::Generation(0), |config| config.generation)
+    }
+
+    fn take_config(&mut self, now: Instant, config: Arc<Snapshot>) {
+        if self
+            .config
+            .as_ref()
+            .is_some_and(|old| old.generation >= config.generation)
+        {
+            return;
+        }
+        self.config = Some(config);
+        self.choose_servers(now);
+        self.route_waiting(now);
+    }
+
+    fn take_hosts(&mut self, now: Instant, hosts: Vec<Host>) {
+        self.hosts = hosts;
+        self.choose_servers(now);
+    }
+
+    /// Brings the arena in line with the host list and the configuration.
+    fn choose_servers(&mut self, now: Instant) {
+        let Some(config) = self.config.clone() else {
+            return;
+        };
+        let entries = subset::of_role(&self.hosts, Role::Entry);
+        let agents = subset::of_role(&self.hosts, Role::Agent);
+        let names: BTreeSet<&id::Object> =
+            agents.iter().filter_map(|a| a.serves.as_ref()).collect();
+        let mut wanted: BTreeMap<id::Host, Host> = BTreeMap::new();
+        for name in names {
+            let group: Vec<&Host> = agents
+                .iter()
+                .copied()
+                .filter(|agent| agent.serves.as_ref() == Some(name))
+                .collect();
+            let chosen = subset::subset(&self.settings.host, &entries, &group);
+            wanted.extend(
+                chosen
+                    .into_iter()
+                    .map(|host| (host.name.clone(), host.clone())),
+            );
+        }
+        let is_replaced = |view: &View| {
+            wanted.get(&view.host).is_none_or(|host| {
+                host.address != view.address || host.serves.as_ref() != Some(&view.serves)
+            })
+        };
+        self.servers
+            .retain(|_, view| !is_replaced(view) || view.in_flight() > 0);
+        for view in self.servers.values_mut() {
+            let host = wanted.get(&view.host);
+            view.leaving = host.is_none_or(|host| host.phase == HostPhase::Leaving);
+        }
+        self.by_host = self
+            .servers
+            .iter()
+            .map(|(key, view)| (view.host.clone(), key))
+            .collect();
+        for (name, host) in wanted {
+            let Some(group) = host.serves.clone() else {
+                continue;
+            };
+            if !self.by_host.contains_key(&name) {
+                let concurrency = config.concurrency(&group);
+                let server = self.servers.insert(View::new(&host, group, concurrency));
+                self.by_host.insert(name, server);
+                self.greet(now, server);
+            }
+        }
+    }
+
+    /// Sends a heartbeat.
+    pub(super) fn greet(&mut self, now: Instant, server: Server) {
+        let Some(view) = self.servers.get(server) else {
+            return;
+        };
+        let hello = Hello {
+            sender: self.sender(),
+            leaving: view.leaving,
+            suspects: self.suspicion.report(now),
+        };
+        let (host, address) = (view.host.clone(), view.address);
+        self.out.push(Action::Hello {
+            host,
+            address,
+            hello,
+        });
+    }
+
+    fn take_report(&mut self, now: Instant, report: &Report) {
+        for suspect in &report.suspects {
+            self.suspicion.merge(now, suspect);
+        }
+        let Some(server) = self.by_host.get(&report.sender.host).copied() else {
+            return;
+        };
+        let view = &mut self.servers[server];
+        let is_restart = view
+            .incarnation
+            .is_some_and(|old| old != report.sender.incarnation);
+        view.incarnation = Some(report.sender.incarnation);
+        view.versions.clone_from(&report.versions);
+        view.hear(now, report.load);
+        view.breaker.succeed();
+        if is_restart {
+            self.lose_attempts(now, server, report.sender.incarnation);
+        }
+        self.route_waiting(now);
+    }
+
+    /// The agent restarted: what its predecessor had will not be answered.
+    fn lose_attempts(&mut self, now: Instant, server: Server, incarnation: id::Incarnation) {
+        let lost = self
+            .attempts
+            .iter()
+            .filter(|(_, attempt)| attempt.server == server && attempt.agent != incarnation);
+        let lost: Vec<id::Attempt> = lost.map(|(id, _)| *id).collect();
+        for attempt in lost {
+            self.lose_link(now, attempt, true);
+        }
+    }
+
+    fn lose_heartbeat(&mut self, now: Instant, host: &id::Host) {
+        if let Some(server) = self.by_host.get(host) {
+            self.servers[*server].breaker.fail(now);
+        }
+    }
+
+    fn tick(&mut self, now: Instant) {
+        let calls = self.claims.tick(now, &mut self.tickets);
+        self.out.extend(calls.into_iter().map(Action::Store));
+        if now >= self.next_heartbeat {
+            self.next_heartbeat = now.after(self.settings.heartbeat);
+            let servers: Vec<Server> = self.servers.keys().collect();
+            for server in servers {
+                self.greet(now, server);
+            }
+        }
+        self.expire_requests(now);
+        self.check_stalls(now);
+        self.refuse_unserved(now);
+        self.forget_orphans(now);
+        self.route_waiting(now);
+    }
+
+    fn expire_requests(&mut self, now: Instant) {
+        let due = self
+            .requests
+            .iter()
+            .filter(|(_, request)| request.arrival.deadline <= now);
+        let due: Vec<id::Request> = due.map(|(id, _)| *id).collect();
+        for request in due {
+            let step = match self.requests[&request].phase {
+                Phase::Claiming => Step::Claim,
+                Phase::Waiting => Step::Queue,
+                Phase::Running => Step::Run,
+            };
+            self.give_up(now, request, step, Cause::Deadline);
+        }
+    }
+
+    fn exit_if_idle(&mut self) {
+        if self.stopping && self.requests.is_empty() && self.claims.is_idle() {
+            self.out.push(Action::Exit);
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/entry/route.rs
@@ -0,0 +1,380 @@
+//! Routing: which server gets which request, what waits, and what is refused.
+
+use std::time::Duration;
+
+use tamaracksail_model::id;
+use tamaracksail_model::outcome::Class;
+use tamaracksail_model::time::Instant;
+use tamaracksail_wire::{Dispatch, Revoke};
+
+use super::action::{Action, Cause, Problem, Step};
+use super::machine::Entry;
+use super::request::{Attempt, Phase};
+use crate::connection::choice::{self, Candidate};
+use crate::connection::view::{Server, View};
+use crate::request::arrival::Target;
+use crate::request::suspicion::Verdict;
+
+/// The wait that is assumed when no server is known.
+const UNKNOWN_WAIT: Duration = Duration::from_secs(1);
+
+/// How long a request waits for any server to become known.
+const NO_SERVER_PATIENCE: Duration = Duration::from_secs(2);
+
+/// How long an attempt is remembered after its request was answered.
+const ORPHAN_LIFETIME: Duration = Duration::from_mins(1);
+
+impl Entry {
+    /// Sends a request to a server, or lets it wait, or refuses it.
+    pub(super) fn route(&mut self, now: Instant, id: id::Request) {
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
+        match self.suspicion.verdict(now, request.arrival.fingerprint) {
+            Verdict::Refused => self.give_up(now, id, Step::Queue, Cause::Suspect),
+            Verdict::Free => self.place(now, id, false),
+            Verdict::Alone => self.place(now, id, true),
+        }
+    }
+
+    fn place(&mut self, now: Instant, id: id::Request, alone: bool) {
+        let ahead = self.waiting_ahead(id);
+        let server = if ahead == 0 {
+            self.choose(now, id)
+        } else {
+            None
+        };
+        match server {
+            Some(server) => self.dispatch(now, id, server, alone),
+            None => self.wait(now, id, ahead),
+        }
+    }
+
+    fn choose(&mut self, now: Instant, id: id::Request) -> Option<Server> {
+        let request = self.requests.get(&id)?;
+        let arrival = &request.arrival;
+        let usable = |(server, view): &(Server, &View)| {
+            self.serves(&view.serves, &arrival.target)
+                && !request.tried.contains(server)
+                && view.is_eligible(now)
+                && view.has_room(now)
+        };
+        let own_domain = &self.settings.host.domain;
+        let candidates: (Vec<Server>, Vec<Candidate>) = self
+            .servers
+            .iter()
+            .filter(usable)
+            .map(|(server, view)| {
+                let prefix = arrival.prefix;
+                let candidate = Candidate {
+                    delay: view.expected_delay(now),
+                    load: view.estimate(now),
+                    lanes: f64::from(view.load(now).map_or(1, |load| load.limit)),
+                    is_remote: view.domain != *own_domain,
+                    affinity: prefix.map_or(0, |prefix| choice::affinity(prefix, &view.host)),
+                };
+                (server, candidate)
+            })
+            .unzip();
+        let index = self.chooser.choose(&mut self.random, &candidates.1)?;
+        candidates.0.get(index).copied()
+    }
+
+    fn serves(&self, group: &id::Object, target: &Target) -> bool {
+        match target {
+            Target::Service(service) => group == service,
+            Target::Model(model) => {
+                let pool = self.config.as_ref().and_then(|config| config.pool(group));
+                pool.is_some_and(|pool| pool.model == *model)
+            }
+        }
+    }
+
+    fn dispatch(&mut self, now: Instant, id: id::Request, server: Server, alone: bool) {
+        let view = &mut self.servers[server];
+        let Some(agent) = view.incarnation else {
+            return;
+        };
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        self.last_attempt += 1;
+        let attempt = id::Attempt {
+            entry: self.settings.incarnation,
+            number: self.last_attempt,
+        };
+        if request.attempts == 0 {
+            self.counters.firsts += 1;
+            let class = request.arrival.class;
+            let percent = self
+                .config
+                .as_ref()
+                .map_or(0, |config| config.retry_percent(class));
+            if let Some(budget) = self.budgets.get_mut(&class) {
+                budget.deposit(percent);
+            }
+        }
+        request.phase = Phase::Running;
+        request.attempts += 1;
+        request.live.insert(attempt);
+        request.tried.insert(server);
+        view.send(now, attempt);
+        let dispatch = Dispatch {
+            attempt,
+            agent,
+            class: request.arrival.class,
+            timeout: request.arrival.deadline.since(now),
+            fingerprint: request.arrival.fingerprint,
+            alone,
+            once: request.arrival.once,
+            resume: request.relayed,
+        };
+        let (host, address) = (view.host.clone(), view.address);
+        let account = request.account();
+        self.attempts.insert(
+            attempt,
+            Attempt {
+                request: id,
+                server,
+                host: host.clone(),
+                agent,
+                alone,
+                heard: now,
+                revoked: false,
+                stalled: false,
+                account,
+                head: None,
+                received: request.relayed,
+                body: bytes::BytesMut::new(),
+                versions: std::collections::BTreeSet::new(),
+            },
+        );
+        self.out.push(Action::Dispatch {
+            request: id,
+            host,
+            address,
+            dispatch,
+        });
+    }
+
+    /// Requests of the same target that are served before `id`.
+    fn waiting_ahead(&self, id: id::Request) -> usize {
+        let Some(request) = self.requests.get(&id) else {
+            return 0;
+        };
+        let own = rank(request, id);
+        let others = self.requests.iter().filter(|(other, waiting)| {
+            waiting.phase == Phase::Waiting
+                && **other != id
+                && waiting.arrival.target == request.arrival.target
+                && rank(waiting, **other) < own
+        });
+        others.count()
+    }
+
+    fn wait(&mut self, now: Instant, id: id::Request, ahead: usize) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        request.phase = Phase::Waiting;
+        request.tried.clear();
+        let remaining = request.arrival.deadline.since(now);
+        let expected = self.expected_wait(now, id, ahead);
+        let waiting = self
+            .requests
+            .values()
+            .filter(|request| request.phase == Phase::Waiting);
+        let is_full = waiting.count() > self.settings.queue;
+        if expected.is_none() {
+            let problem = Problem {
+                step: Step::Queue,
+                peer: None,
+                cause: Cause::NoServer,
+            };
+            if let Some(request) = self.requests.get_mut(&id) {
+                request.problem = Some(problem);
+            }
+        } else if expected.is_some_and(|wait| wait > remaining) {
+            self.counters.shed += 1;
+            return self.give_up(now, id, Step::Queue, Cause::Overload);
+        }
+        if is_full {
+            self.shed_last(now);
+        }
+    }
+
+    /// Refuses the request that would be served last.
+    fn shed_last(&mut self, now: Instant) {
+        let waiting = self
+            .requests
+            .iter()
+            .filter(|(_, request)| request.phase == Phase::Waiting);
+        let last = waiting
+            .max_by_key(|(id, request)| rank(request, **id))
+            .map(|(id, _)| *id);
+        if let Some(id) = last {
+            self.counters.shed += 1;
+            self.give_up(now, id, Step::Queue, Cause::Overload);
+        }
+    }
+
+    /// The time until `ahead` requests and this one have been served; `None` without a server.
+    pub(super) fn expected_wait(
+        &self,
+        now: Instant,
+        id: id::Request,
+        ahead: usize,
+    ) -> Option<Duration> {
+        let target = &self.requests.get(&id)?.arrival.target;
+        let servers = self
+            .servers
+            .values()
+            .filter(|view| view.is_eligible(now) && self.serves(&view.serves, target));
+        let (mut lanes, mut queued, mut service) = (0.0, 0.0, Duration::ZERO);
+        for view in servers {
+            lanes += f64::from(view.load(now).map_or(1, |load| load.limit));
+            queued += view.estimate(now);
+            service = service.max(view.service());
+        }
+        if lanes <= 0.0 {
+            return None;
+        }
+        let ahead = f64::from(u32::try_from(ahead).unwrap_or(u32::MAX));
+        Some(service.mul_f64(((queued + ahead + 1.0) / lanes - 1.0).max(0.0) + 1.0))
+    }
+
+    /// When a refused caller should come back.
+    pub(super) fn retry_after(&self, now: Instant, id: id::Request) -> Duration {
+        self.expected_wait(now, id, self.waiting_ahead(id))
+            .unwrap_or(UNKNOWN_WAIT)
+    }
+
+    /// Places waiting requests, the most urgent first, as far as there is room.
+    pub(super) fn route_waiting(&mut self, now: Instant) {
+        let waiting = self
+            .requests
+            .iter()
+            .filter(|(_, request)| request.phase == Phase::Waiting);
+        let mut order: Vec<_> = waiting
+            .map(|(id, request)| (rank(request, *id), *id))
+            .collect();
+        order.sort_unstable();
+        for (_, id) in order {
+            let alone = self
+                .requests
+                .get(&id)
+                .map(|request| self.suspicion.verdict(now, request.arrival.fingerprint));
+            match alone {
+                Some(Verdict::Refused) => self.give_up(now, id, Step::Queue, Cause::Suspect),
+                Some(verdict) => {
+                    if let Some(server) = self.choose(now, id) {
+                        self.dispatch(now, id, server, verdict == Verdict::Alone);
+                    }
+                }
+                None => {}
+            }
+        }
+    }
+
+    /// Tries another server for attempts that have been silent for too long. The silent attempt
+    /// of a repeatable request stays in the race; that of another must first be revoked.
+    pub(super) fn check_stalls(&mut self, now: Instant) {
+        let stalled = self.attempts.iter().filter(|(_, attempt)| {
+            !attempt.stalled && now.since(attempt.heard) >= self.settings.stall
+        });
+        let stalled: Vec<id::Attempt> = stalled.map(|(id, _)| *id).collect();
+        for id in stalled {
+            let Some(attempt) = self.attempts.get_mut(&id) else {
+                continue;
+            };
+            attempt.stalled = true;
+            let (request, server) = (attempt.request, attempt.server);
+            if let Some(view) = self.servers.get_mut(server) {
+                view.breaker.fail(now);
+            }
+            match self.requests.get(&request) {
+                Some(waiting) if waiting.arrival.once => self.revoke(id),
+                Some(_) => self.race(now, request),
+                None => {}
+            }
+        }
+    }
+
+    /// Adds an attempt beside those in flight, if a server has room and the budget allows it.
+    fn race(&mut self, now: Instant, id: id::Request) {
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
+        if self.suspicion.verdict(now, request.arrival.fingerprint) != Verdict::Free {
+            return;
+        }
+        if let Some(server) = self.choose(now, id)
+            && self.pay_retry(id)
+        {
+            self.dispatch(now, id, server, false);
+        }
+    }
+
+    /// Refuses requests for which no server has been known for a while.
+    pub(super) fn refuse_unserved(&mut self, now: Instant) {
+        let unserved = self.requests.iter().filter(|(id, request)| {
+            request.phase == Phase::Waiting
+                && now.since(request.arrived) >= NO_SERVER_PATIENCE
+                && self.expected_wait(now, **id, 0).is_none()
+        });
+        let unserved: Vec<id::Request> = unserved.map(|(id, _)| *id).collect();
+        for id in unserved {
+            self.give_up(now, id, Step::Queue, Cause::NoServer);
+        }
+    }
+
+    /// Forgets attempts of answered requests whose agents never said how they ended.
+    pub(super) fn forget_orphans(&mut self, now: Instant) {
+        let orphans = self.attempts.iter().filter(|(_, attempt)| {
+            now.since(attempt.heard) >= ORPHAN_LIFETIME
+                && !self.requests.contains_key(&attempt.request)
+        });
+        let orphans: Vec<id::Attempt> = orphans.map(|(id, _)| *id).collect();
+        for id in orphans {
+            self.end_attempt(id);
+        }
+    }
+
+    /// Takes a retry from the budget of the request's class.
+    pub(super) fn pay_retry(&mut self, id: id::Request) -> bool {
+        let Some(request) = self.requests.get(&id) else {
+            return false;
+        };
+        let budget = self.budgets.get_mut(&request.arrival.class);
+        let is_paid = budget.is_some_and(crate::request::budget::Budget::withdraw);
+        self.counters.retries += u64::from(is_paid);
+        is_paid
+    }
+
+    /// Asks the agent of an attempt not to start it, or to cancel it.
+    pub(super) fn revoke(&mut self, id: id::Attempt) {
+        let Some(attempt) = self.attempts.get_mut(&id) else {
+            return;
+        };
+        if std::mem::replace(&mut attempt.revoked, true) {
+            return;
+        }
+        let revoke = Revoke {
+            attempt: id,
+            agent: attempt.agent,
+        };
+        if let Some(view) = self.servers.get(attempt.server) {
+            let (host, address) = (view.host.clone(), view.address);
+            self.out.push(Action::Revoke {
+                host,
+                address,
+                revoke,
+            });
+        }
+    }
+}
+
+/// The order of service: by class, then by deadline.
+fn rank(request: &super::request::Request, id: id::Request) -> (Class, Instant, id::Request) {
+    (request.arrival.class, request.arrival.deadline, id)
+}
--- /dev/null
+++ b/crates/policy/src/entry/settings.rs
@@ -0,0 +1,133 @@
+//! The settings of an entry, checked on construction.
+
+use std::time::Duration;
+
+use tamaracksail_model::host::Host;
+use tamaracksail_model::id;
+
+use crate::connection::choice::Rule;
+
+/// Checked settings.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    pub(crate) host: Host,
+    pub(crate) incarnation: id::Incarnation,
+    pub(crate) seed: u64,
+    pub(crate) rule: Rule,
+    pub(crate) remote_cost: Duration,
+    pub(crate) stall: Duration,
+    pub(crate) heartbeat: Duration,
+    pub(crate) retry_reserve: u32,
+    pub(crate) queue: usize,
+}
+
+impl Settings {
+    /// The entry's host.
+    #[must_use]
+    pub fn host(&self) -> &Host {
+        &self.host
+    }
+
+    /// The life of its process.
+    #[must_use]
+    pub fn incarnation(&self) -> id::Incarnation {
+        self.incarnation
+    }
+}
+
+/// A setting is out of its bounds.
+#[derive(Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{name}: must be {bounds}")]
+pub struct Error {
+    name: &'static str,
+    bounds: &'static str,
+}
+
+/// Builds [`Settings`].
+#[derive(Clone, Debug)]
+pub struct Builder(Settings);
+
+impl Settings {
+    /// Starts from the defaults for the entry on `host`.
+    #[must_use]
+    pub fn builder(host: Host, incarnation: id::Incarnation, seed: u64) -> Builder {
+        Builder(Self {
+            host,
+            incarnation,
+            seed,
+            rule: Rule::LeastDelay,
+            remote_cost: Duration::from_millis(20),
+            stall: Duration::from_secs(5),
+            heartbeat: Duration::from_secs(1),
+            retry_reserve: 10,
+            queue: 256,
+        })
+    }
+}
+
+impl Builder {
+    /// How servers are chosen.
+    #[must_use]
+    pub fn rule(mut self, rule: Rule) -> Self {
+        self.0.rule = rule;
+        self
+    }
+
+    /// The delay that a server in another failure domain must save.
+    #[must_use]
+    pub fn remote_cost(mut self, cost: Duration) -> Self {
+        self.0.remote_cost = cost;
+        self
+    }
+
+    /// How long an attempt may be silent before another is tried.
+    #[must_use]
+    pub fn stall(mut self, stall: Duration) -> Self {
+        self.0.stall = stall;
+        self
+    }
+
+    /// The time between heartbeats to a server.
+    #[must_use]
+    pub fn heartbeat(mut self, heartbeat: Duration) -> Self {
+        self.0.heartbeat = heartbeat;
+        self
+    }
+
+    /// Retries that may be made before any traffic has earned them.
+    #[must_use]
+    pub fn retry_reserve(mut self, retries: u32) -> Self {
+        self.0.retry_reserve = retries;
+        self
+    }
+
+    /// Requests that may wait for a server, of all classes.
+    #[must_use]
+    pub fn queue(mut self, requests: usize) -> Self {
+        self.0.queue = requests;
+        self
+    }
+
+    /// Checks the settings.
+    ///
+    /// # Errors
+    /// Every setting that is out of its bounds.
+    pub fn build(self) -> Result<Settings, Vec<Error>> {
+        let settings = self.0;
+        let mut errors = Vec::new();
+        let mut require = |holds: bool, name, bounds| {
+            if !holds {
+                errors.push(Error { name, bounds });
+            }
+        };
+        require(!settings.stall.is_zero(), "stall", "more than 0");
+        require(!settings.heartbeat.is_zero(), "heartbeat", "more than 0");
+        require(settings.retry_reserve >= 1, "retry-reserve", "at least 1");
+        require(settings.queue >= 1, "queue", "at least 1");
+        if errors.is_empty() {
+            Ok(settings)
+        } else {
+            Err(errors)
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/process/mod.rs
@@ -0,0 +1,5 @@
+//! What lives as long as a process.
+
+pub mod cost;
+pub mod status;
+pub mod subset;
--- /dev/null
+++ b/crates/policy/src/version/follower.rs
@@ -0,0 +1,491 @@
+//! The configuration and the host list in force in one process.
+//!
+//! A few watchers of each failure domain watch the platform and push what is new to the
+//! processes of their domain. Every process also gossips how new its own state is, so that
+//! whoever missed a push, or is cut off from the platform, pulls from a peer.
+//!
+//! Invariant: the generation in force never falls, and a starting process has none before it
+//! has asked the platform or, while that is down, peers in most failure domains.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use tamaracksail_model::config::Snapshot;
+use tamaracksail_model::host::{Host, Phase};
+use tamaracksail_model::id;
+use tamaracksail_model::plain;
+use tamaracksail_model::time::Instant;
+use tamaracksail_wire::{Gossip, Message, Sender};
+
+use super::fetch::{Done, Fetch};
+use super::head;
+use crate::process::subset;
+use crate::store::{Answer, Call, Op, Reply, Ticket, Tickets};
+
+/// The time between two rounds of gossip within the domain.
+const GOSSIP_PERIOD: Duration = Duration::from_secs(1);
+
+/// One round in so many goes to another domain.
+const REMOTE_ROUND: u64 = 4;
+
+/// The time between two reads of the head by a process that does not watch.
+const POLL_PERIOD: Duration = Duration::from_mins(1);
+
+/// How long the platform is left alone after a call was lost.
+const BACKOFF: Duration = Duration::from_secs(1);
+
+/// The object that holds the host list.
+pub const HOSTS: &str = "hosts";
+
+plain! {
+    /// A peer that a process knows from its settings.
+    pub struct Seed {
+        /// Its failure domain.
+        pub domain: id::Domain,
+        /// Where it listens.
+        pub address: SocketAddr,
+    }
+}
+
+plain! {
+    /// The settings of a follower.
+    pub struct Settings {
+        /// Its host.
+        pub host: id::Host,
+        /// Its failure domain.
+        pub domain: id::Domain,
+        /// Where it listens.
+        pub address: SocketAddr,
+        /// The life of its process.
+        pub incarnation: id::Incarnation,
+        /// Peers to ask at the start, in as many failure domains as there are.
+        pub seeds: Vec<Seed>,
+        /// The seed of its choices.
+        pub seed: u64,
+    }
+}
+
+/// An event at a follower.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// A peer sent a message: `Gossip`, `Pull`, `Config` or `Hosts`.
+    Received(Message),
+    /// A call or a watch ended.
+    Stored(Reply),
+    /// Time passed. Due at least every 500 ms.
+    Tick,
+}
+
+/// An action of a follower.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Call the platform.
+    Store(Call),
+    /// Wait until the object is beyond `after`, then reply with its value.
+    Watch {
+        /// The ticket of the reply.
+        ticket: Ticket,
+        /// The object.
+        key: String,
+        /// The revision known.
+        after: id::Revision,
+    },
+    /// Send a message to a peer.
+    Send(SocketAddr, Message),
+    /// A configuration is in force.
+    InForce(Arc<Snapshot>),
+    /// A host list is in force.
+    Hosts(Vec<Host>),
+}
+
+/// The state of a follower.
+#[derive(Debug)]
+pub struct Follower {
+    settings: Settings,
+    random: SmallRng,
+    tickets: Tickets,
+    snapshot: Arc<Snapshot>,
+    is_ready: bool,
+    /// The best snapshot heard before the process is ready.
+    candidate: Arc<Snapshot>,
+    /// Domains in which a ready peer has said how new it is.
+    heard: BTreeSet<id::Domain>,
+    /// The newest generation that a ready peer has named.
+    named: id::Generation,
+    hosts: Vec<Host>,
+    hosts_revision: id::Revision,
+    fetch: Option<Fetch>,
+    head_revision: id::Revision,
+    head_watch: Option<Ticket>,
+    hosts_watch: Option<Ticket>,
+    retry_at: Instant,
+    poll_at: Instant,
+    gossip_at: Instant,
+    platform_lost: bool,
+    rounds: u64,
+    out: Vec<Action>,
+}
+
+impl Follower {
+    /// A follower that knows nothing yet.
+    #[must_use]
+    pub fn new(settings: Settings) -> Self {
+        Self {
+            random: SmallRng::seed_from_u64(settings.seed),
+            tickets: Tickets::default(),
+            snapshot: Arc::default(),
+            is_ready: false,
+            candidate: Arc::default(),
+            heard: BTreeSet::new(),
+            named: id::Generation(0),
+            hosts: Vec::new(),
+            hosts_revision: id::Revision(0),
+            fetch: None,
+            head_revision: id::Revision(0),
+            head_watch: None,
+            hosts_watch: None,
+            retry_at: Instant::default(),
+            poll_at: Instant::default(),
+            gossip_at: Instant::default(),
+            platform_lost: false,
+            rounds: 0,
+            out: Vec::new(),
+            settings,
+        }
+    }
+
+    /// Takes one event and returns what is to be done.
+    pub fn handle(&mut self, now: Instant, event: Event) -> Vec<Action> {
+        match event {
+            Event::Received(message) => self.receive(message),
+            Event::Stored(reply) => self.take_reply(now, &reply),
+            Event::Tick => self.tick(now),
+        }
+        std::mem::take(&mut self.out)
+    }
+
+    /// The generation in force; zero while there is none.
+    #[must_use]
+    pub fn generation(&self) -> id::Generation {
+        self.snapshot.generation
+    }
+
+    /// Whether a configuration is in force.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.is_ready
+    }
+
+    /// Whether the last call to the platform was lost.
+    #[must_use]
+    pub fn is_cut_off(&self) -> bool {
+        self.platform_lost
+    }
+
+    /// The host list in force.
+    #[must_use]
+    pub fn hosts(&self) -> &[Host] {
+        &self.hosts
+    }
+
+    fn gossip(&self) -> Gossip {
+        let sender = Sender {
+            host: self.settings.host.clone(),
+            incarnation: self.settings.incarnation,
+            domain: self.settings.domain.clone(),
+            generation: self.generation(),
+        };
+        let address = self.settings.address;
+        Gossip {
+            sender,
+            address,
+            hosts: self.hosts_revision,
+            ready: self.is_ready,
+        }
+    }
+
+    fn receive(&mut self, message: Message) {
+        match message {
+            Message::Gossip(peer) => {
+                if self.is_behind(&peer) {
+                    self.send(peer.address, Message::Pull(self.gossip()));
+                } else if self.is_ahead_of(&peer) {
+                    self.answer_pull(&peer);
+                }
+                self.hear(&peer);
+            }
+            Message::Pull(peer) => {
+                self.answer_pull(&peer);
+                self.hear(&peer);
+            }
+            Message::Config(peer, snapshot) => {
+                if snapshot.generation > self.candidate.generation {
+                    self.candidate = snapshot;
+                }
+                self.hear(&peer);
+            }
+            Message::Hosts(peer, hosts) => {
+                self.take_hosts(peer.hosts, hosts);
+                self.hear(&peer);
+            }
+            _ => {}
+        }
+    }
+
+    fn is_behind(&self, peer: &Gossip) -> bool {
+        let newest = self.candidate.generation.max(self.generation());
+        peer.sender.generation > newest || peer.hosts > self.hosts_revision
+    }
+
+    fn is_ahead_of(&self, peer: &Gossip) -> bool {
+        self.is_ready
+            && (self.generation() > peer.sender.generation || self.hosts_revision > peer.hosts)
+    }
+
+    fn send(&mut self, to: SocketAddr, message: Message) {
+        self.out.push(Action::Send(to, message));
+    }
+
+    /// Sends a peer what it lacks, and at least a sign of how new this process is.
+    fn answer_pull(&mut self, peer: &Gossip) {
+        let own = self.gossip();
+        if self.is_ready && own.sender.generation > peer.sender.generation {
+            let config = Message::Config(own.clone(), Arc::clone(&self.snapshot));
+            self.send(peer.address, config);
+        } else if !peer.ready {
+            self.send(peer.address, Message::Gossip(own.clone()));
+        }
+        if own.hosts > peer.hosts {
+            self.send(peer.address, Message::Hosts(own, self.hosts.clone()));
+        }
+    }
+
+    fn hear(&mut self, peer: &Gossip) {
+        if peer.ready {
+            self.named = self.named.max(peer.sender.generation);
+            if self.candidate.generation >= peer.sender.generation {
+                self.heard.insert(peer.sender.domain.clone());
+            }
+        }
+        self.put_in_force();
+    }
+
+    /// Puts the candidate in force once the process may serve.
+    fn put_in_force(&mut self) {
+        if self.is_ready || self.has_heard_enough() {
+            self.adopt_candidate();
+        }
+    }
+
+    fn adopt_candidate(&mut self) {
+        let is_first = !std::mem::replace(&mut self.is_ready, true);
+        if self.candidate.generation > self.snapshot.generation || is_first {
+            self.snapshot = Arc::clone(&self.candidate);
+            self.out.push(Action::InForce(Arc::clone(&self.snapshot)));
+        }
+    }
+
+    /// While the platform is down, peers in most failure domains must have spoken, and the
+    /// newest generation that one of them named must be here. An accepted change reaches most
+    /// domains within seconds, so one of them knows it; a single stale peer is not believed.
+    fn has_heard_enough(&self) -> bool {
+        let domains: BTreeSet<&id::Domain> = self
+            .settings
+            .seeds
+            .iter()
+            .map(|seed| &seed.domain)
+            .collect();
+        let is_most = self.heard.len() * 2 > domains.len() && !domains.is_empty();
+        self.platform_lost && is_most && self.candidate.generation >= self.named
+    }
+
+    fn take_hosts(&mut self, revision: id::Revision, hosts: Vec<Host>) {
+        if revision > self.hosts_revision {
+            self.hosts_revision = revision;
+            self.hosts.clone_from(&hosts);
+            self.out.push(Action::Hosts(hosts));
+        }
+    }
+
+    fn take_reply(&mut self, now: Instant, reply: &Reply) {
+        if self.head_watch == Some(reply.ticket) {
+            self.head_watch = None;
+            self.take_head_watch(now, &reply.answer);
+        } else if self.hosts_watch == Some(reply.ticket) {
+            self.hosts_watch = None;
+            self.take_hosts_watch(now, &reply.answer);
+        } else if let Some(mut fetch) = self.fetch.take() {
+            match fetch.reply(&mut self.tickets, reply) {
+                Ok(call) => {
+                    self.fetch = Some(fetch);
+                    self.out.extend(call.map(Action::Store));
+                }
+                Err(done) => self.take_fetched(now, done),
+            }
+        }
+        self.put_in_force();
+    }
+
+    fn lose_platform(&mut self, now: Instant) {
+        self.platform_lost = true;
+        self.retry_at = now.after(BACKOFF);
+    }
+
+    fn take_head_watch(&mut self, now: Instant, answer: &Answer) {
+        match answer {
+            Answer::Value { revision, .. } => {
+                self.platform_lost = false;
+                if *revision > self.head_revision && self.fetch.is_none() {
+                    self.start_fetch();
+                }
+            }
+            Answer::Missing => self.platform_lost = false,
+            _ => self.lose_platform(now),
+        }
+    }
+
+    fn take_hosts_watch(&mut self, now: Instant, answer: &Answer) {
+        match answer {
+            Answer::Value { revision, value } => {
+                self.platform_lost = false;
+                if *revision > self.hosts_revision
+                    && let Ok(hosts) = crate::store::decode::<Vec<Host>>(HOSTS, value)
+                {
+                    self.take_hosts(*revision, hosts);
+                    self.push_to_domain();
+                }
+            }
+            Answer::Missing => self.platform_lost = false,
+            _ => self.lose_platform(now),
+        }
+    }
+
+    fn take_fetched(&mut self, now: Instant, done: Done) {
+        let Done::Found(revision, _, snapshot) = done else {
+            return self.lose_platform(now);
+        };
+        self.platform_lost = false;
+        self.head_revision = revision;
+        let is_newer = snapshot.generation > self.candidate.generation;
+        if is_newer {
+            self.candidate = Arc::new(snapshot);
+        }
+        // The platform is the authority: what it names is the newest.
+        self.adopt_candidate();
+        if is_newer {
+            self.push_to_domain();
+        }
+    }
+
+    /// Sends what is new to every process of the domain.
+    fn push_to_domain(&mut self) {
+        if !self.is_ready {
+            return;
+        }
+        let own = self.gossip();
+        let peers = self
+            .hosts
+            .iter()
+            .filter(|host| host.domain == self.settings.domain && host.name != self.settings.host);
+        let sends: Vec<Action> = peers
+            .map(|peer| Action::Send(peer.address, Message::Gossip(own.clone())))
+            .collect();
+        self.out.extend(sends);
+    }
+
+    fn start_fetch(&mut self) {
+        let (fetch, call) = Fetch::start(&mut self.tickets, None);
+        self.fetch = Some(fetch);
+        self.out.push(Action::Store(call));
+    }
+
+    fn tick(&mut self, now: Instant) {
+        if now >= self.retry_at {
+            self.call_platform(now);
+        }
+        if now >= self.gossip_at {
+            self.gossip_at = now.after(GOSSIP_PERIOD);
+            self.gossip_round();
+        }
+    }
+
+    fn is_watcher(&self) -> bool {
+        let watchers = subset::watchers(&self.hosts, &self.settings.domain);
+        watchers.contains(&&self.settings.host)
+    }
+
+    fn call_platform(&mut self, now: Instant) {
+        let is_watcher = self.is_watcher();
+        let is_due = !self.is_ready || self.hosts_revision.0 == 0 || now >= self.poll_at;
+        if is_due && self.fetch.is_none() {
+            // Spreads the reads of processes that started together.
+            let jitter = self.random.random_range(0.5..1.5);
+            self.poll_at = now.after(POLL_PERIOD.mul_f64(jitter));
+            self.start_fetch();
+        }
+        if is_watcher && self.head_watch.is_none() {
+            let ticket = self.tickets.issue();
+            self.head_watch = Some(ticket);
+            let (key, after) = (head::HEAD.to_owned(), self.head_revision);
+            self.out.push(Action::Watch { ticket, key, after });
+        }
+        if self.hosts_watch.is_none() && (is_watcher || self.hosts_revision.0 == 0 || is_due) {
+            let ticket = self.tickets.issue();
+            self.hosts_watch = Some(ticket);
+            let (key, after) = (HOSTS.to_owned(), self.hosts_revision);
+            self.out.push(if is_watcher {
+                Action::Watch { ticket, key, after }
+            } else {
+                Action::Store(Call {
+                    ticket,
+                    key,
+                    op: Op::Get,
+                })
+            });
+        }
+    }
+
+    /// Tells one peer how new this process is; before it is ready, asks all seeds.
+    fn gossip_round(&mut self) {
+        self.rounds += 1;
+        let own = self.gossip();
+        if !self.is_ready {
+            let seeds: Vec<SocketAddr> = self
+                .settings
+                .seeds
+                .iter()
+                .map(|seed| seed.address)
+                .collect();
+            for address in seeds {
+                self.send(address, Message::Pull(own.clone()));
+            }
+            return;
+        }
+        let is_remote_round = self.rounds.is_multiple_of(REMOTE_ROUND);
+        let mut peers: BTreeMap<SocketAddr, bool> = self
+            .settings
+            .seeds
+            .iter()
+            .map(|seed| (seed.address, seed.domain != self.settings.domain))
+            .collect();
+        peers.extend(
+            self.hosts
+                .iter()
+                .filter(|host| host.phase == Phase::Live)
+                .map(|host| (host.address, host.domain != self.settings.domain)),
+        );
+        peers.remove(&self.settings.address);
+        let fits = peers
+            .iter()
+            .filter(|(_, is_remote)| **is_remote == is_remote_round);
+        let fitting: Vec<SocketAddr> = fits.map(|(address, _)| *address).collect();
+        if !fitting.is_empty() {
+            let peer = fitting[self.random.random_range(0..fitting.len())];
+            self.send(peer, Message::Gossip(own));
+        }
+    }
+}
--- /dev/null
+++ b/crates/process/src/clock.rs
@@ -0,0 +1,41 @@
+//! The clock of a process.
+
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use tamaracksail_model::id::Incarnation;
+use tamaracksail_model::time::Instant;
+
+/// Reads the system's time once and counts on monotonically.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    start: Instant,
+    origin: std::time::Instant,
+}
+
+impl Clock {
+    /// Starts the clock.
+    #[must_use]
+    pub fn start() -> Self {
+        let since_epoch = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
+        let micros = u64::try_from(since_epoch.as_micros()).unwrap_or(u64::MAX);
+        Self {
+            start: Instant(micros),
+            origin: std::time::Instant::now(),
+        }
+    }
+
+    /// The present time.
+    #[must_use]
+    pub fn now(&self) -> Instant {
+        self.start.after(self.origin.elapsed())
+    }
+
+    /// A random id for this life of the process.
+    #[must_use]
+    pub fn incarnation(&self) -> Incarnation {
+        // JSON numbers are exact up to 53 bits.
+        Incarnation(rand::random::<u64>() >> 11)
+    }
+}
--- /dev/null
+++ b/crates/standins/src/serve.rs
@@ -0,0 +1,26 @@
+//! How every stand-in is served.
+
+use std::net::SocketAddr;
+
+use actix_web::{App, HttpServer, web};
+
+/// Serves `routes` until the process is stopped.
+///
+/// # Errors
+/// If the address cannot be bound.
+pub async fn run(
+    listen: SocketAddr,
+    routes: impl FnOnce(&mut web::ServiceConfig) + Clone + Send + 'static,
+) -> std::io::Result<()> {
+    let app = move || {
+        App::new()
+            .app_data(web::PayloadConfig::new(64 * 1024 * 1024))
+            .configure(routes.clone())
+    };
+    HttpServer::new(app)
+        .workers(2)
+        .shutdown_timeout(1)
+        .bind(listen)?
+        .run()
+        .await
+}
