Own a trainer's steps by lease in the ledger itself

Each slot's first valid sample wins; a batch is fixed in the ledger before its first byte leaves; asking again gives the same batch, or a higher edition of it when a sample became too old. Every write is conditional on the ledger's revision, so a paused owner cannot change it.

--- a/crates/model/src/object.rs
+++ b/crates/model/src/object.rs
@@ -138,6 +138,9 @@
         pub model: id::Object,
         /// The most samples of one batch.
         pub batch: u32,
+        /// Whether a sample must have a score before it is handed over.
+        #[serde(default)]
+        pub scored: bool,
     }
 }
 
--- a/crates/policy/src/version/mod.rs
+++ b/crates/policy/src/version/mod.rs
@@ -3,4 +3,6 @@
 pub mod fetch;
 pub mod follower;
 pub mod head;
+pub mod ledger;
+pub mod owner;
 pub mod publish;
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -8,4 +8,5 @@
 pub mod fault;
 pub mod observer;
 pub mod platform;
+pub mod steps;
 pub mod world;
--- /dev/null
+++ b/crates/policy/tests/steps.rs
@@ -0,0 +1,128 @@
+//! A training step under failure: each sample once, none too old.
+
+mod common;
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::time::Duration;
+
+use common::steps::{Fault, HOSTS, Item, Steps};
+use proptest::prelude::*;
+use tamaracksail_model::store::{Answer, Reply};
+
+/// Long enough for every fault to pass, a lease to lapse and the step to be done.
+const PATIENCE: Duration = Duration::from_mins(5);
+
+fn run(schedule: BTreeMap<usize, Fault>) -> Steps {
+    let mut steps = Steps::new(schedule);
+    steps.settle(PATIENCE);
+    steps.check();
+    steps
+}
+
+/// Every fault at the first occurrence of every step.
+#[test]
+fn each_fault_at_each_step_of_a_training_step() {
+    let trace = run(BTreeMap::new()).trace;
+    let mut table = String::new();
+    let mut seen = Vec::new();
+    for (place, step) in trace.iter().enumerate() {
+        if seen.contains(step) {
+            continue;
+        }
+        seen.push(step);
+        for fault in Fault::ALL {
+            let steps = run(BTreeMap::from([(place, fault)]));
+            let cell = if steps.violations.is_empty() {
+                "held".to_owned()
+            } else {
+                steps.violations.join(", ")
+            };
+            writeln!(table, "{step:18} {:17} {cell}", format!("{fault:?}"))
+                .expect("memory can be written");
+        }
+    }
+    insta::assert_snapshot!(table);
+}
+
+/// Every ordered pair of faults, the second at the step that follows the first.
+#[test]
+fn each_pair_of_faults_at_neighbouring_steps() {
+    let count = run(BTreeMap::new()).trace.len();
+    for place in 0..count {
+        for first in Fault::ALL {
+            for second in Fault::ALL {
+                let steps = run(BTreeMap::from([(place, first), (place + 1, second)]));
+                assert!(
+                    steps.violations.is_empty(),
+                    "step {place}, {first:?} then {second:?}: {:?}",
+                    steps.violations
+                );
+            }
+        }
+    }
+}
+
+fn play(choices: &[(u8, u16)]) -> Steps {
+    let mut steps = Steps::new(BTreeMap::new());
+    for (kind, place) in choices {
+        let place = usize::from(*place);
+        match kind % 16 {
+            0..=6 => {
+                if !steps.queue.is_empty() {
+                    let item = steps
+                        .queue
+                        .remove(place % steps.queue.len())
+                        .expect("in bounds");
+                    steps.deliver(item);
+                }
+            }
+            7 | 8 => steps.ask(place % HOSTS),
+            9 | 10 => {
+                let millis = 50 + u64::try_from(place).unwrap_or(0) % 4000;
+                steps.pass(Duration::from_millis(millis));
+            }
+            11 => steps.inform(),
+            12 => {
+                // A call that the owner has given up on may still take effect.
+                let call = steps
+                    .queue
+                    .iter()
+                    .find(|item| matches!(item, Item::Call { .. }));
+                if let Some(Item::Call { host, life, call }) = call {
+                    let reply = Reply {
+                        ticket: call.ticket,
+                        answer: Answer::Lost,
+                    };
+                    let item = Item::Reply {
+                        host: *host,
+                        life: *life,
+                        reply,
+                    };
+                    steps.queue.push_back(item);
+                }
+            }
+            _ => steps.inject(Fault::ALL[place % Fault::ALL.len()], place % HOSTS),
+        }
+    }
+    steps.settle(PATIENCE);
+    steps.check();
+    steps
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 300,
+        rng_seed: prop::test_runner::RngSeed::Fixed(20_261_203),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn each_sample_reaches_the_trainer_once_and_fresh(
+        choices in prop::collection::vec((any::<u8>(), any::<u16>()), 20..200)
+    ) {
+        let steps = play(&choices);
+        prop_assert_eq!(steps.violations, Vec::<String>::new());
+    }
+}
