--- a/crates/policy/src/version/ledger.rs
+++ b/crates/policy/src/version/ledger.rs
@@ -7,10 +7,12 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use tamaracksail_model::config::Bound;
-use tamaracksail_model::id::{self, Batch, Epoch, Fence, Nonce, Step, Version};
+use tamaracksail_model::id::{self, Batch, Epoch, Nonce, Step, Version};
 use tamaracksail_model::plain;
 use tamaracksail_model::time::Instant;
 
+use crate::process::lease::Stamp;
+
 /// The most samples of a step, so that the ledger stays under the platform's size limit.
 pub const MAX_SAMPLES: u32 = 4096;
 
@@ -59,14 +61,9 @@
     /// A trainer's ledger.
     #[derive(Default)]
     pub struct Ledger {
-        /// Raised whenever the owner changes.
-        pub fence: Fence,
-        /// The owner.
-        pub owner: Option<id::Host>,
-        /// The life of the owner's process.
-        pub incarnation: id::Incarnation,
-        /// Changes with every write, so that a renewed lease shows.
-        pub writes: u64,
+        /// The lease of its owner.
+        #[serde(flatten)]
+        pub lease: Stamp,
         /// The step; zero before the first.
         pub step: Step,
         /// A digest of the step's prompts.
--- a/crates/policy/src/version/mod.rs
+++ b/crates/policy/src/version/mod.rs
@@ -6,3 +6,4 @@
 pub mod ledger;
 pub mod owner;
 pub mod publish;
+pub mod rollout;
--- a/crates/policy/src/version/owner/asks.rs
+++ b/crates/policy/src/version/owner/asks.rs
@@ -11,7 +11,8 @@
 
 use super::action::{Action, Response};
 use super::event::{Ask, Request};
-use super::machine::{BACKOFF, Owner, Purpose, Role};
+use super::machine::{BACKOFF, Owner, Purpose};
+use crate::process::lease::Role;
 use crate::store::{self, Answer, MAX_VALUE_BYTES, Op};
 use crate::version::head;
 use crate::version::ledger::{self, Cell, Change, MAX_SAMPLES, Sample};
@@ -78,7 +79,7 @@
 
     /// Sends all who wait to the owner, unless its lease is about to lapse.
     pub(super) fn turn_away(&mut self) {
-        let owner = self.ledger.owner.clone();
+        let owner = self.ledger.lease.owner.clone();
         let asks: Vec<Ask> = self.waiting.keys().copied().collect();
         for ask in asks {
             self.out
--- a/crates/policy/src/version/owner/machine.rs
+++ b/crates/policy/src/version/owner/machine.rs
@@ -13,16 +13,12 @@
 use super::asks::Waiting;
 use super::event::{Ask, Event};
 use super::samples::Work;
+use crate::process::lease::{Claimant, RENEWAL, Role};
 use crate::request::latency::Latency;
 use crate::store::{self, Answer, Call, Op, Reply, Ticket, Tickets};
 use crate::version::head::{self, Head};
 use crate::version::ledger::{self, Change, Ledger, Sample};
-
-/// How long a ledger must stand still before another host takes it.
-pub const LEASE: Duration = Duration::from_secs(10);
-
-/// The time after which the owner writes even if nothing changed.
-const RENEWAL: Duration = Duration::from_secs(3);
+use crate::version::rollout;
 
 /// The time between two writes, in which changes gather.
 const BATCHING: Duration = Duration::from_millis(200);
@@ -35,10 +31,8 @@
     pub struct Settings {
         /// The trainer.
         pub trainer: id::Object,
-        /// The host.
-        pub host: id::Host,
-        /// The life of its process.
-        pub incarnation: id::Incarnation,
+        /// The host that owns or wants the ledger.
+        pub claimant: Claimant,
         /// Samples that are made at a time.
         pub parallel: u32,
     }
@@ -76,19 +70,6 @@
     ReadPrompts(u32),
 }
 
-/// Whether this host owns the ledger.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Role {
-    /// Not known yet.
-    Unknown,
-    /// Another host owns it; since when the ledger stands still, by our own clock.
-    Other { writes: u64, since: Instant },
-    /// This host owns it under the number.
-    Owner(Fence),
-    /// Given up.
-    Stopped,
-}
-
 /// The state of an owner.
 #[derive(Debug)]
 pub struct Owner {
@@ -129,7 +110,7 @@
             config: None,
             tickets: Tickets::default(),
             calls: BTreeMap::new(),
-            role: Role::Unknown,
+            role: Role::Free,
             ledger: Ledger::default(),
             revision: Revision(0),
             changes: Vec::new(),
@@ -161,7 +142,7 @@
                 sample,
             } => self.take_sample(now, step, slot, copy, sample),
             Event::Lost(slot, payload) => self.lose_payload(slot, payload),
-            Event::Config(config) => self.config = Some(config),
+            Event::Config(config) => rollout::take_newer(&mut self.config, config),
             Event::Stored(reply) => self.take_reply(now, &reply),
             Event::Tick => {}
             Event::Stop => self.stop(),
@@ -181,7 +162,7 @@
     /// Whether this host owns the ledger.
     #[must_use]
     pub fn is_owner(&self) -> bool {
-        matches!(self.role, Role::Owner(_))
+        matches!(self.role, Role::Holder(_))
     }
 
     pub(super) fn call(&mut self, key: String, op: Op, purpose: Purpose) {
@@ -210,17 +191,15 @@
             return;
         }
         match self.role {
-            Role::Owner(fence) => self.write_if_due(now, fence),
-            Role::Other { since, .. } if is_wanted => {
-                if now.since(since) >= LEASE {
-                    self.write(now, self.ledger.fence.next());
-                } else {
-                    // Looks again whether the ledger stands still.
-                    self.must_read = true;
-                    self.retry_at = now.after(BACKOFF);
-                }
+            Role::Holder(fence) => self.write_if_due(now, fence),
+            role if is_wanted && role.may_take(now) => {
+                self.write(now, self.ledger.lease.fence.next());
+            }
+            Role::Other { .. } if is_wanted => {
+                // Looks again whether the ledger stands still.
+                self.must_read = true;
+                self.retry_at = now.after(BACKOFF);
             }
-            Role::Unknown if is_wanted => self.write(now, self.ledger.fence.next()),
             _ => {}
         }
     }
@@ -236,11 +215,8 @@
     /// Writes the ledger with the pending changes that still apply.
     fn write(&mut self, now: Instant, fence: Fence) {
         let mut next = self.ledger.clone();
-        let is_takeover = next.fence != fence;
-        next.fence = fence;
-        next.owner = Some(self.settings.host.clone());
-        next.incarnation = self.settings.incarnation;
-        next.writes += 1;
+        let is_takeover = next.lease.fence != fence;
+        next.lease = next.lease.next(fence, &self.settings.claimant);
         // What is owed to another owner's ledger is decided once this host owns it.
         let changes = if is_takeover { 0 } else { self.changes.len() };
         for change in self.changes.iter().take(changes) {
@@ -293,21 +269,8 @@
 
     /// Takes over what the platform holds, and finds out who owns it.
     fn adopt(&mut self, now: Instant, revision: Revision, found: Ledger) {
-        let is_ours = found.owner.as_ref() == Some(&self.settings.host)
-            && found.incarnation == self.settings.incarnation;
-        let fence = found.fence;
         let was_owner = self.is_owner();
-        self.role = match (is_ours, self.role) {
-            (true, _) => Role::Owner(fence),
-            (false, _) if found.owner.is_none() => Role::Unknown,
-            (false, Role::Other { writes, since }) if writes == found.writes => {
-                Role::Other { writes, since }
-            }
-            (false, _) => Role::Other {
-                writes: found.writes,
-                since: now,
-            },
-        };
+        self.role = self.role.judge(now, &found.lease, &self.settings.claimant);
         self.set_ledger(revision, found);
         if was_owner && !self.is_owner() {
             self.release();
@@ -384,8 +347,7 @@
             for change in std::mem::take(&mut self.changes) {
                 next.apply(&change);
             }
-            next.owner = None;
-            next.writes += 1;
+            next.lease = next.lease.given_back();
             let op = Op::Put {
                 revision: self.revision,
                 value: store::encode(&next),
--- a/crates/policy/tests/common/fault.rs
+++ b/crates/policy/tests/common/fault.rs
@@ -6,6 +6,7 @@
     EngineCrash,
     EngineHang,
     AgentKilled,
+    HostLost,
     AgentFrozen,
     EntryKilled,
     EntryFrozen,
@@ -23,10 +24,11 @@
 }
 
 impl Fault {
-    pub const ALL: [Self; 17] = [
+    pub const ALL: [Self; 18] = [
         Self::EngineCrash,
         Self::EngineHang,
         Self::AgentKilled,
+        Self::HostLost,
         Self::AgentFrozen,
         Self::EntryKilled,
         Self::EntryFrozen,
@@ -42,4 +44,12 @@
         Self::HostListWrong,
         Self::WeightsSwapped,
     ];
+
+    /// Whether it befalls the message that a step sends.
+    pub fn is_of_message(self) -> bool {
+        matches!(
+            self,
+            Self::MessageLost | Self::MessageDoubled | Self::MessageLate
+        )
+    }
 }
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -6,6 +6,7 @@
 #![allow(dead_code, reason = "each test binary uses a part of the harness")]
 
 pub mod fault;
+pub mod fleet;
 pub mod observer;
 pub mod platform;
 pub mod steps;
--- a/crates/policy/tests/common/steps.rs
+++ b/crates/policy/tests/common/steps.rs
@@ -9,6 +9,7 @@
 use tamaracksail_model::manifest::Set;
 use tamaracksail_model::store::{self, Answer, Call, Reply};
 use tamaracksail_model::time::Instant;
+use tamaracksail_policy::process::lease::Claimant;
 use tamaracksail_policy::version::head::{self, Accepted, Head};
 use tamaracksail_policy::version::ledger::Sample;
 use tamaracksail_policy::version::owner::{Action, Ask, Event, Owner, Request, Response, Settings};
@@ -66,6 +67,16 @@
     ];
 }
 
+impl Fault {
+    /// Whether it befalls the response that a step sends.
+    fn is_of_message(self) -> bool {
+        matches!(
+            self,
+            Self::ResponseLost | Self::ResponseDoubled | Self::ResponseLate | Self::TrainerDies
+        )
+    }
+}
+
 /// Something that waits to happen.
 #[derive(Clone, Debug)]
 pub enum Item {
@@ -126,6 +137,8 @@
     platform_back_at: Option<Instant>,
     platform_slow_until: Instant,
     payloads: BTreeSet<Nonce>,
+    /// What each edition of a batch held when it was first handed over.
+    editions: BTreeMap<(Batch, Epoch), Vec<Nonce>>,
     fail_samples: u32,
     late_samples: u32,
     last_payload: u64,
@@ -175,6 +188,7 @@
             platform_back_at: None,
             platform_slow_until: Instant::default(),
             payloads: BTreeSet::new(),
+            editions: BTreeMap::new(),
             fail_samples: 0,
             late_samples: 0,
             last_payload: 0,
@@ -195,8 +209,10 @@
         self.last_life += 1;
         let mut owner = Owner::new(Settings {
             trainer: "t".into(),
-            host: format!("entry-{host}").as_str().into(),
-            incarnation: id::Incarnation(self.last_life),
+            claimant: Claimant {
+                host: format!("entry-{host}").as_str().into(),
+                incarnation: id::Incarnation(self.last_life),
+            },
             parallel: 3,
         });
         let config = Arc::clone(&self.accepted.last().expect("there is a configuration").1);
@@ -279,7 +295,12 @@
         let place = self.trace.len();
         self.trace.push(name);
         let life = self.lives[host];
-        if let Some(fault) = self.schedule.remove(&place) {
+        let fault = self.schedule.remove(&place);
+        let (before, after) = match fault {
+            Some(fault) if fault.is_of_message() => (None, Some(fault)),
+            other => (other, None),
+        };
+        if let Some(fault) = before {
             self.inject(fault, host);
         }
         if self.lives[host] != life {
@@ -314,6 +335,9 @@
             }
             Action::Cancel { .. } | Action::Released => {}
         }
+        if let Some(fault) = after {
+            self.inject(fault, host);
+        }
     }
 
     /// The process finds payloads of a delivery gone: tells the owner and delivers nothing.
@@ -332,7 +356,13 @@
     /// No sample that is handed over is older than the bound in force, up to the time that the
     /// owner may take between asking the platform and handing over.
     fn check_handover(&mut self, response: &Response) {
-        let Response::Batch { samples, batch, .. } = response else {
+        let Response::Batch {
+            samples,
+            batch,
+            epoch,
+            ..
+        } = response
+        else {
             return;
         };
         let from = Instant(
@@ -349,11 +379,22 @@
             .filter(|(_, end)| *end > from)
             .map(|((_, snapshot), _)| Arc::clone(snapshot))
             .collect();
+        let content: Vec<Nonce> = samples.iter().map(|(_, sample)| sample.payload).collect();
+        let first = self
+            .editions
+            .entry((*batch, *epoch))
+            .or_insert(content.clone());
+        if *first != content {
+            self.violations
+                .push(format!("{batch} {epoch} has two contents"));
+        }
         for (slot, sample) in samples {
             let is_fresh = in_force.iter().any(|snapshot| {
                 let bound = snapshot.bound(&"t".into()).expect("there is a bound");
                 let newest = snapshot.target(&"m".into()).expect("the model is declared");
-                sample.fresh_until(self.now, &bound, newest).is_some()
+                let oldest = sample.versions.first().expect("a sample has a version");
+                let is_near = oldest.0 + bound.versions >= newest.0;
+                is_near && self.now.since(sample.made_at) <= bound.age
             });
             if !is_fresh {
                 self.violations
--- a/crates/policy/tests/common/world.rs
+++ b/crates/policy/tests/common/world.rs
@@ -336,14 +336,17 @@
         }
     }
 
-    /// Notes a step, and injects the fault that the schedule has there.
-    fn step(&mut self, name: &'static str, node: Node) -> bool {
+    /// Notes a step, and injects the fault that the schedule has there. A fault of the message
+    /// that the step sends is given back, to be injected once it is sent.
+    fn step(&mut self, name: &'static str, node: Node) -> Option<Fault> {
         let place = self.trace.len();
         self.trace.push(name);
-        match self.schedule.remove(&place) {
-            Some(fault) => self.inject(fault, node),
-            None => true,
+        let fault = self.schedule.remove(&place)?;
+        if fault.is_of_message() {
+            return Some(fault);
         }
+        self.inject(fault, node);
+        None
     }
 
     fn act_entry(&mut self, index: usize, action: entry::Action) {
@@ -359,9 +362,10 @@
             entry::Action::Answer { .. } => "entry.answer",
             entry::Action::Exit => "entry.exit",
         };
+        let mut fault = None;
         if name != "entry.hello" {
             let incarnation = self.entries[index].status(self.now).incarnation;
-            self.step(name, from);
+            fault = self.step(name, from);
             if self.entries[index].status(self.now).incarnation != incarnation {
                 return; // It was killed before it could act.
             }
@@ -401,6 +405,9 @@
             }
             entry::Action::Start { .. } | entry::Action::Exit => {}
         }
+        if let Some(fault) = fault {
+            self.inject(fault, from);
+        }
     }
 
     fn act_agent(&mut self, index: usize, action: agent::Action) {
@@ -421,9 +428,10 @@
             agent::Action::Ordered(_) => "agent.ordered",
             agent::Action::Exit => "agent.exit",
         };
+        let mut fault = None;
         if name != "agent.report" {
             let (life, crashes) = (self.life(index), self.engines[index].is_up);
-            self.step(name, from);
+            fault = self.step(name, from);
             if self.life(index) != life || self.engines[index].is_up != crashes {
                 return; // It was killed, or its engine was, before it could act.
             }
@@ -453,6 +461,9 @@
             | agent::Action::Ordered(_)
             | agent::Action::Exit => {}
         }
+        if let Some(fault) = fault {
+            self.inject(fault, from);
+        }
     }
 
     fn life(&self, index: usize) -> id::Incarnation {
@@ -655,8 +666,8 @@
         self.feed_agent(index, event);
     }
 
-    /// Injects a fault at a node; `false` if the step itself is lost with it.
-    pub fn inject(&mut self, fault: Fault, at: Node) -> bool {
+    /// Injects a fault at a node.
+    pub fn inject(&mut self, fault: Fault, at: Node) {
         let until = self.now.after(FAULT_TIME);
         let agent = match at {
             Node::Agent(index) => index,
@@ -670,6 +681,12 @@
             Fault::EngineCrash => self.crash_engine(agent),
             Fault::EngineHang => self.engines[agent].hangs = true,
             Fault::AgentKilled => self.kill_agent(agent),
+            Fault::HostLost => {
+                // Nobody is told: its connections just stay silent.
+                self.engines[agent].runs.clear();
+                self.agents[agent] = self.new_agent(agent);
+                self.report_engine(agent);
+            }
             Fault::AgentFrozen => drop(self.frozen.insert(Node::Agent(agent), until)),
             Fault::EntryKilled => self.kill_entry(entry),
             Fault::EntryFrozen => drop(self.frozen.insert(Node::Entry(entry), until)),
@@ -732,7 +749,6 @@
             }
             Fault::WeightsSwapped => self.engines[agent].version += 1,
         }
-        true
     }
 
     fn busiest_agent(&self) -> usize {
--- /dev/null
+++ b/crates/policy/tests/ledger.rs
@@ -0,0 +1,98 @@
+//! The ledger's own transitions: whatever changes are made, and made again, in any order.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use proptest::prelude::*;
+use tamaracksail_model::id::{Batch, Epoch, Fingerprint, Nonce, Slot, Step, Version};
+use tamaracksail_model::time::Instant;
+use tamaracksail_policy::version::ledger::{Cell, Change, Ledger, Sample};
+
+const GROUPS: u32 = 2;
+const GROUP_SIZE: u32 = 2;
+
+fn sample(payload: u64) -> Sample {
+    Sample {
+        payload: Nonce(payload),
+        shelves: Vec::new(),
+        versions: BTreeSet::from([Version(1)]),
+        made_at: Instant::default(),
+        score: None,
+    }
+}
+
+fn slot() -> impl Strategy<Value = Slot> {
+    (0..GROUPS, 0..GROUP_SIZE).prop_map(|(group, index)| Slot { group, index })
+}
+
+fn change() -> impl Strategy<Value = Change> {
+    prop_oneof![
+        1 => (1..3u64).prop_map(|step| Change::Open {
+            step: Step(step),
+            prompts: Fingerprint(step),
+            parts: 1,
+            groups: GROUPS,
+            group_size: GROUP_SIZE,
+        }),
+        6 => (1..3u64, slot(), 1..40u64)
+            .prop_map(|(step, slot, payload)| Change::Fill(Step(step), slot, sample(payload))),
+        1 => (slot(), 1..40u64).prop_map(|(slot, payload)| Change::Empty(slot, Nonce(payload))),
+        3 => (1..4u64, 1..4u64).prop_map(|(b, e)| Change::Hold(Batch(b), Epoch(e))),
+        6 => (1..4u64, 1..4u64, prop::collection::vec(1..40u64, 1..3)).prop_map(|(b, e, p)| {
+            Change::Fix(Batch(b), Epoch(e), p.into_iter().map(Nonce).collect())
+        }),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 3000,
+        rng_seed: prop::test_runner::RngSeed::Fixed(20_261_203),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// What is done stays done until the next step; an edition never changes; a filled slot is
+    /// not filled again; batches are held one after the other; a change made twice is made once.
+    #[test]
+    fn changes_keep_what_was_handed_over(changes in prop::collection::vec(change(), 1..120)) {
+        let mut ledger = Ledger::default();
+        ledger.apply(&Change::Open {
+            step: Step(1),
+            prompts: Fingerprint(1),
+            parts: 1,
+            groups: GROUPS,
+            group_size: GROUP_SIZE,
+        });
+        let mut editions: BTreeMap<(Batch, Epoch), Vec<(Slot, Sample)>> = BTreeMap::new();
+        for change in changes {
+            let before = ledger.clone();
+            let applied = ledger.apply(&change);
+            prop_assert!(applied || ledger == before);
+            if ledger.step == before.step {
+                for (old, new) in before.cells.iter().zip(&ledger.cells) {
+                    prop_assert!(*old != Cell::Done || *new == Cell::Done);
+                    let is_refilled = matches!((old, new), (Cell::Filled(a), Cell::Filled(b)) if a.payload != b.payload);
+                    prop_assert!(!is_refilled);
+                }
+            } else {
+                prop_assert!(before.is_complete());
+            }
+            prop_assert!(ledger.held == before.held || ledger.held == before.held.next());
+            for edition in &ledger.editions {
+                let known = editions
+                    .entry((ledger.held.next(), edition.epoch))
+                    .or_insert_with(|| edition.slots.clone());
+                prop_assert_eq!(&edition.slots, known);
+            }
+            let payloads: Vec<Nonce> = ledger.samples().map(|(_, s)| s.payload).collect();
+            let fixed = ledger.current().map_or(0, |edition| edition.slots.len());
+            prop_assert!(fixed <= ledger.cells.len() && payloads.len() <= ledger.cells.len());
+            let again = ledger.clone();
+            let mut twice = ledger.clone();
+            if matches!(change, Change::Fill(..) | Change::Hold(..) | Change::Open { .. }) {
+                twice.apply(&change);
+                prop_assert_eq!(twice, again);
+            }
+        }
+    }
+}
