--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -9,5 +9,6 @@
 pub mod fleet;
 pub mod observer;
 pub mod platform;
+pub mod spread;
 pub mod steps;
 pub mod world;
