Serve trainers and roll weights out as processes; the whole quickstart

Change: the entry runs the owners of trainers' steps and of rollouts; shelves keep payloads twice in two failure domains; a trainer and a scorer stand-in; status and cost written by entries and read by tamaracksailctl.

--- a/crates/entry/src/api/mod.rs
+++ b/crates/entry/src/api/mod.rs
@@ -1,11 +1,12 @@
 //! The HTTP API of callers.
 
-mod chunks;
+pub mod chunks;
 mod common;
 mod models;
-mod openai;
+pub mod openai;
 mod problem;
 mod services;
+mod trainers;
 
 use std::sync::Arc;
 
@@ -17,12 +18,15 @@
 use tamaracksail_process::trace::Tracer;
 
 use crate::control::Control;
+use crate::training::Training;
 
 /// What the traffic threads share.
 #[derive(Clone)]
 pub struct State {
     /// The control thread.
     pub control: Addr<Control>,
+    /// The owners of trainers' steps.
+    pub training: Addr<Training>,
     /// The clock.
     pub clock: Clock,
     /// The configuration in force.
@@ -39,5 +43,6 @@
         .route("/v1/models", web::get().to(models::list))
         .route("/v1/models/{model}", web::get().to(models::show))
         .route("/services/{service}/{path:.*}", web::to(services::call))
+        .configure(trainers::routes)
         .default_service(web::to(problem::no_route));
 }
--- a/crates/entry/src/api/problem.rs
+++ b/crates/entry/src/api/problem.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use actix_web::http::StatusCode;
+use actix_web::http::header::{HeaderName, HeaderValue};
 use actix_web::{HttpRequest, HttpResponse};
 use serde_json::{Value, json};
 use tamaracksail_model::id;
@@ -35,6 +36,39 @@
         }
     }
 
+    /// The request does not fit what is there.
+    pub fn conflict(detail: &str) -> Self {
+        Self {
+            status: StatusCode::CONFLICT,
+            detail: detail.to_owned(),
+        }
+    }
+
+    /// It cannot be done now.
+    pub fn unavailable(detail: &str) -> Self {
+        Self {
+            status: StatusCode::SERVICE_UNAVAILABLE,
+            detail: detail.to_owned(),
+        }
+    }
+
+    /// The error as a response that says when to come back.
+    pub fn respond_after(&self, after: Duration) -> HttpResponse {
+        let mut response = self.respond();
+        let headers = response.headers_mut();
+        headers.remove("x-should-retry");
+        headers.insert(
+            HeaderName::from_static("retry-after"),
+            HeaderValue::from(seconds_up(after)),
+        );
+        let millis = u64::try_from(after.as_millis()).unwrap_or(u64::MAX);
+        headers.insert(
+            HeaderName::from_static("retry-after-ms"),
+            HeaderValue::from(millis),
+        );
+        response
+    }
+
     /// The error as a response.
     pub fn respond(&self) -> HttpResponse {
         let body = body(self.status, &self.detail, Outcome::NotRun, None, None);
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -7,7 +7,11 @@
 mod control;
 mod link;
 mod options;
+mod payloads;
 mod pump;
+mod rollouts;
+mod sampling;
+mod training;
 
 use std::sync::Arc;
 
@@ -18,6 +22,7 @@
 use tamaracksail_control::peer;
 use tamaracksail_model::config::Snapshot;
 use tamaracksail_policy::entry::Settings;
+use tamaracksail_policy::process::lease::Claimant;
 use tamaracksail_policy::version::follower;
 use tamaracksail_process::clock::Clock;
 use tamaracksail_process::health::{self, Readiness};
@@ -26,6 +31,8 @@
 
 use control::Control;
 use options::Options;
+use rollouts::Rollouts;
+use training::Training;
 
 /// Seconds that open connections get to end after the last answer.
 const CLOSE_SECONDS: u64 = 2;
@@ -68,10 +75,34 @@
         seeds: shared.seeds.clone(),
         seed: incarnation.0,
     };
-    let subscriber = control.clone().recipient();
+    let claimant = Claimant {
+        host: shared.host.name.clone(),
+        incarnation,
+    };
+    let parts = training::Parts {
+        claimant: claimant.clone(),
+        clock,
+        platform: shared.platform.clone(),
+        control: control.clone(),
+        parallel: options.parallel,
+    };
+    let training = Training::start_in_arbiter(&thread.handle(), move |_| Training::new(parts));
+    let parts = rollouts::Parts {
+        claimant,
+        clock,
+        platform: shared.platform.clone(),
+        store_limit: options.store_limit,
+        out_percent: options.out_percent,
+    };
+    let rollouts = Rollouts::start_in_arbiter(&thread.handle(), move |_| Rollouts::new(parts));
+    let subscribers = vec![
+        control.clone().recipient(),
+        training.clone().recipient(),
+        rollouts.clone().recipient(),
+    ];
     let platform = shared.platform.clone();
     let follow = Follow::start_in_arbiter(&thread.handle(), move |_| {
-        Follow::new(follower, clock, &platform, vec![subscriber])
+        Follow::new(follower, clock, &platform, subscribers)
     });
     let inbox = Inbox {
         follow: follow.recipient(),
@@ -80,6 +111,7 @@
 
     let state = api::State {
         control: control.clone(),
+        training: training.clone(),
         clock,
         config,
         tracer: tracer.clone(),
@@ -108,6 +140,8 @@
     actix_rt::spawn(async move {
         drop(stop::requested().await);
         log::info!("stopping: finishing what is in flight");
+        rollouts.send(rollouts::Stop).await.ok();
+        training.send(training::Stop).await.ok();
         control.send(control::Stop).await.ok();
         handle.stop(true).await;
     });
--- a/crates/entry/src/options.rs
+++ b/crates/entry/src/options.rs
@@ -16,6 +16,9 @@
   --remote-cost-ms MS       the delay that another failure domain must save (default 20)
   --queue COUNT             requests that may wait for a server (default 256)
   --status-period-ms MS     between two writes of status and cost (default 60000)
+  --parallel COUNT          samples of a trainer made at a time (default 64)
+  --store-limit COUNT       servers that load from the weight store at a time (default 4)
+  --out-percent PERCENT     servers that load at a time, of all (default 34)
   --workers COUNT           traffic threads (default 2)
 ";
 
@@ -32,6 +35,12 @@
     pub queue: usize,
     /// The time between two writes of status and cost.
     pub status_period: Duration,
+    /// Samples of a trainer made at a time.
+    pub parallel: u32,
+    /// Servers that load from the weight store at a time.
+    pub store_limit: u32,
+    /// Servers that load at a time, in percent of all.
+    pub out_percent: u32,
     /// Traffic threads.
     pub workers: usize,
 }
@@ -51,11 +60,19 @@
         let remote_cost: u64 = parser.or("--remote-cost-ms", 20);
         let queue = parser.or("--queue", 256);
         let status_period: u64 = parser.or("--status-period-ms", 60_000);
+        let parallel = parser.or("--parallel", 64);
+        let store_limit = parser.or("--store-limit", 4);
+        let out_percent = parser.or("--out-percent", 34);
+        if !(1..=100).contains(&out_percent) {
+            parser.wrong("--out-percent", "must be 1 to 100");
+        }
         let workers = parser.or("--workers", 2);
         let positive = [
             ("--stall-ms", stall == 0),
             ("--queue", queue == 0),
             ("--status-period-ms", status_period == 0),
+            ("--parallel", parallel == 0),
+            ("--store-limit", store_limit == 0),
             ("--workers", workers == 0),
         ];
         for (flag, is_zero) in positive {
@@ -70,6 +87,9 @@
             remote_cost: Duration::from_millis(remote_cost),
             queue,
             status_period: Duration::from_millis(status_period),
+            parallel,
+            store_limit,
+            out_percent,
             workers,
         }
     }
--- a/crates/model/src/config.rs
+++ b/crates/model/src/config.rs
@@ -95,6 +95,12 @@
         })
     }
 
+    /// The names of all trainers.
+    pub fn trainers(&self) -> impl Iterator<Item = &id::Object> {
+        let trainers = self.objects.keys().filter(|key| key.kind == Kind::Trainer);
+        trainers.map(|key| &key.name)
+    }
+
     /// The version that `model` is to serve.
     #[must_use]
     pub fn target(&self, model: &id::Object) -> Option<id::Version> {
--- a/crates/policy/src/process/subset.rs
+++ b/crates/policy/src/process/subset.rs
@@ -75,6 +75,18 @@
     ranked.into_values().take(WATCHERS).collect()
 }
 
+/// The entries that may own what is named `object`: the first few of its own order of hosts.
+#[must_use]
+pub fn candidates<'a>(hosts: &'a [Host], object: &str) -> Vec<&'a id::Host> {
+    let is_live_entry = |host: &&Host| host.phase == Phase::Live && host.role == Role::Entry;
+    let ranked: BTreeMap<u64, &id::Host> = hosts
+        .iter()
+        .filter(is_live_entry)
+        .map(|host| (rank(&format!("own/{object}/{}", host.name)), &host.name))
+        .collect();
+    ranked.into_values().take(WATCHERS).collect()
+}
+
 /// The hosts of a role.
 #[must_use]
 pub fn of_role(hosts: &[Host], role: Role) -> Vec<&Host> {
--- a/crates/policy/src/version/rollout.rs
+++ b/crates/policy/src/version/rollout.rs
@@ -16,14 +16,15 @@
 use tamaracksail_model::time::Instant;
 use tamaracksail_wire::{Order, Ordered};
 
-use crate::process::lease::{Claimant, LEASE, RENEWAL, Role, Stamp};
+use crate::process::lease::{Claimant, RENEWAL, Role, Stamp};
 use crate::store::{self, Answer, Call, Op, Reply, Ticket, Tickets};
 
 /// The time between two looks at a lease that another holds.
 const LOOK: Duration = Duration::from_secs(3);
 
-/// How much earlier than others may take it a holder stops to rely on its lease.
-const MARGIN: Duration = Duration::from_secs(2);
+/// How long a holder relies on its lease, counted from the write that renewed it: less than
+/// [`LEASE`](crate::process::lease::LEASE), after which others may take it.
+const RELIANCE: Duration = Duration::from_secs(8);
 
 /// How long the platform is left alone after a lost call.
 const BACKOFF: Duration = Duration::from_millis(500);
@@ -290,7 +291,7 @@
             Answer::Written { revision } => {
                 self.revision = *revision;
                 self.renew_at = now.after(RENEWAL);
-                self.valid_until = self.sent_at.after(LEASE - MARGIN);
+                self.valid_until = self.sent_at.after(RELIANCE);
                 self.judge(now);
             }
             Answer::Conflict => self.must_read = true,
--- a/crates/policy/tests/common/spread.rs
+++ b/crates/policy/tests/common/spread.rs
@@ -353,7 +353,7 @@
             self.violations
                 .push(format!("{generation} has two contents"));
         }
-        if generation < self.reached[domain] && !self.is_excused(domain) {
+        if generation < self.reached[domain] {
             let reached = self.reached[domain];
             self.violations.push(format!(
                 "d{domain} went back from {reached} to {generation}"
@@ -362,12 +362,6 @@
         self.reached[domain] = self.reached[domain].max(generation);
     }
 
-    /// Whether a domain is cut off so that a starting process cannot know better. Such a process
-    /// must not be ready at all, so nothing is excused.
-    fn is_excused(&self, _domain: usize) -> bool {
-        false
-    }
-
     pub fn deliver(&mut self, item: Item) {
         match item {
             Item::Call { from, call } => self.call_platform(from, call),
--- a/crates/policy/tests/common/steps.rs
+++ b/crates/policy/tests/common/steps.rs
@@ -515,7 +515,7 @@
             }
             Response::Elsewhere(owner) => {
                 let other = (self.trainer.asks_host + 1) % HOSTS;
-                self.trainer.asks_host = match owner.as_ref().map(|host| host.as_str()) {
+                self.trainer.asks_host = match owner.as_ref().map(id::Host::as_str) {
                     Some("entry-0") => 0,
                     Some("entry-1") => 1,
                     _ => other,
--- /dev/null
+++ b/crates/shelf/src/options.rs
@@ -0,0 +1,73 @@
+//! The shelf's settings.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use log::LevelFilter;
+use tamaracksail_process::logs::Format;
+use tamaracksail_process::settings::{About, Parser};
+
+/// The binary's name.
+pub const NAME: &str = "tamaracksail-shelf";
+
+const HELP: &str = "\
+tamaracksail-shelf keeps sample payloads on a host with a disk.
+
+  --listen ADDRESS:PORT     where to listen
+  --data PATH               the data folder
+  --keep-hours COUNT        payloads older than this are removed at the start (default 48)
+  --workers COUNT           traffic threads (default 2)
+  --log-format json|plain   the form of log lines (default json)
+  --log-level LEVEL         off, error, warn, info, debug or trace (default info)
+  --help, --version
+
+Each may be given as an environment variable, such as TAMARACKSAIL_DATA.
+";
+
+/// Checked settings.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Where to listen.
+    pub listen: SocketAddr,
+    /// The data folder.
+    pub data: PathBuf,
+    /// How long payloads are kept at the most.
+    pub keep: Duration,
+    /// Traffic threads.
+    pub workers: usize,
+    /// The form of log lines.
+    pub log_format: Format,
+    /// The least severe level that is logged.
+    pub log_level: LevelFilter,
+}
+
+impl Options {
+    /// Reads the settings; exits if one is wrong.
+    pub fn parse() -> Self {
+        let about = About {
+            name: NAME,
+            version: env!("CARGO_PKG_VERSION"),
+            help: HELP,
+        };
+        let mut parser = Parser::new(about);
+        let listen = parser.required("--listen", SocketAddr::from(([127, 0, 0, 1], 0)));
+        let data: String = parser.required("--data", String::new());
+        let keep_hours: u64 = parser.or("--keep-hours", 48);
+        let workers = parser.or("--workers", 2);
+        if workers == 0 {
+            parser.wrong("--workers", "must be at least 1");
+        }
+        let log_format = parser.or("--log-format", Format::Json);
+        let log_level = parser.or("--log-level", LevelFilter::Info);
+        parser.finish();
+        Self {
+            listen,
+            data: data.into(),
+            keep: Duration::from_hours(keep_hours),
+            workers,
+            log_format,
+            log_level,
+        }
+    }
+}
--- a/crates/standins/src/bin/scorer.rs
+++ b/crates/standins/src/bin/scorer.rs
@@ -1,2 +1,21 @@
-//! x
-fn main() {}
+//! The stand-in of a scoring service as a process: scores drafts for a while.
+
+use std::time::Duration;
+
+use tamaracksail_process::settings::{About, Parser};
+use tamaracksail_standins::scorer;
+
+#[actix_web::main]
+async fn main() {
+    let mut parser = Parser::new(About {
+        name: "standin-scorer",
+        version: env!("CARGO_PKG_VERSION"),
+        help: "standin-scorer --entry URL --trainer NAME [--time-ms MS]",
+    });
+    let entry: String = parser.required("--entry", String::new());
+    let trainer: String = parser.required("--trainer", String::new());
+    let time = Duration::from_millis(parser.or("--time-ms", 5000));
+    parser.finish();
+    let report = scorer::run(&entry, &trainer, time).await;
+    println!("{}", serde_json::to_string(&report).unwrap_or_default());
+}
--- a/crates/standins/src/bin/trainer.rs
+++ b/crates/standins/src/bin/trainer.rs
@@ -1,2 +1,43 @@
-//! x
-fn main() {}
+//! The stand-in of a trainer as a process: takes one step and prints what came of it.
+
+use std::time::Duration;
+
+use tamaracksail_process::settings::{self, About, Parser};
+use tamaracksail_standins::trainer::{self, Plan};
+
+const HELP: &str = "\
+standin-trainer --entry URL [--entry URL] --trainer NAME --state FILE
+    [--step N] [--groups N] [--group-size N] [--max-tokens N] [--learn-ms MS] [--patience-ms MS]
+";
+
+#[actix_web::main]
+async fn main() {
+    let about = About {
+        name: "standin-trainer",
+        version: env!("CARGO_PKG_VERSION"),
+        help: HELP,
+    };
+    let mut parser = Parser::new(about);
+    let entries: Vec<String> = parser.values("--entry");
+    if entries.is_empty() {
+        parser.wrong("--entry", "missing");
+    }
+    let trainer = parser.required("--trainer", String::new());
+    let state: String = parser.required("--state", String::new());
+    let plan = Plan {
+        entries,
+        trainer,
+        step: parser.or("--step", 1),
+        groups: parser.or("--groups", 16),
+        group_size: parser.or("--group-size", 4),
+        max_tokens: parser.or("--max-tokens", 16),
+        state: state.into(),
+        learn: Duration::from_millis(parser.or("--learn-ms", 20)),
+        patience: Duration::from_millis(parser.or("--patience-ms", 60_000)),
+    };
+    parser.finish();
+    match trainer::run(&plan).await {
+        Ok(report) => println!("{}", serde_json::to_string(&report).unwrap_or_default()),
+        Err(why) => settings::fail("standin-trainer", &why),
+    }
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -6,5 +6,7 @@
 pub mod engine;
 pub mod faults;
 pub mod platform;
+pub mod scorer;
 pub mod serve;
 pub mod service;
+pub mod trainer;
--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -58,7 +58,7 @@
 entry() { # entry NAME PORT DOMAIN
     host "$1" entry "$2" "$3"
     start "$1" "$bin/tamaracksail-entry" --listen "127.0.0.1:$2" --name "$1" --domain "$3" \
-        --status-period-ms 1000 "${seeds[@]}"
+        --status-period-ms 1000 --parallel 8 "${seeds[@]}"
 }
 agent() { # agent NAME PORT DOMAIN KIND SERVES SERVER-PORT
     host "$1" agent "$2" "$3" "$5"
@@ -73,6 +73,12 @@
 agent agent-2 $((base + 12)) tunis-a engine translit-pool $((base + 22))
 agent agent-3 $((base + 13)) tunis-b engine translit-pool $((base + 23))
 agent agent-4 $((base + 14)) tunis-b service registre-app $((base + 24))
+shelf() { # shelf NAME PORT DOMAIN
+    host "$1" shelf "$2" "$3"
+    start "$1" "$bin/tamaracksail-shelf" --listen "127.0.0.1:$2" --data "$run/$1"
+}
+shelf shelf-1 $((base + 31)) tunis-a
+shelf shelf-2 $((base + 32)) tunis-b
 entry entry-1 $((base + 1)) tunis-a
 entry entry-2 $((base + 2)) tunis-b
 one=http://127.0.0.1:$((base + 1))
@@ -104,4 +110,60 @@
     report ok "a filing sent twice under one key ran once: $second" ||
     report FAIL "a filing sent twice: first $first, second $second, runs $runs"
 
+# A training step of 64 samples, with new weights rolled out in the middle.
+"$bin/standin-trainer" --entry "$one" --entry "$two" --trainer translit --state "$run/trainer" \
+    --groups 16 --group-size 4 --max-tokens 100 --learn-ms 300 >"$run/trainer.out" 2>&1 &
+trainer=$!
+pids+=($trainer)
+sleep 0.8
+cat >"$run/new-version.yaml" <<'YAML'
+kind: Version
+name: translit-2
+spec: {model: translit-llm, number: 2}
+---
+kind: Model
+name: translit-llm
+spec: {serve: translit-2}
+YAML
+"$bin/tamaracksailctl" apply -f "$run/new-version.yaml" --author quickstart >/dev/null ||
+    report FAIL "apply a new version"
+loaded() { # loaded: every engine has version 2
+    for i in 1 2 3; do
+        curl -sf "http://127.0.0.1:$((base + 20 + i))/health" | grep -q '"translit-llm":2' || return 1
+    done
+}
+if until_ok loaded; then report ok "new weights are on all 3 engines"; else
+    report FAIL "new weights are not on all engines"
+fi
+wait $trainer
+answer=$(cat "$run/trainer.out")
+[[ $answer == *'"samples":64,"doubled":0'* && $answer == *'"complete":true'* ]] &&
+    report ok "a training step of 64 samples, each once: $answer" ||
+    report FAIL "a training step: $answer"
+
+# A server drained with nothing cut: a long stream runs through it meanwhile.
+streams=()
+for i in 1 2 3 4; do
+    curl -sN "$one/v1/chat/completions" -H 'content-type: application/json' -d \
+        "{\"model\":\"translit-llm\",\"stream\":true,\"max_tokens\":300,\"messages\":[{\"role\":\"user\",\"content\":\"long draft $i\"}]}" \
+        >"$run/stream-$i" &
+    streams+=($!)
+done
+sleep 0.2
+"$bin/tamaracksailctl" drain agent-1 >/dev/null || report FAIL "drain agent-1"
+kill -TERM "$pid_agent_1"
+wait "$pid_agent_1"
+for stream in "${streams[@]}"; do wait "$stream"; done
+whole=$(grep -l 'data: \[DONE\]' "$run"/stream-* | wc -l)
+[ "$whole" = 4 ] && report ok "a server was drained and stopped; 4 of 4 streams are whole" ||
+    report FAIL "a server was drained: $whole of 4 streams are whole"
+
+# Status and cost come from the platform's objects.
+sleep 1.2
+cost=$("$bin/tamaracksailctl" cost | grep -c delivered)
+[ "$cost" -ge 2 ] && report ok "cost of today: $cost accounts" || report FAIL "cost of today: $cost"
+status=$("$bin/tamaracksailctl" status | grep -c 'generation 2')
+[ "$status" -ge 2 ] && report ok "status: generation 2 in force at both entries" ||
+    report FAIL "status: $("$bin/tamaracksailctl" status)"
+
 exit $failed
