Prove fencing where switching it off went unseen

With the agent's fencing check, its read-back and the holder's own limit on its lease each switched off, the rollout's tests still passed.

Cause: the harness saw only engines' final versions, and no late order outlived a change of owner. Change: the observer compares each order with the platform's fencing number, each 'loaded' with the engine, and a test sends late orders past a change of owner and a newer version.

--- a/crates/entry/src/api/trainers.rs
+++ b/crates/entry/src/api/trainers.rs
@@ -71,15 +71,14 @@
     score: f64,
 }
 
-fn parse<'a, T: Deserialize<'a>>(body: &'a [u8]) -> Result<T, HttpResponse> {
-    serde_json::from_slice(body)
-        .map_err(|error| Problem::bad_request(&format!("body: {error}")).respond())
+fn parse<'a, T: Deserialize<'a>>(body: &'a [u8]) -> Result<T, Problem> {
+    serde_json::from_slice(body).map_err(|error| Problem::bad_request(&format!("body: {error}")))
 }
 
 async fn open(traffic: Traffic, trainer: web::Path<String>, body: web::Bytes) -> HttpResponse {
     let opening: Opening = match parse(&body) {
         Ok(opening) => opening,
-        Err(response) => return response,
+        Err(problem) => return problem.respond(),
     };
     let chat = |prompt: String| {
         let mut request = opening.params.clone();
@@ -131,7 +130,7 @@
 async fn score(traffic: Traffic, trainer: web::Path<String>, body: web::Bytes) -> HttpResponse {
     let given: Score = match parse(&body) {
         Ok(given) => given,
-        Err(response) => return response,
+        Err(problem) => return problem.respond(),
     };
     let Ok(payload) = u64::from_str_radix(&given.draft, 16) else {
         return Problem::bad_request("draft: is no draft's name").respond();
--- a/crates/policy/tests/common/fleet.rs
+++ b/crates/policy/tests/common/fleet.rs
@@ -22,7 +22,7 @@
 pub const AGENTS: usize = 4;
 
 /// How long faults last.
-pub const FAULT_TIME: Duration = Duration::from_secs(15);
+pub const FAULT_TIME: Duration = Duration::from_secs(25);
 
 /// A fault. The match in [`Fleet::inject`] is exhaustive.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -289,6 +289,11 @@
                     call,
                 }),
                 Action::Order(_, order) => {
+                    let taken = self.stored_fence();
+                    if taken > order.fence {
+                        let problem = format!("{} gave orders after {taken}", order.fence);
+                        self.violations.push(problem);
+                    }
                     self.asked.insert((index, agent), self.now);
                     self.post(
                         Node::Owner(index),
@@ -318,6 +323,12 @@
                 agent::Action::Ordered(_) => "agent.ordered",
                 _ => continue,
             };
+            let has = Version(self.engines[index].version);
+            if matches!(action, agent::Action::Ordered(wire::Ordered::Loaded(said)) if said != has)
+            {
+                let problem = format!("agent {index} said {action:?}, but has {has}");
+                self.violations.push(problem);
+            }
             let fault = self.step(name, 0, index);
             if self.agent_lives[index] != life {
                 return;
@@ -447,18 +458,22 @@
 
     fn read_fence(&mut self, agent: usize, life: u64) {
         let is_down = self.platform.is_down || self.now < self.platform_slow_until;
-        let stored = self.platform.objects.get("rollout/m");
-        let fence = stored.map_or(Fence(0), |(_, value)| {
-            store::decode::<Stamp>("rollout", value)
-                .expect("our own stamp")
-                .fence
-        });
+        let fence = self.stored_fence();
         if self.agent_lives[agent] == life {
             let fence = (!is_down).then_some(fence);
             self.feed_agent(agent, agent::Event::Fence("m".into(), fence));
         }
     }
 
+    /// The fencing number that the platform holds.
+    fn stored_fence(&self) -> Fence {
+        let stored = self.platform.objects.get("rollout/m");
+        stored.map_or(Fence(0), |(_, value)| {
+            let stamp: Stamp = store::decode("rollout", value).expect("our own stamp");
+            stamp.fence
+        })
+    }
+
     pub fn inject(&mut self, fault: Fault, owner: usize, agent: usize) {
         let until = self.now.after(FAULT_TIME);
         match fault {
--- a/crates/policy/tests/rollouts.rs
+++ b/crates/policy/tests/rollouts.rs
@@ -63,6 +63,27 @@
     }
 }
 
+/// An order that is late, while another owner takes the rollout and rolls out a newer version.
+#[test]
+fn an_old_order_is_refused_whenever_it_arrives() {
+    const STEPS: usize = 24;
+    for place in 0..STEPS {
+        for owner in [Fault::OwnerKilled, Fault::OwnerFrozen] {
+            let schedule = BTreeMap::from([
+                (place, Fault::MessageLate),
+                (place + 1, owner),
+                (place + 2, Fault::NewVersion),
+            ]);
+            let fleet = run(schedule);
+            assert!(
+                fleet.violations.is_empty(),
+                "step {place}, {owner:?}: {:?}",
+                fleet.violations
+            );
+        }
+    }
+}
+
 fn play(choices: &[(u8, u16)]) -> Fleet {
     let mut fleet = Fleet::new(BTreeMap::new());
     for (kind, place) in choices {
