--- /dev/null
+++ b/crates/measure/src/routing.rs
@@ -0,0 +1,228 @@
+//! Routing: five ways to choose a server, on the same work, with late reports.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use tamaracksail_model::host::{Host, Phase, Role};
+use tamaracksail_model::id;
+use tamaracksail_model::time::Instant;
+use tamaracksail_policy::connection::choice::{Candidate, Chooser, Rule};
+use tamaracksail_policy::connection::view::View;
+use tamaracksail_wire::Load;
+
+use crate::table::{self, millis, percent, quantile, real};
+
+const SERVERS: usize = 24;
+const LANES: u32 = 4;
+const SERVICE: Duration = Duration::from_millis(200);
+const REQUESTS: usize = 40_000;
+const UTILISATION: f64 = 0.75;
+const REPORT_PERIOD: Duration = Duration::from_millis(500);
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Scene {
+    Calm,
+    SlowServers,
+    LateReports,
+    LostDomain,
+}
+
+/// A server: lanes that are busy until an instant, and a factor on its service time.
+struct Server {
+    lanes: Vec<Instant>,
+    slowness: f64,
+    is_lost: bool,
+}
+
+impl Server {
+    fn serve(&mut self, now: Instant, time: Duration) -> Instant {
+        let lane = self.lanes.iter_mut().min().expect("a server has lanes");
+        let done = (*lane).max(now).after(time.mul_f64(self.slowness));
+        *lane = done;
+        done
+    }
+
+    fn load(&self, now: Instant) -> u32 {
+        // Lanes that are busy beyond one service time stand for what waits.
+        let busy = self
+            .lanes
+            .iter()
+            .map(|until| until.since(now).as_secs_f64());
+        let queued: f64 = busy
+            .map(|left| (left / SERVICE.as_secs_f64()).min(8.0))
+            .sum();
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "small"
+        )]
+        let load = queued.ceil() as u32;
+        load
+    }
+}
+
+fn view(index: usize) -> View {
+    let host = Host {
+        name: id::Host(format!("server-{index}")),
+        role: Role::Agent,
+        address: ([127, 0, 0, 1], 1).into(),
+        domain: id::Domain(format!("d{}", index % 3)),
+        serves: None,
+        phase: Phase::Live,
+    };
+    let mut view = View::new(&host, "p".into(), LANES);
+    view.incarnation = Some(id::Incarnation(1));
+    view
+}
+
+struct Outcome {
+    latencies: Vec<Duration>,
+    lost: usize,
+    remote: usize,
+}
+
+fn run(rule: Rule, scene: Scene, seed: u64) -> Outcome {
+    let mut random = SmallRng::seed_from_u64(seed);
+    let mut chooser = Chooser::new(rule, Duration::from_millis(20));
+    let mut servers: Vec<Server> = (0..SERVERS)
+        .map(|index| Server {
+            lanes: vec![Instant::default(); LANES as usize],
+            slowness: if scene == Scene::SlowServers && index % 10 == 0 {
+                5.0
+            } else {
+                1.0
+            },
+            is_lost: false,
+        })
+        .collect();
+    let mut views: Vec<View> = (0..SERVERS).map(view).collect();
+    let mut pending: VecDeque<(Instant, usize, Load)> = VecDeque::new();
+    let mut running: Vec<(Instant, usize, id::Attempt)> = Vec::new();
+    let lag = if scene == Scene::LateReports {
+        Duration::from_secs(1)
+    } else {
+        Duration::ZERO
+    };
+    let rate = UTILISATION * real(SERVERS) * f64::from(LANES) / SERVICE.as_secs_f64();
+    let mut now = Instant::from_millis(1_000_000);
+    let mut report_at = now;
+    let mut outcome = Outcome {
+        latencies: Vec::new(),
+        lost: 0,
+        remote: 0,
+    };
+    for number in 0..REQUESTS {
+        let gap: f64 = random.random_range(1e-9..1.0);
+        now = now.after(Duration::from_secs_f64(-gap.ln() / rate));
+        if scene == Scene::LostDomain && number == REQUESTS / 2 {
+            for server in servers.iter_mut().step_by(3) {
+                server.is_lost = true;
+            }
+        }
+        running.retain(|(done, server, attempt)| {
+            if *done <= now {
+                views[*server].finish(*attempt);
+            }
+            *done > now
+        });
+        if now >= report_at {
+            report_at = now.after(REPORT_PERIOD);
+            for (index, server) in servers.iter().enumerate().filter(|(_, s)| !s.is_lost) {
+                let load = Load {
+                    running: server.load(now),
+                    queued: 0,
+                    limit: LANES,
+                    service: SERVICE.mul_f64(server.slowness),
+                    valid: Duration::from_secs(3),
+                    leaving: false,
+                    up: true,
+                };
+                pending.push_back((now.after(lag), index, load));
+            }
+        }
+        while pending.front().is_some_and(|(at, _, _)| *at <= now) {
+            if let Some((at, index, load)) = pending.pop_front() {
+                views[index].hear(at, load);
+            }
+        }
+        let usable: Vec<usize> = (0..SERVERS)
+            .filter(|index| views[*index].is_eligible(now))
+            .collect();
+        let candidates: Vec<Candidate> = usable
+            .iter()
+            .map(|index| Candidate {
+                delay: views[*index].expected_delay(now),
+                load: views[*index].estimate(now),
+                lanes: f64::from(LANES),
+                is_remote: index % 3 != 0,
+                affinity: 0,
+            })
+            .collect();
+        let Some(chosen) = chooser.choose(&mut random, &candidates) else {
+            outcome.lost += 1;
+            continue;
+        };
+        let index = usable[chosen];
+        outcome.remote += usize::from(!index.is_multiple_of(3));
+        if servers[index].is_lost {
+            // The link refuses at once; the breaker opens after a few.
+            views[index].breaker.fail(now);
+            outcome.lost += 1;
+            continue;
+        }
+        let draw: f64 = random.random_range(1e-9..1.0);
+        let done = servers[index].serve(now, SERVICE.mul_f64(-draw.ln()));
+        let attempt = id::Attempt {
+            entry: id::Incarnation(1),
+            number: number as u64,
+        };
+        views[index].send(now, attempt);
+        running.push((done, index, attempt));
+        outcome.latencies.push(done.since(now));
+    }
+    outcome
+}
+
+/// Prints the table.
+pub fn print(seed: u64) {
+    let columns = [
+        "scene",
+        "rule",
+        "median",
+        "99th percentile",
+        "refused by a dead link",
+        "remote",
+    ];
+    table::head(
+        "Routing: 24 servers of 4 lanes at 75% load, reports every 500 ms",
+        &columns,
+    );
+    let scenes = [
+        (Scene::Calm, "calm"),
+        (Scene::SlowServers, "10% of servers 5 times slower"),
+        (Scene::LateReports, "reports 1 s late"),
+        (Scene::LostDomain, "one domain of three lost half-way"),
+    ];
+    let rules = [
+        Rule::Random,
+        Rule::RoundRobin,
+        Rule::TwoRandom,
+        Rule::LoadSteps,
+        Rule::LeastDelay,
+    ];
+    for (scene, name) in scenes {
+        for rule in rules {
+            let mut outcome = run(rule, scene, seed);
+            table::row(&[
+                name.to_owned(),
+                format!("{rule:?}"),
+                millis(quantile(&mut outcome.latencies, 0.5)),
+                millis(quantile(&mut outcome.latencies, 0.99)),
+                outcome.lost.to_string(),
+                percent(real(outcome.remote), real(REQUESTS)),
+            ]);
+        }
+    }
+}
