Pause servers that answer and fail

Cause: a failed run closed the breaker like a good one, since every frame and every heartbeat counted as a success of the link. A failing server looked idle and drew traffic.

Change: two breakers, one of the link and one of runs; only a whole answer closes the second.

--- a/crates/measure/src/routing.rs
+++ b/crates/measure/src/routing.rs
@@ -168,7 +168,7 @@
         outcome.remote += usize::from(!index.is_multiple_of(3));
         if servers[index].is_lost {
             // The link refuses at once; the breaker opens after a few.
-            views[index].breaker.fail(now);
+            views[index].link.fail(now);
             outcome.lost += 1;
             continue;
         }
--- a/crates/policy/src/connection/view.rs
+++ b/crates/policy/src/connection/view.rs
@@ -49,8 +49,10 @@
     pub leaving: bool,
     /// The versions loaded, as last reported.
     pub versions: BTreeMap<id::Object, id::Version>,
-    /// The breaker of the link.
-    pub breaker: Breaker,
+    /// The breaker of the link, closed by heartbeats.
+    pub link: Breaker,
+    /// The breaker of runs, closed only by whole answers: a server may be reached and still fail.
+    pub runs: Breaker,
     heard: Option<Heard>,
     /// Our attempts in flight there and when each was sent.
     sent: BTreeMap<id::Attempt, Instant>,
@@ -71,7 +73,8 @@
             incarnation: None,
             leaving: host.phase == host::Phase::Leaving,
             versions: BTreeMap::new(),
-            breaker: Breaker::default(),
+            link: Breaker::default(),
+            runs: Breaker::default(),
             heard: None,
             sent: BTreeMap::new(),
             service: DEFAULT_SERVICE,
@@ -158,7 +161,11 @@
     #[must_use]
     pub fn is_eligible(&self, now: Instant) -> bool {
         let reported = self.load(now).is_none_or(|load| load.up && !load.leaving);
-        !self.leaving && self.incarnation.is_some() && reported && self.breaker.is_closed(now)
+        !self.leaving && self.incarnation.is_some() && reported && self.is_trusted(now)
+    }
+
+    fn is_trusted(&self, now: Instant) -> bool {
+        self.link.is_closed(now) && self.runs.is_closed(now)
     }
 
     /// Whether there is room for a further attempt.
--- a/crates/policy/src/entry/frames.rs
+++ b/crates/policy/src/entry/frames.rs
@@ -63,7 +63,7 @@
             .and_then(|a| self.servers.get_mut(a.server))
         {
             view.hear(now, load);
-            view.breaker.succeed();
+            view.link.succeed();
         }
     }
 
@@ -146,6 +146,7 @@
         };
         if let Some(view) = self.servers.get_mut(attempt.server) {
             view.grow_limit();
+            view.runs.succeed();
         }
         if attempt.alone
             && let Some(request) = self.requests.get(&attempt.request)
@@ -170,6 +171,7 @@
         let view = self.servers.get_mut(attempt.server);
         match (failure.reason, view) {
             (Reason::Busy, Some(view)) => view.shrink_limit(),
+            (Reason::Failed | Reason::Crashed, Some(view)) => view.runs.fail(now),
             (Reason::OtherIncarnation, Some(view)) => view.incarnation = None,
             _ => {}
         }
@@ -196,7 +198,7 @@
             return;
         };
         if let Some(view) = self.servers.get_mut(attempt.server) {
-            view.breaker.fail(now);
+            view.link.fail(now);
         }
         self.fail_attempt(now, id, !sent, Cause::Link);
     }
--- a/crates/policy/src/entry/machine.rs
+++ b/crates/policy/src/entry/machine.rs
@@ -296,7 +296,7 @@
         view.incarnation = Some(report.sender.incarnation);
         view.versions.clone_from(&report.versions);
         view.hear(now, report.load);
-        view.breaker.succeed();
+        view.link.succeed();
         if is_restart {
             self.lose_attempts(now, server, report.sender.incarnation);
         }
@@ -317,7 +317,7 @@
 
     fn lose_heartbeat(&mut self, now: Instant, host: &id::Host) {
         if let Some(server) = self.by_host.get(host) {
-            self.servers[*server].breaker.fail(now);
+            self.servers[*server].link.fail(now);
         }
     }
 
--- a/crates/policy/src/entry/route.rs
+++ b/crates/policy/src/entry/route.rs
@@ -290,7 +290,7 @@
             attempt.stalled = true;
             let (request, server) = (attempt.request, attempt.server);
             if let Some(view) = self.servers.get_mut(server) {
-                view.breaker.fail(now);
+                view.runs.fail(now);
             }
             match self.requests.get(&request) {
                 Some(waiting) if waiting.arrival.once => self.revoke(id),
