Count what is under way when a sample is judged late

Cause: the first to finish are the fastest, so the quantile of finished samples alone was far too low at the start of a step; the cap on second copies was spent on samples that were on time.

Change: the quantile counts samples under way that are older than a value as exceeding it.

--- a/crates/policy/src/request/latency.rs
+++ b/crates/policy/src/request/latency.rs
@@ -24,15 +24,25 @@
         self.recent.push_back(latency);
     }
 
-    /// The value below which `percent` of the samples lie, once there are enough of them.
+    /// The least recorded value that at least `percent` of all do not exceed, once there are
+    /// enough of them.
+    ///
+    /// `ages` are of what is still under way. Without them the first to finish, which are the
+    /// fastest, would pass for the whole: whatever is older than a value exceeds it.
     #[must_use]
-    pub fn quantile(&self, percent: u32) -> Option<Duration> {
+    pub fn quantile(&self, percent: u32, ages: &[Duration]) -> Option<Duration> {
         if self.recent.len() < MIN_SAMPLES {
             return None;
         }
-        let mut sorted: Vec<Duration> = self.recent.iter().copied().collect();
-        sorted.sort_unstable();
-        let rank = sorted.len() * percent.min(100) as usize / 100;
-        sorted.get(rank.min(sorted.len() - 1)).copied()
+        let mut done: Vec<Duration> = self.recent.iter().copied().collect();
+        done.sort_unstable();
+        let mut ages = ages.to_vec();
+        ages.sort_unstable();
+        let is_reached = |(rank, value): &(usize, Duration)| {
+            let older = ages.len() - ages.partition_point(|age| age <= value);
+            (rank + 1) * 100 >= (done.len() + older) * percent.min(100) as usize
+        };
+        let ranked = done.iter().copied().enumerate();
+        ranked.filter(is_reached).map(|(_, value)| value).next()
     }
 }
--- a/crates/policy/src/version/owner/samples.rs
+++ b/crates/policy/src/version/owner/samples.rs
@@ -1,6 +1,7 @@
 //! How the owner fills slots: samples, second copies of stragglers, and losers.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use tamaracksail_model::id::{self, Step};
 use tamaracksail_model::time::Instant;
@@ -140,7 +141,12 @@
         let Some((percentile, cap_percent)) = rule else {
             return;
         };
-        let Some(late_after) = self.latency.quantile(percentile) else {
+        let ages: Vec<Duration> = self
+            .work
+            .values()
+            .flat_map(|work| work.copies.values().map(|at| now.since(*at)))
+            .collect();
+        let Some(late_after) = self.latency.quantile(percentile, &ages) else {
             return;
         };
         let cap = self.ledger.cells.len() * cap_percent as usize / 100;
