Make the cap on second copies last, and hedge second copies too

Cause: at the 90th percentile the expected demand equals the cap, so it ran out before the step's end and its last stragglers had no second copy; and a second copy that straggles itself was never hedged (99th percentile 141.2 s against a median of 64.5 s).

Change: the percentile is raised until half of the cap is expected to be spent; a slot may have three copies at a time.

--- a/crates/policy/src/version/owner/samples.rs
+++ b/crates/policy/src/version/owner/samples.rs
@@ -11,6 +11,9 @@
 use crate::store::{self, Answer, Op};
 use crate::version::ledger::{self, Cell, Change, Sample};
 
+/// Copies of a slot that are made at a time, so that a straggling second copy is hedged too.
+const MAX_COPIES: usize = 3;
+
 /// The copies of a slot that are being made, and when each was started.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Work {
@@ -141,20 +144,26 @@
         let Some((percentile, cap_percent)) = rule else {
             return;
         };
+        // Half of the cap is expected to be spent, so that it lasts until the step's end.
+        let within_cap = 100 - cap_percent.min(100) / 2;
         let ages: Vec<Duration> = self
             .work
             .values()
             .flat_map(|work| work.copies.values().map(|at| now.since(*at)))
             .collect();
-        let Some(late_after) = self.latency.quantile(percentile, &ages) else {
+        let Some(late_after) = self.latency.quantile(percentile.max(within_cap), &ages) else {
             return;
         };
         let cap = self.ledger.cells.len() * cap_percent as usize / 100;
+        let is_late = |work: &Work| {
+            let copies = work.copies.len();
+            (1..MAX_COPIES).contains(&copies)
+                && work.copies.values().all(|at| now.since(*at) > late_after)
+        };
         let late: Vec<id::Slot> = self
             .work
             .iter()
-            .filter(|(_, work)| work.copies.len() == 1 && work.next_copy == 1)
-            .filter(|(_, work)| work.copies.values().all(|at| now.since(*at) > late_after))
+            .filter(|(_, work)| is_late(work))
             .map(|(slot, _)| *slot)
             .collect();
         for slot in late {
