Let interactive requests past the training that waits at servers

Cause: an entry counted all attempts at a server against its limit, also the waiting training that the agent would put behind an interactive one; with limits shrunk by refusals, interactive requests waited at the entry for servers that would have taken them at once. Ruled out: the agents' own order (it serves classes in order).

Change: a load report names its attempts of training; the other classes do not count them.

--- a/crates/measure/src/costs.rs
+++ b/crates/measure/src/costs.rs
@@ -57,6 +57,7 @@
     Load {
         running: 1,
         queued: 0,
+        training: 0,
         limit: 64,
         service: Duration::from_millis(200),
         valid: Duration::from_secs(3),
--- a/crates/measure/src/routing.rs
+++ b/crates/measure/src/routing.rs
@@ -133,6 +133,7 @@
                 let load = Load {
                     running: server.load(now),
                     queued: 0,
+                    training: 0,
                     limit: LANES,
                     service: SERVICE.mul_f64(server.slowness),
                     valid: Duration::from_secs(3),
--- a/crates/policy/src/agent/machine.rs
+++ b/crates/policy/src/agent/machine.rs
@@ -5,6 +5,7 @@
 
 use tamaracksail_model::host::Host;
 use tamaracksail_model::id;
+use tamaracksail_model::outcome::Class;
 use tamaracksail_model::plain;
 use tamaracksail_model::time::Instant;
 use tamaracksail_wire::{Dispatch, Hello, Load, Report, Sender, Usage};
@@ -190,9 +191,12 @@
     pub fn load(&self) -> Load {
         let running = self.jobs.values().filter(|job| job.is_running()).count();
         let queued = self.jobs.len() - running;
+        let is_training = |job: &&Job| job.dispatch.class == Class::Training;
+        let training = self.jobs.values().filter(is_training).count();
         Load {
             running: u32::try_from(running).unwrap_or(u32::MAX),
             queued: u32::try_from(queued).unwrap_or(u32::MAX),
+            training: u32::try_from(training).unwrap_or(u32::MAX),
             limit: self.settings.limit,
             service: self.service,
             valid: self.settings.load_validity,
--- a/crates/policy/src/connection/view.rs
+++ b/crates/policy/src/connection/view.rs
@@ -6,6 +6,7 @@
 
 use tamaracksail_model::host;
 use tamaracksail_model::id;
+use tamaracksail_model::outcome::Class;
 use tamaracksail_model::time::Instant;
 use tamaracksail_wire::Load;
 
@@ -168,9 +169,15 @@
         self.link.is_closed(now) && self.runs.is_closed(now)
     }
 
-    /// Whether there is room for a further attempt.
+    /// Whether there is room for a further attempt of a class. Waiting attempts of training give
+    /// way to the others, so those see only their own kind.
     #[must_use]
-    pub fn has_room(&self, now: Instant) -> bool {
-        self.estimate(now) + 1.0 <= self.limit.max(MIN_LIMIT)
+    pub fn has_room(&self, now: Instant, class: Class) -> bool {
+        let all = self.estimate(now);
+        let ahead = match (class, self.load(now)) {
+            (Class::Training, _) | (_, None) => all,
+            (Class::Interactive | Class::Review, Some(load)) => all - f64::from(load.training),
+        };
+        ahead + 1.0 <= self.limit.max(MIN_LIMIT)
     }
 }
--- a/crates/policy/src/entry/route.rs
+++ b/crates/policy/src/entry/route.rs
@@ -57,7 +57,7 @@
             self.serves(&view.serves, &arrival.target)
                 && !request.tried.contains(server)
                 && view.is_eligible(now)
-                && view.has_room(now)
+                && view.has_room(now, arrival.class)
         };
         let own_domain = &self.settings.host.domain;
         let candidates: (Vec<Server>, Vec<Candidate>) = self
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -245,6 +245,8 @@
         pub running: u32,
         /// Attempts that wait.
         pub queued: u32,
+        /// Of those that run or wait, the ones of class training: others go before them.
+        pub training: u32,
         /// Attempts that may run at a time.
         pub limit: u32,
         /// The mean time that an attempt runs.
