Refuse at once what will not be served in time

Cause: the expected wait counted only what was ahead in the queue; what later requests of higher classes take was not in it.

--- a/crates/policy/src/entry/route.rs
+++ b/crates/policy/src/entry/route.rs
@@ -240,7 +240,25 @@
             return None;
         }
         let ahead = f64::from(u32::try_from(ahead).unwrap_or(u32::MAX));
-        Some(service.mul_f64(((queued + ahead + 1.0) / lanes - 1.0).max(0.0) + 1.0))
+        let worked_out = service.mul_f64(((queued + ahead + 1.0) / lanes - 1.0).max(0.0) + 1.0);
+        // The longest waiting one is not served yet: its whole wait is longer than its age.
+        Some(worked_out.max(self.oldest_wait(now, id) * 2))
+    }
+
+    /// How long the longest waiting request of the same target and class has waited: later ones
+    /// of its class will not fare better, whatever other classes bring meanwhile.
+    fn oldest_wait(&self, now: Instant, id: id::Request) -> Duration {
+        let Some(own) = self.requests.get(&id) else {
+            return Duration::ZERO;
+        };
+        let alike = self.requests.iter().filter(|(other, waiting)| {
+            waiting.phase == Phase::Waiting
+                && **other != id
+                && waiting.arrival.class == own.arrival.class
+                && waiting.arrival.target == own.arrival.target
+        });
+        let waits = alike.map(|(_, waiting)| now.since(waiting.arrived));
+        waits.max().unwrap_or_default()
     }
 
     /// When a refused caller should come back.
