Pass news through a tree of processes instead of from one watcher

Change: whoever puts something new in force tells 4 processes of its domain in the order of a tree, and one of another domain; a pull under way is not sent to a second peer; watchers are worked out per host list and not per tick.

--- a/crates/policy/src/process/subset.rs
+++ b/crates/policy/src/process/subset.rs
@@ -87,6 +87,17 @@
     ranked.into_values().take(WATCHERS).collect()
 }
 
+/// The live hosts of a domain in the order in which news passes through them.
+#[must_use]
+pub fn tree<'a>(hosts: &'a [Host], domain: &id::Domain) -> Vec<&'a Host> {
+    let live = hosts
+        .iter()
+        .filter(|host| host.phase == Phase::Live && host.domain == *domain);
+    let mut ordered: Vec<&Host> = live.collect();
+    ordered.sort_by_cached_key(|host| rank(&format!("tree/{}", host.name)));
+    ordered
+}
+
 /// The hosts of a role.
 #[must_use]
 pub fn of_role(hosts: &[Host], role: Role) -> Vec<&Host> {
--- a/crates/policy/src/version/follower.rs
+++ b/crates/policy/src/version/follower.rs
@@ -35,6 +35,12 @@
 /// The time between two reads of the head by a process that does not watch.
 const POLL_PERIOD: Duration = Duration::from_mins(1);
 
+/// Processes that one process tells of something new.
+const FAN_OUT: usize = 4;
+
+/// How long a pull may take before another peer is asked.
+const PULL_PATIENCE: Duration = Duration::from_millis(500);
+
 /// How long the platform is left alone after a call was lost.
 const BACKOFF: Duration = Duration::from_secs(1);
 
@@ -118,6 +124,7 @@
     named: id::Generation,
     hosts: Vec<Host>,
     hosts_revision: id::Revision,
+    is_watcher: bool,
     fetch: Option<Fetch>,
     head_revision: id::Revision,
     head_watch: Option<Ticket>,
@@ -125,6 +132,8 @@
     retry_at: Instant,
     poll_at: Instant,
     gossip_at: Instant,
+    /// What a peer was asked for, and until when no other is asked.
+    pulling: Option<((id::Generation, id::Revision), Instant)>,
     platform_lost: bool,
     rounds: u64,
     out: Vec<Action>,
@@ -144,6 +153,7 @@
             named: id::Generation(0),
             hosts: Vec::new(),
             hosts_revision: id::Revision(0),
+            is_watcher: false,
             fetch: None,
             head_revision: id::Revision(0),
             head_watch: None,
@@ -151,6 +161,7 @@
             retry_at: Instant::default(),
             poll_at: Instant::default(),
             gossip_at: Instant::default(),
+            pulling: None,
             platform_lost: false,
             rounds: 0,
             out: Vec::new(),
@@ -161,7 +172,7 @@
     /// Takes one event and returns what is to be done.
     pub fn handle(&mut self, now: Instant, event: Event) -> Vec<Action> {
         match event {
-            Event::Received(message) => self.receive(message),
+            Event::Received(message) => self.receive(now, message),
             Event::Stored(reply) => self.take_reply(now, &reply),
             Event::Tick => self.tick(now),
         }
@@ -208,11 +219,11 @@
         }
     }
 
-    fn receive(&mut self, message: Message) {
+    fn receive(&mut self, now: Instant, message: Message) {
         match message {
             Message::Gossip(peer) => {
                 if self.is_behind(&peer) {
-                    self.send(peer.address, Message::Pull(self.gossip()));
+                    self.pull(now, &peer);
                 } else if self.is_ahead_of(&peer) {
                     self.answer_pull(&peer);
                 }
@@ -236,6 +247,18 @@
         }
     }
 
+    /// Asks a peer for what is newer, unless another is being asked for the same.
+    fn pull(&mut self, now: Instant, peer: &Gossip) {
+        let wanted = (peer.sender.generation, peer.hosts);
+        let is_asked = self.pulling.is_some_and(|(asked, until)| {
+            now < until && asked.0 >= wanted.0 && asked.1 >= wanted.1
+        });
+        if !is_asked {
+            self.pulling = Some((wanted, now.after(PULL_PATIENCE)));
+            self.send(peer.address, Message::Pull(self.gossip()));
+        }
+    }
+
     fn is_behind(&self, peer: &Gossip) -> bool {
         let newest = self.candidate.generation.max(self.generation());
         peer.sender.generation > newest || peer.hosts > self.hosts_revision
@@ -285,7 +308,9 @@
         let is_first = !std::mem::replace(&mut self.is_ready, true);
         if self.candidate.generation > self.snapshot.generation || is_first {
             self.snapshot = Arc::clone(&self.candidate);
-            self.out.push(Action::InForce(Arc::clone(&self.snapshot)));
+            let snapshot = Arc::clone(&self.snapshot);
+            self.out.push(Action::InForce(snapshot));
+            self.push();
         }
     }
 
@@ -306,8 +331,11 @@
     fn take_hosts(&mut self, revision: id::Revision, hosts: Vec<Host>) {
         if revision > self.hosts_revision {
             self.hosts_revision = revision;
+            let watchers = subset::watchers(&hosts, &self.settings.domain);
+            self.is_watcher = watchers.contains(&&self.settings.host);
             self.hosts.clone_from(&hosts);
             self.out.push(Action::Hosts(hosts));
+            self.push();
         }
     }
 
@@ -356,7 +384,6 @@
                     && let Ok(hosts) = crate::store::decode::<Vec<Host>>(HOSTS, value)
                 {
                     self.take_hosts(*revision, hosts);
-                    self.push_to_domain();
                 }
             }
             Answer::Missing => self.platform_lost = false,
@@ -376,25 +403,43 @@
         }
         // The platform is the authority: what it names is the newest.
         self.adopt_candidate();
-        if is_newer {
-            self.push_to_domain();
-        }
     }
 
-    /// Sends what is new to every process of the domain.
-    fn push_to_domain(&mut self) {
+    /// Tells the next processes of the domain, and one of another domain, that there is
+    /// something new.
+    ///
+    /// The processes of a domain form a tree in the order of their names' hashes; watchers tell
+    /// its first ones. So nobody hands the snapshot to more than a few, and whoever is missed
+    /// hears by gossip.
+    fn push(&mut self) {
         if !self.is_ready {
             return;
         }
         let own = self.gossip();
-        let peers = self
+        let tree = subset::tree(&self.hosts, &self.settings.domain);
+        let place = tree.iter().position(|host| host.name == self.settings.host);
+        let children = place.map_or(0..0, |place| {
+            place * FAN_OUT + 1..place * FAN_OUT + 1 + FAN_OUT
+        });
+        let first = if self.is_watcher { 0..1 } else { 0..0 };
+        let next = first.chain(children).filter(|index| Some(*index) != place);
+        let mut targets: Vec<SocketAddr> = next
+            .filter_map(|index| tree.get(index).map(|host| host.address))
+            .collect();
+        let is_remote =
+            |host: &&Host| host.phase == Phase::Live && host.domain != self.settings.domain;
+        let remote: Vec<SocketAddr> = self
             .hosts
             .iter()
-            .filter(|host| host.domain == self.settings.domain && host.name != self.settings.host);
-        let sends: Vec<Action> = peers
-            .map(|peer| Action::Send(peer.address, Message::Gossip(own.clone())))
+            .filter(is_remote)
+            .map(|host| host.address)
             .collect();
-        self.out.extend(sends);
+        if !remote.is_empty() {
+            targets.push(remote[self.random.random_range(0..remote.len())]);
+        }
+        for target in targets {
+            self.send(target, Message::Gossip(own.clone()));
+        }
     }
 
     fn start_fetch(&mut self) {
@@ -413,13 +458,8 @@
         }
     }
 
-    fn is_watcher(&self) -> bool {
-        let watchers = subset::watchers(&self.hosts, &self.settings.domain);
-        watchers.contains(&&self.settings.host)
-    }
-
     fn call_platform(&mut self, now: Instant) {
-        let is_watcher = self.is_watcher();
+        let is_watcher = self.is_watcher;
         let is_due = !self.is_ready || self.hosts_revision.0 == 0 || now >= self.poll_at;
         if is_due && self.fetch.is_none() {
             // Spreads the reads of processes that started together.
