--- a/crates/policy/src/request/claim.rs
+++ b/crates/policy/src/request/claim.rs
@@ -169,6 +169,14 @@
                 calls: Vec::new(),
             };
         }
+        // What another entry had not ended when the shard was read may have ended since.
+        let is_open = work.known.as_ref().is_some_and(|(_, known)| {
+            let record = known.records.get(&wish.name);
+            record.is_some_and(|record| !matches!(record.state, State::Done(_)))
+        });
+        if is_open && work.flight.is_none() {
+            work.known = None;
+        }
         work.wanted.insert(wish.name.clone(), wish);
         self.start(now, tickets, shard)
     }
--- a/crates/policy/tests/requests.rs
+++ b/crates/policy/tests/requests.rs
@@ -119,6 +119,37 @@
     insta::assert_debug_snapshot!(outcomes);
 }
 
+/// Found by `a_filing_repeated_while_its_entry_is_frozen_runs_once` on real processes: an entry
+/// that had once read a claim as running said so for ever.
+#[test]
+fn a_repeat_at_the_other_entry_gets_the_kept_answer_once_there_is_one() {
+    let mut world = World::new("register", BTreeMap::new());
+    let mut outcomes = Vec::new();
+    let first = world.arrival(7, true, false);
+    world.call(0, first);
+    while let Some(item) = world.queue.pop_front() {
+        world.deliver(item);
+    }
+    for pause in [Duration::ZERO, DEADLINE / 2] {
+        world.settle(pause);
+        let repeat = world.arrival(7, true, false);
+        let request = repeat.request;
+        world.call(1, repeat);
+        while let Some(item) = world.queue.pop_front() {
+            world.deliver(item);
+        }
+        let answers = &world.observer.calls[&request].answers;
+        outcomes.push(
+            answers
+                .iter()
+                .map(|answer| answer.outcome)
+                .collect::<Vec<_>>(),
+        );
+    }
+    assert_eq!(world.observer.violations(), Vec::<String>::new());
+    insta::assert_debug_snapshot!(outcomes);
+}
+
 /// Pairs: every ordered pair of faults, the second at the step that follows the first. The
 /// pair of a fault with itself is "the same fault twice".
 #[test]
