Send small pieces at once on every accepted connection

Cause: accepted sockets had Nagle's algorithm on, so a streamed token waited for the acknowledgement of the one before it, which is delayed by 40 ms. Seen in scripts/loopback.sh: 43.9 ms for 16 tokens directly and through entry and agent alike. Ruled out: the engine stand-in's token time (0 ms in that run) and the load tool's parallelism.

Change: TCP_NODELAY at accept, in all processes.

--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -131,6 +131,7 @@
             .route(peer::CONTROL, web::post().to(receive))
     };
     let http = HttpServer::new(app)
+        .on_connect(tamaracksail_process::serve::no_delay)
         .workers(options.workers)
         .disable_signals()
         .shutdown_timeout(CLOSE_SECONDS)
--- a/crates/process/src/lib.rs
+++ b/crates/process/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod health;
 pub mod logs;
 pub mod metrics;
+pub mod serve;
 pub mod settings;
 pub mod stop;
 pub mod trace;
--- /dev/null
+++ b/crates/process/src/serve.rs
@@ -0,0 +1,16 @@
+//! How every process accepts connections.
+
+use std::any::Any;
+
+use actix_web::dev::Extensions;
+use actix_web::rt::net::TcpStream;
+
+/// Sends small pieces at once. Without this a streamed token waits for the acknowledgement of
+/// the one before it. To be given to `HttpServer::on_connect`.
+pub fn no_delay(connection: &dyn Any, _: &mut Extensions) {
+    if let Some(stream) = connection.downcast_ref::<TcpStream>()
+        && let Err(error) = stream.set_nodelay(true)
+    {
+        log::debug!("accept: {error}");
+    }
+}
--- a/crates/shelf/src/main.rs
+++ b/crates/shelf/src/main.rs
@@ -46,6 +46,7 @@
             .configure(payloads::routes)
     };
     let http = HttpServer::new(app)
+        .on_connect(tamaracksail_process::serve::no_delay)
         .workers(options.workers)
         .disable_signals()
         .shutdown_timeout(CLOSE_SECONDS)
--- a/crates/standins/src/serve.rs
+++ b/crates/standins/src/serve.rs
@@ -18,6 +18,7 @@
             .configure(routes.clone())
     };
     HttpServer::new(app)
+        .on_connect(tamaracksail_process::serve::no_delay)
         .workers(2)
         .shutdown_timeout(1)
         .bind(listen)?
