Write the ledger seldom while no trainer waits

Cause: a write carries the whole ledger, 305292 bytes at 2048 samples, and one went out every 200 ms while samples came in.

Change: 2 s between writes while nobody waits; a waiting trainer and every hold, fix and score still write at once.

At 2048 samples it is still too much for a node's control budget: see docs/CAPACITY.md.

--- a/crates/measure/src/steps.rs
+++ b/crates/measure/src/steps.rs
@@ -64,6 +64,8 @@
     /// Samples handed over, and their versions behind the newest in all.
     pub handed: u64,
     pub behind: u64,
+    /// Bytes written to the ledger.
+    pub written: u64,
 }
 
 enum Happening {
@@ -169,6 +171,7 @@
             (Op::Get, None) => Answer::Missing,
             (Op::Get, Some((revision, value))) => Answer::Value { revision, value },
             (Op::Put { revision, value }, current) => {
+                self.outcome.written += value.len() as u64;
                 let at = current.map_or(Revision(0), |(at, _)| at);
                 if at == revision {
                     self.objects.insert(call.key, (at.next(), value));
--- a/crates/measure/src/trade.rs
+++ b/crates/measure/src/trade.rs
@@ -15,6 +15,7 @@
         "samples handed over",
         "versions behind, mean",
         "samples made in vain",
+        "ledger written",
         "who sets it",
     ];
     table::head(
@@ -40,6 +41,7 @@
         let handed = real(usize::try_from(outcome.handed).expect("small"));
         let behind = real(usize::try_from(outcome.behind).expect("small"));
         let made = real(usize::try_from(outcome.counters.generated).expect("small"));
+        let written = real(usize::try_from(outcome.written).expect("small"));
         let who = match versions {
             1 => "Wakili (examples/nairobi)",
             4 => "the Office (examples/tn-nord)",
@@ -51,6 +53,10 @@
             outcome.handed.to_string(),
             format!("{:.2}", if handed > 0.0 { behind / handed } else { 0.0 }),
             percent(made - handed, made),
+            format!(
+                "{:.1} KB/s",
+                written / 1000.0 / outcome.elapsed.as_secs_f64()
+            ),
             who.to_owned(),
         ]);
     }
--- a/crates/policy/src/version/owner/machine.rs
+++ b/crates/policy/src/version/owner/machine.rs
@@ -20,9 +20,12 @@
 use crate::version::ledger::{self, Change, Ledger, Sample};
 use crate::version::rollout;
 
-/// The time between two writes, in which changes gather.
+/// The time between two writes while somebody waits, in which changes gather.
 const BATCHING: Duration = Duration::from_millis(200);
 
+/// The same while nobody waits: a write carries the whole ledger.
+const LAZY_BATCHING: Duration = Duration::from_secs(2);
+
 /// How long the platform is left alone after a lost call.
 pub(super) const BACKOFF: Duration = Duration::from_millis(500);
 
@@ -95,7 +98,7 @@
     pub(super) counters: Counters,
     pub(super) is_stopping: bool,
     pub(super) retry_at: Instant,
-    write_at: Instant,
+    written_at: Instant,
     renew_at: Instant,
     pub(super) out: Vec<Action>,
 }
@@ -124,7 +127,7 @@
             counters: Counters::default(),
             is_stopping: false,
             retry_at: Instant::default(),
-            write_at: Instant::default(),
+            written_at: Instant::default(),
             renew_at: Instant::default(),
             out: Vec::new(),
         }
@@ -206,7 +209,12 @@
 
     fn write_if_due(&mut self, now: Instant, fence: Fence) {
         let is_urgent = self.changes.iter().any(Change::is_urgent);
-        let has_changes = !self.changes.is_empty() && now >= self.write_at;
+        let pause = if self.waiting.is_empty() {
+            LAZY_BATCHING
+        } else {
+            BATCHING
+        };
+        let has_changes = !self.changes.is_empty() && now.since(self.written_at) >= pause;
         if is_urgent || has_changes || now >= self.renew_at {
             self.write(now, fence);
         }
@@ -223,7 +231,7 @@
             next.apply(change);
         }
         self.is_busy = true;
-        self.write_at = now.after(BATCHING);
+        self.written_at = now;
         let op = Op::Put {
             revision: self.revision,
             value: store::encode(&next),
