--- a/crates/policy/tests/common/observer.rs
+++ b/crates/policy/tests/common/observer.rs
@@ -28,6 +28,8 @@
     pub attempts: BTreeMap<id::Attempt, id::Request>,
     /// The starts of each attempt at an engine.
     pub runs: Vec<id::Attempt>,
+    /// The agent of each start.
+    pub places: Vec<usize>,
 }
 
 /// The text of one token: what was asked, its place, and the version that made it.
@@ -36,6 +38,19 @@
 }
 
 impl Observer {
+    /// The starts at one agent's engine.
+    pub fn runs_at(&self, agent: usize) -> usize {
+        self.places.iter().filter(|place| **place == agent).count()
+    }
+
+    /// The calls with an answer.
+    pub fn answered(&self) -> usize {
+        self.calls
+            .values()
+            .filter(|seen| !seen.answers.is_empty())
+            .count()
+    }
+
     /// The body that the caller holds.
     fn body(seen: &Seen, answer: &Answer) -> Vec<u8> {
         if seen.streamed && !seen.relayed.is_empty() {
--- a/crates/policy/tests/common/steps.rs
+++ b/crates/policy/tests/common/steps.rs
@@ -7,6 +7,7 @@
 use tamaracksail_model::config::Snapshot;
 use tamaracksail_model::id::{self, Batch, Epoch, Generation, Nonce, Revision, Step, Version};
 use tamaracksail_model::manifest::Set;
+use tamaracksail_model::object::{self as spec, Key, Kind, Rule, Spec};
 use tamaracksail_model::store::{self, Answer, Call, Reply};
 use tamaracksail_model::time::Instant;
 use tamaracksail_policy::process::lease::Claimant;
@@ -117,6 +118,10 @@
     /// The slots that it has learnt from, each time.
     pub learnt: BTreeMap<id::Slot, u32>,
     pub is_complete: bool,
+    /// Drafts and refusals that a scoring service got.
+    pub drafts: Vec<Sample>,
+    pub scored: u32,
+    pub refused: Vec<String>,
     asks_host: usize,
     waiting_for: Option<Ask>,
     asked_at: Instant,
@@ -222,7 +227,10 @@
 
     /// The platform accepts a configuration; owners hear of it when time passes.
     fn accept(&mut self, version: u64, behind: u64) {
-        let mut snapshot = manifest(version, behind);
+        self.publish(manifest(version, behind));
+    }
+
+    fn publish(&mut self, mut snapshot: Snapshot) {
         let generation = Generation(self.accepted.len() as u64 + 1);
         snapshot.generation = generation;
         let head = Head {
@@ -521,7 +529,14 @@
                     _ => other,
                 };
             }
-            Response::Refused(why) => self.violations.push(format!("refused: {why}")),
+            Response::Drafts(drafts) => {
+                self.trainer.drafts = drafts.into_iter().map(|(_, sample)| sample).collect();
+            }
+            Response::Scored => self.trainer.scored += 1,
+            Response::Refused(why) if self.trainer.drafts.is_empty() => {
+                self.violations.push(format!("refused: {why}"));
+            }
+            Response::Refused(why) => self.trainer.refused.push(why),
             _ => {}
         }
     }
@@ -546,6 +561,37 @@
         self.queue.push_back(Item::Ask { host, ask, request });
     }
 
+    /// A scoring service asks.
+    pub fn ask_for(&mut self, host: usize, request: Request) {
+        self.last_ask += 1;
+        let ask = Ask(self.last_ask);
+        self.queue.push_back(Item::Ask { host, ask, request });
+    }
+
+    /// From now on reviewers may score drafts of no version but the next one.
+    pub fn forbid_version(&mut self) {
+        let mut snapshot = (*self.newest()).clone();
+        let key = |kind, name: &str| Key {
+            kind,
+            name: name.into(),
+        };
+        let next = spec::Version {
+            model: "m".into(),
+            number: Version(self.version().0 + 1),
+        };
+        let allowed = Rule::Allowed {
+            model: "m".into(),
+            versions: vec!["next".into()],
+        };
+        snapshot
+            .objects
+            .insert(key(Kind::Version, "next"), Spec::Version(next));
+        snapshot
+            .objects
+            .insert(key(Kind::Rule, "allowed"), Spec::Rule(allowed));
+        self.publish(snapshot);
+    }
+
     fn ask_if_idle(&mut self) {
         /// After this the trainer asks again, at the other host.
         const PATIENCE: Duration = Duration::from_secs(10);
@@ -636,6 +682,19 @@
         }
     }
 
+    /// Delivers everything in order while the trainer asks for nothing.
+    pub fn serve(&mut self, time: Duration) {
+        const STEP: Duration = Duration::from_millis(100);
+        let end = self.now.after(time);
+        while self.now < end {
+            while let Some(item) = self.queue.pop_front() {
+                self.deliver(item);
+            }
+            self.inform();
+            self.pass(STEP);
+        }
+    }
+
     /// Delivers everything in order until the trainer holds the whole step or time is up.
     pub fn settle(&mut self, time: Duration) {
         const STEP: Duration = Duration::from_millis(100);
--- a/crates/policy/tests/common/world.rs
+++ b/crates/policy/tests/common/world.rs
@@ -119,6 +119,9 @@
     platform_slow_until: Instant,
     listed_leaving: BTreeSet<usize>,
     contents: BTreeMap<id::Attempt, id::Fingerprint>,
+    /// Content that crashes the engine that runs it.
+    pub poison: Option<id::Fingerprint>,
+    pub crashes: u32,
     last_incarnation: u64,
     last_request: u64,
     pub config: Arc<Snapshot>,
@@ -177,6 +180,8 @@
             platform_slow_until: Instant::default(),
             listed_leaving: BTreeSet::new(),
             contents: BTreeMap::new(),
+            poison: None,
+            crashes: 0,
             last_incarnation: 0,
             last_request: 0,
             config,
@@ -472,6 +477,7 @@
 
     fn start_run(&mut self, index: usize, attempt: id::Attempt, resume: u64) {
         self.observer.runs.push(attempt);
+        self.observer.places.push(index);
         let Some(fingerprint) = self.contents.get(&attempt).copied() else {
             return;
         };
@@ -630,6 +636,11 @@
         if engine.hangs || !engine.is_up || self.is_frozen(Node::Agent(index)) {
             return;
         }
+        let content = self.engines[index].runs.get(&attempt);
+        if self.poison.is_some() && content.map(|run| run.fingerprint) == self.poison {
+            self.crashes += 1;
+            return self.crash_engine(index);
+        }
         let engine = &mut self.engines[index];
         let version = engine.version;
         let Some(run) = engine.runs.get_mut(&attempt) else {
@@ -854,6 +865,11 @@
         }
     }
 
+    /// Tells everybody that the host list shows an agent's host as leaving.
+    pub fn list_as_leaving(&mut self, index: usize) {
+        self.inject(Fault::HostListWrong, Node::Agent(index));
+    }
+
     /// Delivers everything in order while time passes.
     pub fn settle(&mut self, time: Duration) {
         const STEP: Duration = Duration::from_millis(100);
--- a/crates/policy/tests/requests.rs
+++ b/crates/policy/tests/requests.rs
@@ -9,7 +9,10 @@
 use common::fault::Fault;
 use common::world::{DEADLINE, Item, Node, World};
 use proptest::prelude::*;
+use tamaracksail_model::id::Fingerprint;
 use tamaracksail_model::outcome::Outcome;
+use tamaracksail_policy::agent::Event;
+use tamaracksail_policy::entry::Answer;
 
 /// The flows of requests.
 #[derive(Clone, Copy, Debug)]
@@ -172,6 +175,89 @@
     }
 }
 
+/// However a host's leaving is announced, and though the platform is down: nothing new starts
+/// there after a few seconds, and what runs there ends whole.
+#[test]
+fn a_leaving_server_gets_no_new_work_and_cuts_none() {
+    const A_FEW_SECONDS: Duration = Duration::from_secs(3);
+    for announce in ["agent drained", "agent stopped", "host list"] {
+        let mut world = World::new("engines", BTreeMap::new());
+        world.platform.is_down = true;
+        for number in 0..6 {
+            let arrival = world.arrival(number, false, true);
+            world.call(0, arrival);
+        }
+        while let Some(item) = world.queue.pop_front() {
+            world.deliver(item);
+        }
+        match announce {
+            "agent drained" => world.feed_agent(0, Event::Drain),
+            "agent stopped" => world.feed_agent(0, Event::Stop),
+            _ => world.list_as_leaving(0),
+        }
+        world.settle(A_FEW_SECONDS);
+        let before = world.observer.runs_at(0);
+        for number in 10..30 {
+            let arrival = world.arrival(number, false, false);
+            world.call(usize::from(number % 2 == 0), arrival);
+            world.settle(Duration::from_millis(500));
+        }
+        world.settle(DEADLINE);
+        assert_eq!(world.observer.runs_at(0), before, "{announce}");
+        assert_eq!(world.observer.violations(), Vec::<String>::new());
+        let answers = world.observer.calls.values().flat_map(|seen| &seen.answers);
+        let cut: Vec<&Answer> = answers.filter(|a| a.outcome != Outcome::Done).collect();
+        assert_eq!(cut, Vec::<&Answer>::new(), "{announce}");
+        assert_eq!(
+            world.observer.answered(),
+            world.observer.calls.len(),
+            "{announce}"
+        );
+    }
+}
+
+/// Sent again and again under new ids through both entries, with others in flight beside it.
+#[test]
+fn a_request_that_crashes_its_servers_is_stopped_and_others_are_served() {
+    const MAX_CRASHES: u32 = 3;
+    const POISON: u64 = 99;
+    let mut world = World::new("engines", BTreeMap::new());
+    world.poison = Some(Fingerprint(POISON));
+    for round in 0..12 {
+        let entry = usize::try_from(round % 2).expect("small");
+        for number in [POISON, 100 + round, 200 + round] {
+            let arrival = world.arrival(number, false, false);
+            world.call(entry, arrival);
+        }
+        world.settle(Duration::from_secs(2));
+    }
+    world.settle(DEADLINE);
+    assert!(world.crashes <= MAX_CRASHES, "{} crashes", world.crashes);
+    assert_eq!(world.observer.violations(), Vec::<String>::new());
+    let (poison, others): (Vec<_>, Vec<_>) = world
+        .observer
+        .calls
+        .values()
+        .partition(|seen| seen.fingerprint.0 == POISON);
+    assert!(
+        poison
+            .iter()
+            .all(|seen| seen.answers[0].outcome != Outcome::Done)
+    );
+    assert!(
+        poison
+            .iter()
+            .filter(|seen| seen.answers[0].status == 422)
+            .count()
+            >= 8
+    );
+    assert!(
+        others
+            .iter()
+            .all(|seen| seen.answers[0].outcome == Outcome::Done)
+    );
+}
+
 /// Lets proptest's choices decide what is delivered, lost, doubled, delayed and reordered, and
 /// who stops, freezes or restarts.
 fn play(serves: &'static str, choices: &[(u8, u16)]) -> World {
--- a/crates/policy/tests/steps.rs
+++ b/crates/policy/tests/steps.rs
@@ -9,6 +9,7 @@
 use common::steps::{Fault, HOSTS, Item, Steps};
 use proptest::prelude::*;
 use tamaracksail_model::store::{Answer, Reply};
+use tamaracksail_policy::version::owner::Request;
 
 /// Long enough for every fault to pass, a lease to lapse and the step to be done.
 const PATIENCE: Duration = Duration::from_mins(5);
@@ -63,6 +64,38 @@
     }
 }
 
+/// A draft that may be scored when it is handed out, but not any more when its score arrives.
+#[test]
+fn reviewers_score_only_allowed_versions_also_when_the_rule_changes() {
+    let mut steps = Steps::new(BTreeMap::new());
+    steps.ask(0);
+    steps.serve(Duration::from_millis(900));
+    let drafts = Request::Drafts { count: 4 };
+    steps.ask_for(0, drafts.clone());
+    steps.serve(Duration::from_millis(900));
+    let payloads: Vec<_> = steps
+        .trainer
+        .drafts
+        .iter()
+        .map(|draft| draft.payload)
+        .collect();
+    assert!(payloads.len() >= 2);
+    let score = |payload| Request::Score {
+        payload,
+        score: 0.5,
+    };
+    steps.ask_for(0, score(payloads[0]));
+    steps.serve(Duration::from_millis(900));
+    steps.forbid_version();
+    steps.ask_for(0, score(payloads[1]));
+    steps.serve(Duration::from_secs(2));
+    steps.trainer.drafts.clear();
+    steps.ask_for(0, drafts);
+    steps.serve(Duration::from_secs(2));
+    assert_eq!((steps.trainer.scored, steps.trainer.drafts.len()), (1, 0));
+    insta::assert_debug_snapshot!(steps.trainer.refused);
+}
+
 fn play(choices: &[(u8, u16)]) -> Steps {
     let mut steps = Steps::new(BTreeMap::new());
     for (kind, place) in choices {
