Name errors of malformed manifests and messages, and end at a torn file

Causes of faults found by the new tests: (1) the YAML parser repeats its error for ever once a document cannot be scanned, so check took all memory (any_text_is_a_set_or_errors, killed after 2 minutes); (2) a field of a wrong type was removed before the next try, so it was named a second time as missing.

Change: a file ends at its first syntax error and says so; only unknown fields are removed.

--- a/crates/model/src/manifest.rs
+++ b/crates/model/src/manifest.rs
@@ -52,7 +52,11 @@
             match Value::deserialize(document) {
                 Ok(Value::Null) => {}
                 Ok(value) => self.add_document(file, &place, &value),
-                Err(error) => self.fail(file, &place, "-", &error.to_string()),
+                Err(error) => {
+                    // The parser cannot find the next document behind an error.
+                    let problem = format!("{error}; the rest of the file was not read");
+                    return self.fail(file, &place, "-", &problem);
+                }
             }
         }
     }
@@ -172,7 +176,7 @@
         let Err((field, problem)) = try_spec(kind, &spec) else {
             break;
         };
-        let repaired = repair(kind, &mut spec, &field);
+        let repaired = repair(kind, &mut spec, &field, &problem);
         errors.push((field, problem));
         if !repaired {
             break;
@@ -219,16 +223,14 @@
     "spec".to_owned()
 }
 
-/// Replaces `field` by the first value with which the error moves elsewhere.
-fn repair(kind: Kind, spec: &mut Value, field: &str) -> bool {
+/// Removes a field that is unknown, or replaces it by the first value with which the error
+/// moves elsewhere.
+fn repair(kind: Kind, spec: &mut Value, field: &str, problem: &str) -> bool {
     let Some(fields) = spec.as_object_mut() else {
         return false;
     };
-    let unknown = fields.remove(field).is_some();
-    if unknown
-        && !matches!(try_spec(kind, &Value::Object(fields.clone())), Err((f, _)) if f == field)
-    {
-        return true;
+    if problem.starts_with("unknown field") {
+        return fields.remove(field).is_some();
     }
     let candidates = [
         serde_json::json!("once"),
