--- a/crates/agent/src/server.rs
+++ b/crates/agent/src/server.rs
@@ -11,9 +11,10 @@
 use eventsource_stream::Eventsource;
 use futures_util::{Stream, StreamExt};
 use serde_json::Value;
+use tamaracksail_control::headers::end_to_end;
 use tamaracksail_model::id;
 use tamaracksail_policy::agent::Event;
-use tamaracksail_wire::{Content, Header, Order, Usage};
+use tamaracksail_wire::{Content, Order, Usage};
 use tokio::sync::mpsc;
 
 use crate::control::{Control, Input, Probed};
@@ -182,7 +183,7 @@
             status,
         });
     }
-    let headers = end_to_end(response.headers());
+    let headers = end_to_end(response.headers(), &["date"]);
     control.do_send(Input(Event::Head {
         attempt,
         status: status.as_u16(),
@@ -207,28 +208,6 @@
     Ok(())
 }
 
-/// The headers that belong to the answer and not to the connection.
-fn end_to_end(headers: &awc::http::header::HeaderMap) -> Vec<Header> {
-    const HOP_BY_HOP: [&str; 5] = [
-        "connection",
-        "keep-alive",
-        "transfer-encoding",
-        "content-length",
-        "date",
-    ];
-    let kept = headers
-        .iter()
-        .filter(|(name, _)| !HOP_BY_HOP.contains(&name.as_str()));
-    let headers = kept.filter_map(|(name, value)| {
-        let value = value.to_str().ok()?.to_owned();
-        Some(Header {
-            name: name.as_str().to_owned(),
-            value,
-        })
-    });
-    headers.collect()
-}
-
 /// Passes an engine's events on, one line of JSON each.
 async fn pass_events<S>(
     control: &Addr<Control>,
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -5,6 +5,7 @@
 //! in force. [`peer`] sends messages. [`options`] holds the settings that entries and agents share.
 
 pub mod follow;
+pub mod headers;
 pub mod options;
 pub mod peer;
 pub mod stores;
--- a/crates/entry/src/api/services.rs
+++ b/crates/entry/src/api/services.rs
@@ -2,28 +2,17 @@
 
 use actix_web::http::StatusCode;
 use actix_web::{HttpRequest, HttpResponse, web};
+use tamaracksail_control::headers::end_to_end;
 use tamaracksail_model::id;
 use tamaracksail_model::outcome::Outcome;
 use tamaracksail_policy::request::arrival::{Arrival, Target};
 use tamaracksail_process::trace::SpanKind;
-use tamaracksail_wire::{Content, Header};
+use tamaracksail_wire::Content;
 
 use super::common::{self, Terms};
 use super::{State, problem};
 use crate::pump::{self, Reply, Request};
 
-/// Headers that belong to one connection, or to the way to the entry.
-const NOT_PASSED: [&str; 8] = [
-    "host",
-    "connection",
-    "keep-alive",
-    "transfer-encoding",
-    "content-length",
-    "te",
-    "upgrade",
-    "expect",
-];
-
 /// Passes one call on.
 pub async fn call(
     state: web::Data<State>,
@@ -57,7 +46,7 @@
     let content = Content {
         method: method.to_owned(),
         path: target,
-        headers: passed(&request),
+        headers: end_to_end(request.headers(), &["host"]),
         body,
     };
     let id = common::new_request();
@@ -101,18 +90,3 @@
     }
     HttpResponse::ServiceUnavailable().finish()
 }
-
-fn passed(request: &HttpRequest) -> Vec<Header> {
-    let kept = request
-        .headers()
-        .iter()
-        .filter(|(name, _)| !NOT_PASSED.contains(&name.as_str()));
-    let headers = kept.filter_map(|(name, value)| {
-        let value = value.to_str().ok()?.to_owned();
-        Some(Header {
-            name: name.as_str().to_owned(),
-            value,
-        })
-    });
-    headers.collect()
-}
--- a/crates/policy/src/version/follower.rs
+++ b/crates/policy/src/version/follower/machine.rs
@@ -1,11 +1,4 @@
-//! The configuration and the host list in force in one process.
-//!
-//! A few watchers of each failure domain watch the platform and push what is new to the
-//! processes of their domain. Every process also gossips how new its own state is, so that
-//! whoever missed a push, or is cut off from the platform, pulls from a peer.
-//!
-//! Invariant: the generation in force never falls, and a starting process has none before it
-//! has asked the platform or, while that is down, peers in most failure domains.
+//! The follower's state, and how news passes through it.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -17,14 +10,14 @@
 use tamaracksail_model::config::Snapshot;
 use tamaracksail_model::host::{Host, Phase};
 use tamaracksail_model::id;
-use tamaracksail_model::plain;
 use tamaracksail_model::time::Instant;
 use tamaracksail_wire::{Gossip, Message, Sender};
 
-use super::fetch::{Done, Fetch};
-use super::head;
+use super::{Action, Event, HOSTS, Settings};
 use crate::process::subset;
 use crate::store::{Answer, Call, Op, Reply, Ticket, Tickets};
+use crate::version::fetch::{Done, Fetch};
+use crate::version::head;
 
 /// The time between two rounds of gossip within the domain.
 const GOSSIP_PERIOD: Duration = Duration::from_secs(1);
@@ -44,70 +37,6 @@
 /// How long the platform is left alone after a call was lost.
 const BACKOFF: Duration = Duration::from_secs(1);
 
-/// The object that holds the host list.
-pub const HOSTS: &str = "hosts";
-
-plain! {
-    /// A peer that a process knows from its settings.
-    pub struct Seed {
-        /// Its failure domain.
-        pub domain: id::Domain,
-        /// Where it listens.
-        pub address: SocketAddr,
-    }
-}
-
-plain! {
-    /// The settings of a follower.
-    pub struct Settings {
-        /// Its host.
-        pub host: id::Host,
-        /// Its failure domain.
-        pub domain: id::Domain,
-        /// Where it listens.
-        pub address: SocketAddr,
-        /// The life of its process.
-        pub incarnation: id::Incarnation,
-        /// Peers to ask at the start, in as many failure domains as there are.
-        pub seeds: Vec<Seed>,
-        /// The seed of its choices.
-        pub seed: u64,
-    }
-}
-
-/// An event at a follower.
-#[derive(Clone, Debug)]
-pub enum Event {
-    /// A peer sent a message: `Gossip`, `Pull`, `Config` or `Hosts`.
-    Received(Message),
-    /// A call or a watch ended.
-    Stored(Reply),
-    /// Time passed. Due at least every 500 ms.
-    Tick,
-}
-
-/// An action of a follower.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Action {
-    /// Call the platform.
-    Store(Call),
-    /// Wait until the object is beyond `after`, then reply with its value.
-    Watch {
-        /// The ticket of the reply.
-        ticket: Ticket,
-        /// The object.
-        key: String,
-        /// The revision known.
-        after: id::Revision,
-    },
-    /// Send a message to a peer.
-    Send(SocketAddr, Message),
-    /// A configuration is in force.
-    InForce(Arc<Snapshot>),
-    /// A host list is in force.
-    Hosts(Vec<Host>),
-}
-
 /// The state of a follower.
 #[derive(Debug)]
 pub struct Follower {
--- a/crates/policy/src/version/owner/machine.rs
+++ b/crates/policy/src/version/owner/machine.rs
@@ -18,7 +18,7 @@
 use crate::store::{self, Answer, Call, Op, Reply, Ticket, Tickets};
 use crate::version::head::{self, Head};
 use crate::version::ledger::{self, Change, Ledger, Sample};
-use crate::version::rollout;
+use crate::version::take_newer;
 
 /// The time between two writes while somebody waits, in which changes gather.
 const BATCHING: Duration = Duration::from_millis(200);
@@ -145,7 +145,7 @@
                 sample,
             } => self.take_sample(now, step, slot, copy, sample),
             Event::Lost(slot, payload) => self.lose_payload(slot, payload),
-            Event::Config(config) => rollout::take_newer(&mut self.config, config),
+            Event::Config(config) => take_newer(&mut self.config, config),
             Event::Stored(reply) => self.take_reply(now, &reply),
             Event::Tick => {}
             Event::Stop => self.stop(),
--- a/crates/policy/src/version/rollout.rs
+++ b/crates/policy/src/version/rollout/machine.rs
@@ -1,9 +1,4 @@
-//! The rollout of weights: which server loads which version when, and from where.
-//!
-//! One entry owns a model's rollout by lease. An order says the same each time it is sent, and an
-//! agent that has the version answers at once; so orders are also how the owner learns what is
-//! loaded. The weight store serves a few servers at a time; those that have loaded serve others,
-//! so the number of sources doubles with each round.
+//! The rollout's state: its lease, and the orders it gives.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -12,12 +7,14 @@
 use tamaracksail_model::config::Snapshot;
 use tamaracksail_model::host::{Host, Phase, Role as HostRole};
 use tamaracksail_model::id::{self, Fence, Revision, Version};
-use tamaracksail_model::plain;
 use tamaracksail_model::time::Instant;
 use tamaracksail_wire::{Order, Ordered};
 
-use crate::process::lease::{Claimant, RENEWAL, Role, Stamp};
+use super::server::{Loading, Server, Source};
+use super::{Action, Event, Settings};
+use crate::process::lease::{RENEWAL, Role, Stamp};
 use crate::store::{self, Answer, Call, Op, Reply, Ticket, Tickets};
+use crate::version::take_newer;
 
 /// The time between two looks at a lease that another holds.
 const LOOK: Duration = Duration::from_secs(3);
@@ -35,80 +32,9 @@
 /// The longest pause of a server.
 const MAX_PAUSE: Duration = Duration::from_secs(30);
 
-/// The time after which a server that has loaded is asked again: it may have restarted.
-const RECHECK: Duration = Duration::from_secs(30);
-
 /// The time after which an order without an answer is taken for lost.
 const ORDER_PATIENCE: Duration = Duration::from_secs(30);
 
-plain! {
-    /// The settings of a rollout.
-    pub struct Settings {
-        /// The model.
-        pub model: id::Object,
-        /// The host that owns or wants the rollout.
-        pub claimant: Claimant,
-        /// Servers that load from the weight store at a time.
-        pub store_limit: u32,
-        /// Servers that load from one peer at a time.
-        pub fan_out: u32,
-        /// Servers that load at a time, in percent of all; at least one.
-        pub out_percent: u32,
-    }
-}
-
-/// An event at a rollout.
-#[derive(Clone, Debug)]
-pub enum Event {
-    /// A configuration is in force.
-    Config(Arc<Snapshot>),
-    /// The host list as last read.
-    Hosts(Vec<Host>),
-    /// An agent answered an order.
-    Ordered(id::Host, Ordered),
-    /// An order has no answer.
-    Lost(id::Host),
-    /// A call to the platform ended.
-    Stored(Reply),
-    /// Time passed. Due at least every 100 ms.
-    Tick,
-    /// The process is asked to stop.
-    Stop,
-}
-
-/// An action of a rollout.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Action {
-    /// Call the platform.
-    Store(Call),
-    /// Send an order to an agent, then tell [`Event::Ordered`] or [`Event::Lost`].
-    Order(Host, Order),
-    /// The lease is given back: the machine may be dropped.
-    Released,
-}
-
-/// Where the weights of an order come from.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Source {
-    Store,
-    Peer(id::Host),
-}
-
-#[derive(Clone, Debug)]
-struct Loading {
-    source: Source,
-    since: Instant,
-}
-
-#[derive(Clone, Debug, Default)]
-struct Server {
-    loaded: Option<Version>,
-    loading: Option<Loading>,
-    failures: u32,
-    not_before: Instant,
-    asked_at: Option<Instant>,
-}
-
 /// The state of a rollout.
 #[derive(Debug)]
 pub struct Controller {
@@ -496,24 +422,3 @@
         server.not_before = now.after(pause.min(MAX_PAUSE));
     }
 }
-
-/// Puts a configuration in force, unless it is older than the one there.
-pub(crate) fn take_newer(current: &mut Option<Arc<Snapshot>>, config: Arc<Snapshot>) {
-    if current
-        .as_ref()
-        .is_none_or(|current| current.generation < config.generation)
-    {
-        *current = Some(config);
-    }
-}
-
-impl Server {
-    /// Whether an order is due: the version is missing, or was not looked at for long.
-    fn is_due(&self, now: Instant, target: Version) -> bool {
-        if self.loading.is_some() {
-            return false;
-        }
-        let is_old = self.asked_at.is_none_or(|at| now.since(at) >= RECHECK);
-        now >= self.not_before && (self.loaded != Some(target) || is_old)
-    }
-}
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -7,6 +7,7 @@
 
 pub mod fault;
 pub mod fleet;
+pub mod matrix;
 pub mod observer;
 pub mod platform;
 pub mod spread;
--- a/crates/policy/tests/configs.rs
+++ b/crates/policy/tests/configs.rs
@@ -3,9 +3,9 @@
 mod common;
 
 use std::collections::BTreeMap;
-use std::fmt::Write;
 use std::time::Duration;
 
+use common::matrix;
 use common::spread::{FAULT_TIME, Fault, PROCESSES, SPREAD, Spread};
 use proptest::prelude::*;
 use tamaracksail_policy::version::publish::Error;
@@ -38,24 +38,7 @@
 #[test]
 fn each_fault_at_each_step_of_a_change() {
     let trace = run(BTreeMap::new()).trace;
-    let mut table = String::new();
-    let mut seen = Vec::new();
-    for (place, step) in trace.iter().enumerate() {
-        if seen.contains(step) {
-            continue;
-        }
-        seen.push(step);
-        for fault in Fault::ALL {
-            let spread = run(BTreeMap::from([(place, fault)]));
-            writeln!(
-                table,
-                "{step:20} {:30} {}",
-                format!("{fault:?}"),
-                cell(&spread)
-            )
-            .expect("memory can be written");
-        }
-    }
+    let table = matrix::table(&trace, &Fault::ALL, |schedule| cell(&run(schedule)));
     insta::assert_snapshot!(table);
 }
 
@@ -64,18 +47,7 @@
 #[test]
 fn each_pair_of_faults_at_neighbouring_steps() {
     const STEPS: usize = 10;
-    for place in 0..STEPS {
-        for first in Fault::ALL {
-            for second in Fault::ALL {
-                let spread = run(BTreeMap::from([(place, first), (place + 1, second)]));
-                assert!(
-                    spread.violations.is_empty(),
-                    "step {place}, {first:?} then {second:?}: {:?}",
-                    spread.violations
-                );
-            }
-        }
-    }
+    matrix::check_pairs(STEPS, &Fault::ALL, |schedule| run(schedule).violations);
 }
 
 fn play(choices: &[(u8, u16)]) -> Spread {
--- a/crates/policy/tests/requests.rs
+++ b/crates/policy/tests/requests.rs
@@ -3,10 +3,10 @@
 mod common;
 
 use std::collections::BTreeMap;
-use std::fmt::Write;
 use std::time::Duration;
 
 use common::fault::Fault;
+use common::matrix;
 use common::world::{DEADLINE, Item, Node, World};
 use proptest::prelude::*;
 use tamaracksail_model::id::Fingerprint;
@@ -63,25 +63,7 @@
 /// Every fault at the first occurrence of every step of a flow.
 fn matrix(flow: Flow) -> String {
     let trace = flow.run(BTreeMap::new()).trace;
-    let mut table = String::new();
-    let mut seen = Vec::new();
-    for (place, step) in trace.iter().enumerate() {
-        if seen.contains(step) {
-            continue;
-        }
-        seen.push(step);
-        for fault in Fault::ALL {
-            let world = flow.run(BTreeMap::from([(place, fault)]));
-            writeln!(
-                table,
-                "{step:16} {:16} {}",
-                format!("{fault:?}"),
-                cell(&world)
-            )
-            .expect("memory can be written");
-        }
-    }
-    table
+    matrix::table(&trace, &Fault::ALL, |schedule| cell(&flow.run(schedule)))
 }
 
 #[test]
@@ -159,19 +141,8 @@
 fn each_pair_of_faults_at_neighbouring_steps() {
     for flow in Flow::ALL {
         let steps = flow.run(BTreeMap::new()).trace.len();
-        for place in 0..steps {
-            for first in Fault::ALL {
-                for second in Fault::ALL {
-                    let schedule = BTreeMap::from([(place, first), (place + 1, second)]);
-                    let world = flow.run(schedule);
-                    let violations = world.observer.violations();
-                    assert!(
-                        violations.is_empty(),
-                        "{flow:?}, step {place}, {first:?} then {second:?}: {violations:?}"
-                    );
-                }
-            }
-        }
+        let violations = |schedule| flow.run(schedule).observer.violations();
+        matrix::check_pairs(steps, &Fault::ALL, violations);
     }
 }
 
--- a/crates/policy/tests/rollouts.rs
+++ b/crates/policy/tests/rollouts.rs
@@ -3,10 +3,10 @@
 mod common;
 
 use std::collections::BTreeMap;
-use std::fmt::Write;
 use std::time::Duration;
 
 use common::fleet::{AGENTS, Fault, Fleet, OWNERS};
+use common::matrix;
 use proptest::prelude::*;
 
 /// Long enough for every fault to pass, a lease to lapse and lost servers to be looked at again.
@@ -23,24 +23,8 @@
 #[test]
 fn each_fault_at_each_step_of_a_rollout() {
     let trace = run(BTreeMap::new()).trace;
-    let mut table = String::new();
-    let mut seen = Vec::new();
-    for (place, step) in trace.iter().enumerate() {
-        if seen.contains(step) {
-            continue;
-        }
-        seen.push(step);
-        for fault in Fault::ALL {
-            let fleet = run(BTreeMap::from([(place, fault)]));
-            let cell = if fleet.violations.is_empty() {
-                "held".to_owned()
-            } else {
-                fleet.violations.join(", ")
-            };
-            writeln!(table, "{step:16} {:15} {cell}", format!("{fault:?}"))
-                .expect("memory can be written");
-        }
-    }
+    let cell = |schedule| matrix::held(&run(schedule).violations);
+    let table = matrix::table(&trace, &Fault::ALL, cell);
     insta::assert_snapshot!(table);
 }
 
@@ -49,18 +33,7 @@
 #[test]
 fn each_pair_of_faults_at_neighbouring_steps() {
     const STEPS: usize = 24;
-    for place in 0..STEPS {
-        for first in Fault::ALL {
-            for second in Fault::ALL {
-                let fleet = run(BTreeMap::from([(place, first), (place + 1, second)]));
-                assert!(
-                    fleet.violations.is_empty(),
-                    "step {place}, {first:?} then {second:?}: {:?}",
-                    fleet.violations
-                );
-            }
-        }
-    }
+    matrix::check_pairs(STEPS, &Fault::ALL, |schedule| run(schedule).violations);
 }
 
 /// An order that is late, while another owner takes the rollout and rolls out a newer version.
--- a/crates/policy/tests/steps.rs
+++ b/crates/policy/tests/steps.rs
@@ -3,9 +3,9 @@
 mod common;
 
 use std::collections::BTreeMap;
-use std::fmt::Write;
 use std::time::Duration;
 
+use common::matrix;
 use common::steps::{Fault, HOSTS, Item, Steps};
 use proptest::prelude::*;
 use tamaracksail_model::store::{Answer, Reply};
@@ -25,24 +25,8 @@
 #[test]
 fn each_fault_at_each_step_of_a_training_step() {
     let trace = run(BTreeMap::new()).trace;
-    let mut table = String::new();
-    let mut seen = Vec::new();
-    for (place, step) in trace.iter().enumerate() {
-        if seen.contains(step) {
-            continue;
-        }
-        seen.push(step);
-        for fault in Fault::ALL {
-            let steps = run(BTreeMap::from([(place, fault)]));
-            let cell = if steps.violations.is_empty() {
-                "held".to_owned()
-            } else {
-                steps.violations.join(", ")
-            };
-            writeln!(table, "{step:18} {:17} {cell}", format!("{fault:?}"))
-                .expect("memory can be written");
-        }
-    }
+    let cell = |schedule| matrix::held(&run(schedule).violations);
+    let table = matrix::table(&trace, &Fault::ALL, cell);
     insta::assert_snapshot!(table);
 }
 
@@ -50,18 +34,7 @@
 #[test]
 fn each_pair_of_faults_at_neighbouring_steps() {
     let count = run(BTreeMap::new()).trace.len();
-    for place in 0..count {
-        for first in Fault::ALL {
-            for second in Fault::ALL {
-                let steps = run(BTreeMap::from([(place, first), (place + 1, second)]));
-                assert!(
-                    steps.violations.is_empty(),
-                    "step {place}, {first:?} then {second:?}: {:?}",
-                    steps.violations
-                );
-            }
-        }
-    }
+    matrix::check_pairs(count, &Fault::ALL, |schedule| run(schedule).violations);
 }
 
 /// A draft that may be scored when it is handed out, but not any more when its score arrives.
