Estimate a server's load from our own attempts and a mean of others'

Cause: with reports 1 s late the estimate mixed two times: attempts sent before the report arrived but after it was made were missed, finished ones were still counted.

Change: own attempts as they are now, and a running mean of what reports hold beyond them.

--- a/crates/policy/src/connection/view.rs
+++ b/crates/policy/src/connection/view.rs
@@ -23,6 +23,9 @@
 /// The weight of a new service time in the running mean, as a divisor.
 const SMOOTHING: u32 = 8;
 
+/// The weight of a report in the mean of other entries' attempts.
+const OTHERS_WEIGHT: f64 = 0.25;
+
 /// The least share of its reported limit that the entry grants a server.
 const MIN_LIMIT: f64 = 1.0;
 
@@ -58,6 +61,8 @@
     /// Our attempts in flight there and when each was sent.
     sent: BTreeMap<id::Attempt, Instant>,
     service: Duration,
+    /// Attempts of other entries there.
+    others: f64,
     /// The attempts that may be in flight there from everybody, adapted to refusals.
     limit: f64,
 }
@@ -79,12 +84,16 @@
             heard: None,
             sent: BTreeMap::new(),
             service: DEFAULT_SERVICE,
+            others: 0.0,
             limit: f64::from(concurrency) * 2.0,
         }
     }
 
     /// Takes a load report.
     pub fn hear(&mut self, now: Instant, load: Load) {
+        let reported = f64::from(load.running) + f64::from(load.queued);
+        let others = (reported - count(self.sent.len())).max(0.0);
+        self.others += (others - self.others) * OTHERS_WEIGHT;
         self.heard = Some(Heard { load, at: now });
         if !load.service.is_zero() {
             self.service = (self.service * (SMOOTHING - 1) + load.service) / SMOOTHING;
@@ -130,16 +139,13 @@
         self.sent.len()
     }
 
-    /// The attempts at the server, corrected for the report's lag: what it reported and what we
-    /// sent since. A report counts all that we had sent before it.
+    /// The attempts at the server. Our own are known exactly and at once; those of other entries
+    /// change slowly as a whole, so they are a running mean over reports of whatever age.
     #[must_use]
     pub fn estimate(&self, now: Instant) -> f64 {
-        let own = f64::from(u32::try_from(self.sent.len()).unwrap_or(u32::MAX));
-        let Some(heard) = self.heard else { return own };
-        let since = self.sent.values().filter(|at| **at >= heard.at).count();
-        let since = f64::from(u32::try_from(since).unwrap_or(u32::MAX));
+        let own = count(self.sent.len());
         match self.load(now) {
-            Some(load) => (f64::from(load.running + load.queued) + since).max(own),
+            Some(_) => own + self.others,
             None => own,
         }
     }
@@ -181,3 +187,7 @@
         ahead + 1.0 <= self.limit.max(MIN_LIMIT)
     }
 }
+
+fn count(attempts: usize) -> f64 {
+    f64::from(u32::try_from(attempts).unwrap_or(u32::MAX))
+}
