Run suspects alone on one server for all entries

Cause: once content had crashed two servers, each entry ran it alone on a server of its own choice before it had heard that another's had crashed.

Change: the server for a run alone follows from the content, and its agent refuses the content after one crash.

--- a/crates/policy/src/entry/route.rs
+++ b/crates/policy/src/entry/route.rs
@@ -76,6 +76,15 @@
                 (server, candidate)
             })
             .unzip();
+        let fingerprint = arrival.fingerprint;
+        if self.suspicion.verdict(now, fingerprint) == Verdict::Alone {
+            // The same server for every entry: its agent refuses the content after one crash.
+            let rank = |server: &Server| {
+                let view = self.servers.get(*server);
+                view.map(|view| choice::affinity(fingerprint, &view.host))
+            };
+            return candidates.0.into_iter().max_by_key(rank);
+        }
         let index = self.chooser.choose(&mut self.random, &candidates.1)?;
         candidates.0.get(index).copied()
     }
