Answer 429 only where nothing ran

Cause: a request that was shed after an attempt that may have run was answered with 429 and the outcome unknown; the page of the API gives 429 for not-run only. Seen with the stock OpenAI client and a deadline of 1 ms.

Change: 429 needs the proof; otherwise 502.

Before: RateLimitError 'may have run'.

--- a/crates/policy/src/entry/finish.rs
+++ b/crates/policy/src/entry/finish.rs
@@ -202,7 +202,7 @@
         Cause::UnknownTarget => 404,
         Cause::Suspect => 422,
         Cause::Running | Cause::MayHaveRun => 409,
-        Cause::Overload => 429,
+        Cause::Overload if outcome == Outcome::NotRun => 429,
         Cause::Deadline => 504,
         _ if outcome == Outcome::Unknown => 502,
         _ => 503,
