--- a/crates/measure/src/routing.rs
+++ b/crates/measure/src/routing.rs
@@ -179,7 +179,7 @@
             entry: id::Incarnation(1),
             number: number as u64,
         };
-        views[index].send(now, attempt);
+        views[index].send(attempt);
         running.push((done, index, attempt));
         outcome.latencies.push(done.since(now));
     }
--- a/crates/policy/src/connection/view.rs
+++ b/crates/policy/src/connection/view.rs
@@ -1,6 +1,6 @@
 //! What an entry knows of one backend server.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -58,8 +58,8 @@
     /// The breaker of runs, closed only by whole answers: a server may be reached and still fail.
     pub runs: Breaker,
     heard: Option<Heard>,
-    /// Our attempts in flight there and when each was sent.
-    sent: BTreeMap<id::Attempt, Instant>,
+    /// Our attempts in flight there.
+    sent: BTreeSet<id::Attempt>,
     service: Duration,
     /// Attempts of other entries there.
     others: f64,
@@ -82,7 +82,7 @@
             link: Breaker::default(),
             runs: Breaker::default(),
             heard: None,
-            sent: BTreeMap::new(),
+            sent: BTreeSet::new(),
             service: DEFAULT_SERVICE,
             others: 0.0,
             limit: f64::from(concurrency) * 2.0,
@@ -101,8 +101,8 @@
     }
 
     /// An attempt leaves for the server.
-    pub fn send(&mut self, now: Instant, attempt: id::Attempt) {
-        self.sent.insert(attempt, now);
+    pub fn send(&mut self, attempt: id::Attempt) {
+        self.sent.insert(attempt);
     }
 
     /// An attempt is over.
--- a/crates/policy/src/entry/route.rs
+++ b/crates/policy/src/entry/route.rs
@@ -127,7 +127,7 @@
         request.attempts += 1;
         request.live.insert(attempt);
         request.tried.insert(server);
-        view.send(now, attempt);
+        view.send(attempt);
         let dispatch = Dispatch {
             attempt,
             agent,
--- a/crates/policy/src/process/subset.rs
+++ b/crates/policy/src/process/subset.rs
@@ -11,8 +11,8 @@
 /// Of those, how many stand in other failure domains when the own one has enough.
 const REMOTE: usize = 6;
 
-/// Processes of a failure domain that watch the platform.
-pub const WATCHERS: usize = 3;
+/// Hosts that share a duty: watch the platform for a failure domain, or may own an object.
+pub const SHARERS: usize = 3;
 
 fn rank(name: &str) -> u64 {
     // One more round spreads names that differ only in their last characters.
@@ -63,28 +63,32 @@
         .collect()
 }
 
-/// The processes of `domain` that watch the platform, by rendezvous hashing over live hosts.
-#[must_use]
-pub fn watchers<'a>(hosts: &'a [Host], domain: &id::Domain) -> Vec<&'a id::Host> {
-    let live = hosts
+/// The first few live hosts of a kind, by rendezvous hashing for a purpose.
+fn first_few<'a>(
+    hosts: &'a [Host],
+    purpose: &str,
+    is_fit: impl Fn(&Host) -> bool,
+) -> Vec<&'a id::Host> {
+    let fit = hosts
         .iter()
-        .filter(|host| host.phase == Phase::Live && host.domain == *domain);
-    let ranked: BTreeMap<u64, &id::Host> = live
-        .map(|host| (rank(&format!("watch/{}", host.name)), &host.name))
+        .filter(|host| host.phase == Phase::Live && is_fit(host));
+    let ranked: BTreeMap<u64, &id::Host> = fit
+        .map(|host| (rank(&format!("{purpose}/{}", host.name)), &host.name))
         .collect();
-    ranked.into_values().take(WATCHERS).collect()
+    ranked.into_values().take(SHARERS).collect()
+}
+
+/// The processes of `domain` that watch the platform.
+#[must_use]
+pub fn watchers<'a>(hosts: &'a [Host], domain: &id::Domain) -> Vec<&'a id::Host> {
+    first_few(hosts, "watch", |host| host.domain == *domain)
 }
 
-/// The entries that may own what is named `object`: the first few of its own order of hosts.
+/// The entries that may own what is named `object`.
 #[must_use]
 pub fn candidates<'a>(hosts: &'a [Host], object: &str) -> Vec<&'a id::Host> {
-    let is_live_entry = |host: &&Host| host.phase == Phase::Live && host.role == Role::Entry;
-    let ranked: BTreeMap<u64, &id::Host> = hosts
-        .iter()
-        .filter(is_live_entry)
-        .map(|host| (rank(&format!("own/{object}/{}", host.name)), &host.name))
-        .collect();
-    ranked.into_values().take(WATCHERS).collect()
+    let purpose = format!("own/{object}");
+    first_few(hosts, &purpose, |host| host.role == Role::Entry)
 }
 
 /// The live hosts of a domain in the order in which news passes through them.
--- a/crates/policy/src/request/latency.rs
+++ b/crates/policy/src/request/latency.rs
@@ -42,7 +42,7 @@
             let older = ages.len() - ages.partition_point(|age| age <= value);
             (rank + 1) * 100 >= (done.len() + older) * percent.min(100) as usize
         };
-        let ranked = done.iter().copied().enumerate();
-        ranked.filter(is_reached).map(|(_, value)| value).next()
+        let mut ranked = done.iter().copied().enumerate();
+        ranked.find(is_reached).map(|(_, value)| value)
     }
 }
