--- /dev/null
+++ b/crates/gateway/src/batches/desk.rs
@@ -0,0 +1,301 @@
+//! The scheduling gateway's desk: the scheduler, and what carries out its actions.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tamaracksail_adapter::settings::Settings;
+use tamaracksail_adapter::store::Error;
+use tamaracksail_model::backend::Entry;
+use tamaracksail_model::batch::Listing;
+use tamaracksail_model::table::{Table, draw_target};
+use tamaracksail_model::time::Instant;
+use tamaracksail_policy::batch::{Action, BatchKey, Scheduler};
+use tamaracksail_policy::lease::Lease;
+use tokio::sync::Notify;
+use tokio::task::AbortHandle;
+
+use super::record::{self, Chunk};
+use super::shelf::Shelf;
+use super::{orders, running};
+use crate::gateway::{Gateway, now};
+
+/// How often the scheduler looks at the time while batches are open: a fraction of the silence
+/// after which an engine counts as stuck, and of the time for which results gather.
+const TURN: Duration = Duration::from_millis(50);
+
+/// The pause before results are written again.
+const REWRITE: Duration = Duration::from_millis(200);
+
+/// How much longer than the platform's span of two holders the lease lasts, so that a short
+/// outage of the store does not stop the work.
+const LEASE_EXTRA: Duration = Duration::from_millis(1000);
+
+/// All that this process knows of batches.
+#[derive(Debug)]
+pub struct Desk {
+    pub(super) scheduler: RefCell<Scheduler>,
+    pub(super) lease: RefCell<Lease>,
+    /// Until when this process wants to hold the lease.
+    pub(super) wanted: Cell<Instant>,
+    /// Wakes the keeper of the lease.
+    pub(super) wake_keeper: Notify,
+    /// Whether the lease is held and everything was taken over.
+    pub(super) is_open: Cell<bool>,
+    pub(super) shelves: RefCell<BTreeMap<String, Shelf>>,
+    pub(super) tasks: RefCell<BTreeMap<u64, AbortHandle>>,
+    pub(super) names: RefCell<BTreeMap<BatchKey, String>>,
+    /// Wakes the turn.
+    wake: Notify,
+}
+
+impl Desk {
+    /// A desk without the lease.
+    pub fn new(settings: &Settings, incarnation: u64) -> Self {
+        let span = settings.lease + LEASE_EXTRA;
+        Self {
+            scheduler: RefCell::default(),
+            lease: RefCell::new(Lease::new(span, settings.host.clone(), incarnation)),
+            wanted: Cell::new(Instant(0)),
+            wake_keeper: Notify::new(),
+            is_open: Cell::new(false),
+            shelves: RefCell::default(),
+            tasks: RefCell::default(),
+            names: RefCell::default(),
+            wake: Notify::new(),
+        }
+    }
+
+    /// Takes in what a backend server says of itself.
+    pub fn engine(&self, _gateway: &Rc<Gateway>, entry: Entry) {
+        self.scheduler.borrow_mut().engine(now(), entry);
+        self.wake.notify_one();
+    }
+
+    /// Forgets a backend server.
+    pub fn engine_gone(&self, _gateway: &Rc<Gateway>, instance: &str) {
+        self.scheduler.borrow_mut().engine_gone(now(), instance);
+        self.wake.notify_one();
+    }
+
+    /// Applies new routes to open batches.
+    pub fn reroute(&self, gateway: &Gateway) {
+        if let Some(table) = gateway.table() {
+            self.scheduler
+                .borrow_mut()
+                .reroute(now(), |host, path| service(&table, host, path));
+            self.wake.notify_one();
+        }
+    }
+
+    /// The host name under which a run's batch was submitted.
+    pub(super) fn host_of(&self, run: u64) -> Option<String> {
+        self.scheduler.borrow().host(run).map(str::to_owned)
+    }
+
+    /// Lets the scheduler decide soon.
+    pub(super) fn turn_soon(&self) {
+        self.wake.notify_one();
+    }
+
+    /// Gives the lease back and stops what runs. Another gateway goes on from the store.
+    pub async fn hand_over(&self, gateway: &Gateway) {
+        self.wanted.set(Instant(0));
+        let given_back = self.lease.borrow_mut().give_back();
+        self.close("this process stops");
+        let Some((revision, record)) = given_back else {
+            return;
+        };
+        let written = gateway
+            .store
+            .replace(record::LEASES, record::LEASE, revision, &record)
+            .await;
+        match written {
+            Ok(_) => log::info!(fence = record.fence; "lease given back"),
+            Err(error) => log::warn!(error:%; "lease not given back, it lapses"),
+        }
+    }
+
+    /// Stops all that runs and forgets all batches.
+    pub(super) fn close(&self, reason: &str) {
+        if !self.is_open.replace(false) {
+            return;
+        }
+        log::info!(reason, batches = self.shelves.borrow().len(); "scheduling ends");
+        for (_, task) in std::mem::take(&mut *self.tasks.borrow_mut()) {
+            task.abort();
+        }
+        for shelf in std::mem::take(&mut *self.shelves.borrow_mut()).into_values() {
+            shelf.changed.notify_waiters();
+        }
+        let mut scheduler = self.scheduler.borrow_mut();
+        for (batch, _) in std::mem::take(&mut *self.names.borrow_mut()) {
+            scheduler.end(now(), batch);
+        }
+        // What it would still do is void.
+        drop(scheduler.pump(now()));
+    }
+
+    /// Ends a batch that this process schedules.
+    pub(super) fn end(&self, id: &str) {
+        let batch = match self.shelves.borrow_mut().get_mut(id) {
+            Some(shelf) => {
+                shelf.changed.notify_waiters();
+                shelf.batch.take()
+            }
+            None => None,
+        };
+        if let Some(batch) = batch {
+            log::info!(batch = id; "batch ended");
+            self.names.borrow_mut().remove(&batch);
+            self.scheduler.borrow_mut().end(now(), batch);
+            self.turn_soon();
+        }
+    }
+}
+
+/// The service that answers a path.
+pub(super) fn service(table: &Table, host: &str, path: &str) -> Option<String> {
+    let route = table.find(host, path)?;
+    draw_target(&route.targets, rand::random()).map(|target| target.service.clone())
+}
+
+/// Carries out what the scheduler decides, for ever.
+pub async fn turn(gateway: Rc<Gateway>) {
+    let desk = &gateway.desk;
+    loop {
+        let has_work = desk.is_open.get() && !desk.names.borrow().is_empty();
+        if has_work {
+            tokio::select! {
+                () = desk.wake.notified() => {}
+                () = tokio::time::sleep(TURN) => {}
+            }
+        } else {
+            desk.wake.notified().await;
+        }
+        if !desk.is_open.get() {
+            continue;
+        }
+        let actions = desk.scheduler.borrow_mut().pump(now());
+        for action in actions {
+            perform(&gateway, action);
+        }
+    }
+}
+
+fn perform(gateway: &Rc<Gateway>, action: Action) {
+    let desk = &gateway.desk;
+    match action {
+        Action::Start {
+            run,
+            seat,
+            item,
+            after,
+            version,
+            ..
+        } => {
+            let entry = desk.scheduler.borrow().entry(seat).cloned();
+            let Some(entry) = entry else {
+                return;
+            };
+            log::info!(
+                item = item.id.as_str(), run, server = entry.instance.as_str(), after;
+                "item sent"
+            );
+            let task = actix_rt::spawn(running::run(
+                Rc::clone(gateway),
+                run,
+                entry,
+                item,
+                after,
+                version,
+            ));
+            desk.tasks.borrow_mut().insert(run, task.abort_handle());
+        }
+        Action::Stop { run, reason } => {
+            if let Some(task) = desk.tasks.borrow_mut().remove(&run) {
+                task.abort();
+                log::info!(run, reason; "run stopped");
+            }
+        }
+        Action::List { batch, listings } => {
+            let id = desk.names.borrow().get(&batch).cloned();
+            if let Some(id) = id {
+                actix_rt::spawn(list(Rc::clone(gateway), batch, id, listings));
+            }
+        }
+        Action::Order {
+            seat,
+            model,
+            version,
+        } => {
+            actix_rt::spawn(orders::load(Rc::clone(gateway), seat, model, version));
+        }
+    }
+}
+
+/// Writes results as the next chunk, until they are durable or the lease is lost.
+async fn list(gateway: Rc<Gateway>, batch: BatchKey, id: String, listings: Vec<Listing>) {
+    let desk = &gateway.desk;
+    let place = desk
+        .shelves
+        .borrow()
+        .get(&id)
+        .map(|shelf| (shelf.next_chunk, shelf.results.len()));
+    let Some((number, first)) = place else {
+        return;
+    };
+    let chunk = Chunk {
+        first,
+        results: listings,
+    };
+    let kind = record::kind(&id);
+    let name = record::chunk(number);
+    loop {
+        let is_held = desk.lease.borrow().fence(now()).is_some();
+        if !desk.is_open.get() || !desk.names.borrow().contains_key(&batch) {
+            return;
+        }
+        let outcome = if is_held {
+            gateway.store.create(&kind, &name, &chunk).await.map(|_| ())
+        } else {
+            Err(Error::NotDone {
+                call: name.clone(),
+                problem: "the lease is not held".to_owned(),
+            })
+        };
+        match outcome {
+            Ok(()) => break,
+            Err(Error::Conflict { .. }) => {
+                // An earlier try of ours, or a scheduler that has taken over.
+                let ours = gateway
+                    .store
+                    .get(&kind, &name)
+                    .await
+                    .is_ok_and(|object| object.spec::<Chunk>().is_ok_and(|found| found == chunk));
+                if ours {
+                    break;
+                }
+                log::warn!(batch = id.as_str(), chunk = number; "results of another scheduler");
+                desk.close("another process lists results");
+                return;
+            }
+            Err(error) => {
+                log::warn!(batch = id.as_str(), chunk = number, error:%; "results not written");
+                tokio::time::sleep(REWRITE).await;
+            }
+        }
+    }
+    log::info!(
+        batch = id.as_str(), chunk = number, first, results = chunk.results.len();
+        "results listed"
+    );
+    if let Some(shelf) = desk.shelves.borrow_mut().get_mut(&id) {
+        shelf.results.extend(chunk.results);
+        shelf.next_chunk = number + 1;
+        shelf.changed.notify_waiters();
+    }
+    desk.scheduler.borrow_mut().listed(batch);
+    desk.turn_soon();
+}
--- /dev/null
+++ b/crates/gateway/src/batches/mod.rs
@@ -0,0 +1,26 @@
+//! Batches: kept in the platform's store from their acceptance on, run by the one gateway that
+//! holds the scheduling lease, read at any gateway.
+
+mod accept;
+mod desk;
+mod keeper;
+mod orders;
+mod read;
+mod record;
+mod running;
+mod shelf;
+mod takeover;
+
+pub use accept::accept;
+pub use desk::Desk;
+pub use read::{body, end, results};
+
+use std::rc::Rc;
+
+use crate::gateway::Gateway;
+
+/// Starts what batches need in the background.
+pub fn start(gateway: &Rc<Gateway>) {
+    actix_rt::spawn(keeper::keep(Rc::clone(gateway)));
+    actix_rt::spawn(desk::turn(Rc::clone(gateway)));
+}
--- /dev/null
+++ b/crates/gateway/src/batches/orders.rs
@@ -0,0 +1,165 @@
+//! Orders to engines, given only while the lease is held.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Method, Request, StatusCode};
+use tamaracksail_adapter::backend::Stamp;
+use tamaracksail_adapter::engine::{Mode, ORDER_PATH, Order, REPORT_PATH, Report};
+use tamaracksail_model::backend::Entry;
+use tamaracksail_policy::batch::SeatKey;
+
+use crate::gateway::{Gateway, now};
+
+/// How long a connection to an engine may take.
+const CONNECT: Duration = Duration::from_millis(400);
+
+/// How long an engine may take to answer an order or a report.
+const ANSWER: Duration = Duration::from_millis(800);
+
+/// How long after an order the first report is asked for: no load is known to be shorter.
+const FIRST_LOOK: Duration = Duration::from_millis(850);
+
+/// Between two reports. Each is paid for like a health check.
+const LOOK: Duration = Duration::from_millis(150);
+
+/// How long a load may take before the engine is taken for lost.
+const LONGEST: Duration = Duration::from_secs(8);
+
+/// How often an order is given before it is dropped.
+const TRIES: usize = 3;
+
+/// Brings an engine to a version and reports what came of it.
+pub async fn load(gateway: Rc<Gateway>, seat: SeatKey, model: String, version: u64) {
+    let entry = gateway.desk.scheduler.borrow().entry(seat).cloned();
+    let Some(entry) = entry else {
+        return;
+    };
+    let outcome = bring(&gateway, &entry, &model, version).await;
+    let mut scheduler = gateway.desk.scheduler.borrow_mut();
+    let server = entry.instance.as_str();
+    match outcome {
+        Ok(held) => {
+            log::info!(server, model = model.as_str(), version = held; "weights loaded");
+            scheduler.loaded(seat, &model, held);
+        }
+        Err(problem) => {
+            log::warn!(server, model = model.as_str(), version, problem; "weights not loaded");
+            scheduler.order_failed(now(), seat);
+        }
+    }
+    drop(scheduler);
+    gateway.desk.turn_soon();
+}
+
+async fn bring(
+    gateway: &Gateway,
+    entry: &Entry,
+    model: &str,
+    version: u64,
+) -> Result<u64, String> {
+    let mut last = String::new();
+    for _ in 0..TRIES {
+        let before = report(gateway, entry).await?;
+        if before.version(model).is_some_and(|held| held >= version) && !before.is_busy {
+            return Ok(before.version(model).unwrap_or(version));
+        }
+        if !before.is_busy {
+            let Some(fence) = gateway.desk.lease.borrow().order_fence(now()) else {
+                return Err("orders may not be given now".to_owned());
+            };
+            let holder = gateway.settings.borrow().host.clone();
+            let order = Order::new(model.to_owned(), version, Mode::Wait, holder, fence)
+                .expecting(Some(before.accepted));
+            log::info!(
+                server = entry.instance.as_str(), model, version, fence,
+                expected = before.accepted; "order given"
+            );
+            match give(gateway, entry, &order).await {
+                Ok(StatusCode::ACCEPTED | StatusCode::OK | StatusCode::CONFLICT) => {}
+                Ok(code) => return Err(format!("order answered {code}")),
+                // It may have been accepted: the next report tells.
+                Err(problem) => last = problem,
+            }
+        }
+        match wait_loaded(gateway, entry, model, version).await {
+            Ok(Some(held)) => return Ok(held),
+            Ok(None) => {}
+            Err(problem) => last = problem,
+        }
+    }
+    Err(format!("given up after {TRIES} tries: {last}"))
+}
+
+/// Waits until the engine is not busy. None if it then holds an older version.
+async fn wait_loaded(
+    gateway: &Gateway,
+    entry: &Entry,
+    model: &str,
+    version: u64,
+) -> Result<Option<u64>, String> {
+    let start = now();
+    tokio::time::sleep(FIRST_LOOK).await;
+    loop {
+        let report = report(gateway, entry).await?;
+        if !report.is_busy {
+            return Ok(report.version(model).filter(|held| *held >= version));
+        }
+        if now().since(start) > LONGEST {
+            return Err("the engine stays busy".to_owned());
+        }
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
+async fn report(gateway: &Gateway, entry: &Entry) -> Result<Report, String> {
+    let (code, body) = exchange(gateway, entry, Method::GET, REPORT_PATH, Bytes::new()).await?;
+    if code != StatusCode::OK {
+        return Err(format!("report answered {code}"));
+    }
+    Report::parse(&body).map_err(|error| error.to_string())
+}
+
+async fn give(gateway: &Gateway, entry: &Entry, order: &Order) -> Result<StatusCode, String> {
+    let (code, _) = exchange(gateway, entry, Method::POST, ORDER_PATH, order.body()).await?;
+    Ok(code)
+}
+
+async fn exchange(
+    gateway: &Gateway,
+    entry: &Entry,
+    method: Method,
+    path: &str,
+    body: Bytes,
+) -> Result<(StatusCode, Bytes), String> {
+    let mut request = Request::builder()
+        .method(method)
+        .uri(path)
+        .header("host", entry.address.to_string())
+        .header("content-type", "application/json")
+        .body(Full::new(body))
+        .map_err(|error| error.to_string())?;
+    let stamp = Stamp {
+        instance: Some(&entry.instance),
+        ..Stamp::default()
+    };
+    stamp
+        .write(request.headers_mut())
+        .map_err(|error| error.to_string())?;
+    let exchange = async {
+        let mut reply = gateway
+            .http
+            .send(entry.address, request, CONNECT)
+            .await
+            .map_err(|error| error.to_string())?;
+        let body = reply.read(1 << 20).await.map_err(|error| error.to_string())?;
+        let code = reply.head.status;
+        reply.keep(&gateway.http);
+        Ok((code, body))
+    };
+    tokio::time::timeout(ANSWER, exchange)
+        .await
+        .map_err(|_| "no answer in time".to_owned())?
+}
--- /dev/null
+++ b/crates/gateway/src/batches/read.rs
@@ -0,0 +1,212 @@
+//! Reads of batches, and their ends.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::{Response, StatusCode};
+use tamaracksail_adapter::batch;
+use tamaracksail_adapter::store::Error;
+use tamaracksail_model::batch::Listing;
+
+use super::keeper;
+use super::record::{self, Chunk, Head, Part, Progress};
+use crate::connection::Body;
+use crate::gateway::{Gateway, now};
+use crate::request::{refusal, status, with_body};
+use crate::store;
+
+/// When to come back while the store does not answer.
+const STORE_AWAY: Duration = Duration::from_millis(500);
+
+/// How often an end whose outcome is unknown is written.
+const END_TRIES: usize = 3;
+
+/// Results from position `from` on, waiting up to `wait` for one.
+pub async fn results(
+    gateway: &Rc<Gateway>,
+    id: &str,
+    from: usize,
+    wait: Duration,
+) -> Response<Body> {
+    keeper::want(gateway);
+    if let Some(response) = from_memory(gateway, id, from, wait).await {
+        return response;
+    }
+    match from_store(gateway, id, from, wait).await {
+        Ok(response) => response,
+        Err(error) => unread(id, &error),
+    }
+}
+
+fn unread(id: &str, error: &Error) -> Response<Body> {
+    if matches!(error, Error::Missing { .. }) {
+        log::info!(batch = id; "no such batch");
+        return status(StatusCode::NOT_FOUND);
+    }
+    log::info!(batch = id, error:%; "batch not read");
+    refusal(STORE_AWAY)
+}
+
+/// The answer from this process's own memory, if it schedules the batch.
+async fn from_memory(
+    gateway: &Gateway,
+    id: &str,
+    from: usize,
+    wait: Duration,
+) -> Option<Response<Body>> {
+    let desk = &gateway.desk;
+    let deadline = now().after(wait);
+    loop {
+        let is_current = desk.is_open.get() && desk.lease.borrow().fence(now()).is_some();
+        if !is_current {
+            return None;
+        }
+        let changed = {
+            let shelves = desk.shelves.borrow();
+            let shelf = shelves.get(id)?;
+            let is_ended = shelf.batch.is_none();
+            let left = deadline.since(now());
+            if shelf.results.len() > from || is_ended || left.is_zero() {
+                return Some(page(shelf.total, from, shelf.results.iter().skip(from)));
+            }
+            Rc::clone(&shelf.changed)
+        };
+        // Whichever comes first; the loop looks again.
+        drop(tokio::time::timeout(deadline.since(now()), changed.notified()).await);
+    }
+}
+
+fn page<'a>(
+    total: usize,
+    from: usize,
+    results: impl Iterator<Item = &'a Listing>,
+) -> Response<Body> {
+    let mut response = with_body(StatusCode::OK, batch::page(total, from, results));
+    response.headers_mut().insert(
+        "content-type",
+        hyper::header::HeaderValue::from_static("application/json"),
+    );
+    response
+}
+
+async fn from_store(
+    gateway: &Gateway,
+    id: &str,
+    from: usize,
+    wait: Duration,
+) -> Result<Response<Body>, Error> {
+    let head = gateway.store.get(record::HEADS, id).await?;
+    let total = match head.spec::<Head>() {
+        Ok(head) => head.total,
+        Err(error) => {
+            log::error!(batch = id, error:%; "batch cannot be read");
+            return Ok(refusal(STORE_AWAY));
+        }
+    };
+    let is_ended = head
+        .status::<Progress>()
+        .is_ok_and(|progress| progress.is_some_and(|progress| progress.is_ended));
+    let kind = record::kind(id);
+    let deadline = now().after(wait);
+    loop {
+        let (found, revision) = chunks(gateway, &kind).await?;
+        let results: Vec<&Listing> = found.iter().flat_map(|chunk| &chunk.results).collect();
+        let left = deadline.since(now());
+        if results.len() > from || is_ended || results.len() >= total || left.is_zero() {
+            return Ok(page(total, from, results.into_iter().skip(from)));
+        }
+        // Any news or none: the list tells.
+        if let Err(error) = gateway.store.watch(&kind, revision, left).await {
+            log::debug!(batch = id, error:%; "watch ended");
+        }
+    }
+}
+
+/// The chunks of a batch in their order.
+async fn chunks(gateway: &Gateway, kind: &str) -> Result<(Vec<Chunk>, u64), Error> {
+    let (objects, revision) =
+        store::list_after(&gateway.store, kind, Some(record::before_chunk(0))).await?;
+    let mut chunks = Vec::new();
+    for object in objects {
+        match object.spec::<Chunk>() {
+            Ok(chunk) => chunks.push(chunk),
+            Err(error) => {
+                log::error!(kind, name = object.name.as_str(), error:%; "results cannot be read");
+                break;
+            }
+        }
+    }
+    Ok((chunks, revision))
+}
+
+/// The body of an item.
+pub async fn body(gateway: &Rc<Gateway>, id: &str, item: &str) -> Response<Body> {
+    keeper::want(gateway);
+    if let Some(shelf) = gateway.desk.shelves.borrow().get(id) {
+        let found = shelf.items.iter().find(|(name, _)| name == item);
+        return found.map_or_else(
+            || status(StatusCode::NOT_FOUND),
+            |(_, body)| with_body(StatusCode::OK, body.clone()),
+        );
+    }
+    match stored_body(gateway, id, item).await {
+        Ok(Some(body)) => with_body(StatusCode::OK, body),
+        Ok(None) => status(StatusCode::NOT_FOUND),
+        Err(error) => unread(id, &error),
+    }
+}
+
+async fn stored_body(gateway: &Gateway, id: &str, item: &str) -> Result<Option<Bytes>, Error> {
+    let head = gateway.store.get(record::HEADS, id).await?;
+    let parts = match head.spec::<Head>() {
+        Ok(head) => head.parts,
+        Err(error) => {
+            log::error!(batch = id, error:%; "batch cannot be read");
+            return Ok(None);
+        }
+    };
+    let kind = record::kind(id);
+    let mut text = String::new();
+    for number in 0..parts {
+        let object = gateway.store.get(&kind, &record::part(number)).await?;
+        match object.spec::<Part>() {
+            Ok(part) => text.push_str(&part.text),
+            Err(error) => log::error!(batch = id, number, error:%; "part cannot be read"),
+        }
+    }
+    match batch::parse(text.as_bytes()) {
+        Ok(submission) => Ok(submission
+            .items
+            .into_iter()
+            .find(|found| found.id == item)
+            .map(|found| found.body)),
+        Err(error) => {
+            log::error!(batch = id, error:%; "batch cannot be read");
+            Ok(None)
+        }
+    }
+}
+
+/// Ends a batch.
+pub async fn end(gateway: &Rc<Gateway>, id: &str) -> Response<Body> {
+    let progress = Progress { is_ended: true };
+    for _ in 0..END_TRIES {
+        match gateway
+            .store
+            .put_status(record::HEADS, id, &progress)
+            .await
+        {
+            Ok(_) => {
+                log::info!(batch = id; "batch end kept");
+                gateway.desk.end(id);
+                return status(StatusCode::OK);
+            }
+            Err(error @ Error::Unknown { .. }) => {
+                log::warn!(batch = id, error:%; "batch end perhaps kept");
+            }
+            Err(error) => return unread(id, &error),
+        }
+    }
+    status(StatusCode::GATEWAY_TIMEOUT)
+}
--- /dev/null
+++ b/crates/gateway/src/batches/record.rs
@@ -0,0 +1,95 @@
+//! How batches lie in the store.
+//!
+//! - `batches/ID`: a [`Head`]. Its creation accepts the batch, so it comes after all parts. Its
+//!   status is a [`Progress`].
+//! - `batch-ID/part.N`: a [`Part`] of the body as the client sent it.
+//! - `batch-ID/results.N`: a [`Chunk`] of results. Its creation fixes their positions.
+
+use tamaracksail_model::batch::Listing;
+use tamaracksail_model::plain;
+
+/// The kind of heads.
+pub const HEADS: &str = "batches";
+
+/// The kind of the scheduling lease.
+pub const LEASES: &str = "leases";
+
+/// The name of the scheduling lease.
+pub const LEASE: &str = "scheduling";
+
+/// Before the number of a part.
+const PART: &str = "part.";
+
+/// Before the number of a chunk.
+const RESULTS: &str = "results.";
+
+plain! {
+    /// An accepted batch.
+    pub struct Head {
+        /// The host name that the client asked for.
+        pub host: String,
+        /// The path of the submission.
+        pub path: String,
+        /// How many parts the body has.
+        pub parts: usize,
+        /// How many items it has.
+        pub total: usize,
+        /// When it was submitted, in milliseconds since the Unix epoch.
+        pub submitted: u64,
+    }
+}
+
+plain! {
+    /// How far a batch is.
+    pub struct Progress {
+        /// Whether its client has ended it.
+        pub is_ended: bool,
+    }
+}
+
+plain! {
+    /// A piece of a body.
+    pub struct Part {
+        /// The text.
+        pub text: String,
+    }
+}
+
+plain! {
+    /// Results at positions that follow each other.
+    pub struct Chunk {
+        /// The position of the first.
+        pub first: usize,
+        /// The results.
+        pub results: Vec<Listing>,
+    }
+}
+
+/// The kind that holds the parts and chunks of a batch.
+pub fn kind(batch: &str) -> String {
+    format!("batch-{batch}")
+}
+
+/// The name of a part.
+pub fn part(number: usize) -> String {
+    format!("{PART}{number:05}")
+}
+
+/// The name of a chunk.
+pub fn chunk(number: usize) -> String {
+    format!("{RESULTS}{number:05}")
+}
+
+/// The name after which the chunks from `number` on are listed.
+pub fn before_chunk(number: usize) -> String {
+    if number == 0 {
+        RESULTS.to_owned()
+    } else {
+        chunk(number - 1)
+    }
+}
+
+/// The number of a chunk by its name; none if it is the name of something else.
+pub fn chunk_number(name: &str) -> Option<usize> {
+    name.strip_prefix(RESULTS)?.parse().ok()
+}
--- /dev/null
+++ b/crates/gateway/src/batches/running.rs
@@ -0,0 +1,152 @@
+//! One run of an item at an engine.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use http_body_util::Full;
+use hyper::header::{HeaderName, HeaderValue};
+use hyper::{Request, StatusCode};
+use tamaracksail_adapter::backend::{Answer, Stamp};
+use tamaracksail_adapter::event::Reader;
+use tamaracksail_adapter::{Malformed, names};
+use tamaracksail_http::Reply;
+use tamaracksail_model::backend::Entry;
+use tamaracksail_model::batch::Item;
+use tamaracksail_policy::batch::Failure;
+
+use crate::gateway::{Gateway, now};
+
+/// How long a connection to an engine may take. A healthy one takes a round trip.
+const CONNECT: Duration = Duration::from_millis(400);
+
+/// Runs an item and reports what came of it.
+pub async fn run(
+    gateway: Rc<Gateway>,
+    run: u64,
+    entry: Entry,
+    item: Rc<Item>,
+    after: Option<u64>,
+    version: Option<u64>,
+) {
+    let outcome = attempt(&gateway, run, &entry, &item, after, version).await;
+    let desk = &gateway.desk;
+    desk.tasks.borrow_mut().remove(&run);
+    let mut scheduler = desk.scheduler.borrow_mut();
+    match outcome {
+        Ok(()) => {
+            log::info!(item = item.id.as_str(), run; "item finished");
+            scheduler.finished(now(), run);
+        }
+        Err((failure, problem)) => {
+            log::info!(
+                item = item.id.as_str(), run, server = entry.instance.as_str(),
+                failure:?, problem = problem.as_str(); "item not finished"
+            );
+            scheduler.failed(now(), run, failure);
+        }
+    }
+    drop(scheduler);
+    desk.turn_soon();
+}
+
+type Problem = (Failure, String);
+
+async fn attempt(
+    gateway: &Rc<Gateway>,
+    run: u64,
+    entry: &Entry,
+    item: &Item,
+    after: Option<u64>,
+    version: Option<u64>,
+) -> Result<(), Problem> {
+    let broken = |problem: String| (Failure::Broken, problem);
+    let stamp = Stamp {
+        instance: Some(&entry.instance),
+        version,
+        last_event: after,
+        ..Stamp::default()
+    };
+    let host = gateway.desk.host_of(run).unwrap_or_default();
+    let request =
+        request(item, &host, &stamp).map_err(|error| (Failure::Impossible, error.to_string()))?;
+    let sent = gateway.http.send(entry.address, request, CONNECT).await;
+    let mut reply = sent.map_err(|error| broken(error.to_string()))?;
+    let answer = Answer::read(&reply.head, Some(&item.id));
+    let code = reply.head.status;
+    if answer.is_not_run {
+        return Err((Failure::Refused, format!("{code}: not run")));
+    }
+    if !answer.is_ours {
+        return Err(broken(format!("{code} for another request")));
+    }
+    match code {
+        StatusCode::OK if answer.is_stamped => {}
+        StatusCode::UNPROCESSABLE_ENTITY => return Err((Failure::Impossible, code.to_string())),
+        StatusCode::INTERNAL_SERVER_ERROR => return Err((Failure::Failed, code.to_string())),
+        code => return Err(broken(code.to_string())),
+    }
+    if !gateway
+        .desk
+        .scheduler
+        .borrow_mut()
+        .answered(now(), run, answer.version)
+    {
+        return Err(broken("the run was stopped".to_owned()));
+    }
+    read(gateway, run, &mut reply).await?;
+    // Without a stated end a broken connection looks like the end, so the item goes on elsewhere,
+    // where nothing is left to come.
+    let has_end = reply.length().is_some() || reply.head.headers.contains_key("transfer-encoding");
+    if !has_end {
+        return Err((Failure::Refused, "the answer has no stated end".to_owned()));
+    }
+    reply.keep(&gateway.http);
+    Ok(())
+}
+
+async fn read(gateway: &Gateway, run: u64, reply: &mut Reply) -> Result<(), Problem> {
+    let broken = |problem: String| (Failure::Broken, problem);
+    let malformed = |error: Malformed| (Failure::Broken, error.to_string());
+    let mut reader = Reader::default();
+    while let Some(piece) = reply
+        .next()
+        .await
+        .map_err(|error| broken(error.to_string()))?
+    {
+        reader.push(&piece).map_err(malformed)?;
+        while let Some(event) = reader.next().map_err(malformed)? {
+            let is_wanted = gateway.desk.scheduler.borrow_mut().event(
+                now(),
+                run,
+                event.id,
+                &event.data,
+                event.version,
+            );
+            if !is_wanted {
+                return Err(broken("the event does not follow".to_owned()));
+            }
+        }
+    }
+    if reader.is_torn() {
+        return Err(broken("the last event is torn".to_owned()));
+    }
+    Ok(())
+}
+
+fn request(item: &Item, host: &str, stamp: &Stamp) -> Result<Request<Full<bytes::Bytes>>, Malformed> {
+    let what = "item";
+    let mut request = Request::post(&item.path)
+        .body(Full::new(item.body.clone()))
+        .map_err(|error| Malformed::new(what, error))?;
+    let headers = request.headers_mut();
+    for (name, value) in &item.headers {
+        let name: HeaderName = name.parse().map_err(|e| Malformed::new(what, e))?;
+        let value = HeaderValue::from_str(value).map_err(|e| Malformed::new(what, e))?;
+        headers.insert(name, value);
+    }
+    let text = |text: &str| HeaderValue::from_str(text).map_err(|e| Malformed::new(what, e));
+    headers.insert("host", text(host)?);
+    headers.insert(names::REQUEST_ID, text(&item.id)?);
+    stamp.write(headers)?;
+    Ok(request)
+}
--- /dev/null
+++ b/crates/gateway/src/gateway.rs
@@ -0,0 +1,102 @@
+//! What lives as long as the process.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use rustix::time::{ClockId, clock_gettime};
+use tamaracksail_adapter::settings::Settings;
+use tamaracksail_adapter::store;
+use tamaracksail_http as http;
+use tamaracksail_model::table::Table;
+use tamaracksail_model::time::Instant;
+use tamaracksail_policy::fleet::Fleet;
+use tokio::sync::Notify;
+
+use crate::batches::Desk;
+use crate::options::Options;
+
+/// The process. Shared by all tasks of its one thread.
+#[derive(Debug)]
+pub struct Gateway {
+    /// The platform's settings.
+    pub settings: RefCell<Settings>,
+    /// The number that tells this life of the process from others.
+    pub incarnation: u64,
+    /// The port of the metrics.
+    pub metrics_port: Option<u16>,
+    /// Connections to backend servers.
+    pub http: http::Client,
+    /// The platform's store.
+    pub store: store::Client,
+    /// The routes in force; none before the first are known.
+    pub table: RefCell<Option<Rc<Table>>>,
+    /// Wakes when the routes change.
+    pub table_changed: Notify,
+    /// Backend servers.
+    pub fleet: RefCell<Fleet>,
+    /// Whether the list of backend servers was read.
+    pub knows_servers: Cell<bool>,
+    /// Since when the process is stopping.
+    pub stopping: Cell<Option<Instant>>,
+    /// Client requests that wait for an answer.
+    pub active: Cell<usize>,
+    /// Batches.
+    pub desk: Desk,
+}
+
+impl Gateway {
+    /// A process that knows nothing yet.
+    pub fn new(settings: Settings, options: &Options) -> Self {
+        // JSON numbers are exact up to 53 bits.
+        let incarnation = rand::random::<u64>() >> 11;
+        let desk = Desk::new(&settings, incarnation);
+        Self {
+            incarnation,
+            metrics_port: options.metrics_port,
+            http: http::Client::default(),
+            store: store::Client::new(settings.store),
+            settings: RefCell::new(settings),
+            table: RefCell::new(None),
+            table_changed: Notify::new(),
+            fleet: RefCell::new(Fleet::default()),
+            knows_servers: Cell::new(false),
+            stopping: Cell::new(None),
+            active: Cell::new(0),
+            desk,
+        }
+    }
+
+    /// Whether new connections are welcome.
+    pub fn is_ready(&self) -> bool {
+        self.stopping.get().is_none() && self.table.borrow().is_some() && self.knows_servers.get()
+    }
+
+    /// The routes in force.
+    pub fn table(&self) -> Option<Rc<Table>> {
+        self.table.borrow().clone()
+    }
+}
+
+/// The present time, on a clock that goes on while the host is suspended. Its origin is the
+/// host's start.
+pub fn now() -> Instant {
+    let time = clock_gettime(ClockId::Boottime);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or(0);
+    let nanos = u64::try_from(time.tv_nsec).unwrap_or(0);
+    Instant(seconds * 1_000_000 + nanos / 1000)
+}
+
+/// The milliseconds since the Unix epoch, for what other hosts read.
+pub fn unix_millis() -> u64 {
+    std::time::SystemTime::now()
+        .duration_since(std::time::UNIX_EPOCH)
+        .map_or(0, |since| {
+            u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+        })
+}
+
+/// The time from `now` to `then`; zero if it is past.
+pub fn until(now: Instant, then: Instant) -> Duration {
+    then.since(now)
+}
--- /dev/null
+++ b/crates/gateway/src/main.rs
@@ -0,0 +1,40 @@
+//! The gateway: clients' requests straight to backend servers, and batches from the platform's
+//! store.
+//!
+//! One thread does everything; a host gives it a fraction of a core. Modules by life span:
+//! [`request`], [`connection`], [`version`] (routes, servers), [`batches`] and the process itself.
+
+mod batches;
+mod connection;
+mod gateway;
+mod options;
+mod request;
+mod stop;
+mod store;
+mod version;
+
+use std::rc::Rc;
+
+use tamaracksail_adapter::settings::Settings;
+use tamaracksail_process::{logs, settings};
+
+use gateway::Gateway;
+use options::Options;
+
+fn main() {
+    let options = Options::parse();
+    logs::start(options.log_format, options.log_level);
+    let settings = Settings::load()
+        .unwrap_or_else(|error| settings::fail(options::NAME, &error.to_string()));
+    actix_rt::System::new().block_on(async move {
+        let gateway = Rc::new(Gateway::new(settings, &options));
+        log::info!(host = gateway.settings.borrow().host.as_str(), incarnation = gateway.incarnation; "start");
+        version::follow(&gateway);
+        batches::start(&gateway);
+        if let Err(error) = connection::listen(&gateway).await {
+            settings::fail(options::NAME, &error.to_string());
+        }
+        stop::serve_until_stopped(&gateway).await;
+        log::info!("stop");
+    });
+}
--- /dev/null
+++ b/crates/gateway/src/request/mod.rs
@@ -0,0 +1,143 @@
+//! One request of a client.
+
+mod answer;
+mod forward;
+mod sending;
+
+use std::convert::Infallible;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::header::HeaderValue;
+use hyper::{Method, Request, Response, StatusCode};
+use tamaracksail_adapter::ingress::{self, Call};
+use tamaracksail_model::route::Kind;
+use tamaracksail_process::metrics;
+
+use crate::batches;
+use crate::connection::Body;
+use crate::gateway::{Gateway, now};
+
+pub use answer::{refusal, status, with_body};
+
+/// Where metrics are read.
+const METRICS_PATH: &str = "/metrics";
+
+/// Answers a request. Dropped before its end it gives up what it had begun: the client has left.
+pub async fn handle(
+    gateway: &Rc<Gateway>,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, Infallible> {
+    let _active = Active::new(gateway);
+    let mut response = answer(gateway, request).await;
+    if gateway.stopping.get().is_some() {
+        response
+            .headers_mut()
+            .insert("connection", HeaderValue::from_static("close"));
+    }
+    Ok(response)
+}
+
+async fn answer(gateway: &Rc<Gateway>, request: Request<Incoming>) -> Response<Body> {
+    let (head, body) = request.into_parts();
+    let call = match Call::parse(&head) {
+        Ok(call) => call,
+        Err(error) => {
+            log::info!(path = head.uri.path(), error:%; "request refused");
+            return status(StatusCode::BAD_REQUEST);
+        }
+    };
+    match call {
+        Call::Readiness if gateway.is_ready() => status(StatusCode::OK),
+        Call::Readiness => status(StatusCode::SERVICE_UNAVAILABLE),
+        Call::Results { batch, from, wait } => batches::results(gateway, &batch, from, wait).await,
+        Call::Body { batch, item } => batches::body(gateway, &batch, &item).await,
+        Call::End { batch } => batches::end(gateway, &batch).await,
+        Call::Routed if head.uri.path() == METRICS_PATH && gateway.metrics_port.is_some() => {
+            with_body(StatusCode::OK, metrics::render(prometheus::default_registry()))
+        }
+        Call::Routed => routed(gateway, head, body).await,
+    }
+}
+
+async fn routed(
+    gateway: &Rc<Gateway>,
+    head: hyper::http::request::Parts,
+    body: Incoming,
+) -> Response<Body> {
+    let arrival = now();
+    let id = ingress::request_id(&head.headers)
+        .unwrap_or_default()
+        .to_owned();
+    let Some(table) = gateway.table() else {
+        log::info!(request = id.as_str(), outcome = "not run"; "no routes known yet");
+        return refusal(answer::SOON);
+    };
+    let host = ingress::host(&head).unwrap_or_default();
+    let Some(route) = table.find(host, head.uri.path()) else {
+        log::info!(
+            request = id.as_str(), host, path = head.uri.path(), routes = table.version,
+            outcome = "no route"; "request refused"
+        );
+        return status(StatusCode::NOT_FOUND);
+    };
+    let remaining = match ingress::remaining(&head.headers) {
+        Ok(remaining) => remaining.unwrap_or(route.timeout),
+        Err(error) => {
+            log::info!(request = id.as_str(), error:%, outcome = "malformed"; "request refused");
+            return status(StatusCode::BAD_REQUEST);
+        }
+    };
+    let is_batch = route.kind == Kind::Batch && head.method == Method::POST;
+    let limit = if is_batch {
+        remaining
+    } else {
+        remaining.min(route.timeout)
+    };
+    let deadline = arrival.after(limit);
+    let read = read(body, table.limits.body_bytes);
+    let body = match tokio::time::timeout(limit, read).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(code)) => {
+            log::info!(request = id.as_str(), status = code.as_u16(); "request body not read");
+            return status(code);
+        }
+        Err(_) => {
+            log::info!(request = id.as_str(), outcome = "not run"; "request body too slow");
+            return status(StatusCode::REQUEST_TIMEOUT);
+        }
+    };
+    if is_batch {
+        return batches::accept(gateway, route, &head, &id, body, deadline).await;
+    }
+    forward::forward(gateway, route, head, body, &id, arrival, deadline).await
+}
+
+/// Reads a body whole.
+async fn read(body: Incoming, most: usize) -> Result<Bytes, StatusCode> {
+    match Limited::new(body, most).collect().await {
+        Ok(collected) => Ok(collected.to_bytes()),
+        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
+            Err(StatusCode::PAYLOAD_TOO_LARGE)
+        }
+        Err(_) => Err(StatusCode::BAD_REQUEST),
+    }
+}
+
+/// Counts a request while it is answered.
+struct Active<'a>(&'a Gateway);
+
+impl<'a> Active<'a> {
+    fn new(gateway: &'a Gateway) -> Self {
+        gateway.active.set(gateway.active.get() + 1);
+        Self(gateway)
+    }
+}
+
+impl Drop for Active<'_> {
+    fn drop(&mut self) {
+        self.0.active.set(self.0.active.get() - 1);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/stop.rs
@@ -0,0 +1,62 @@
+//! The end of the process, and changes of its settings.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use tamaracksail_adapter::settings::Settings;
+use tamaracksail_process::stop;
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::gateway::{Gateway, now};
+
+/// How long after SIGTERM new connections may still come: the balancer asks once a second and
+/// passes over a process after two refusals, and clients use open connections on.
+const LINGER: Duration = Duration::from_millis(3500);
+
+/// Before SIGKILL, so that the process ends by itself.
+const BEFORE_KILL: Duration = Duration::from_millis(600);
+
+/// Between two looks at what is still open.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// Returns when the process was asked to stop and has answered what was open, or just before it
+/// would be killed.
+pub async fn serve_until_stopped(gateway: &Rc<Gateway>) {
+    actix_rt::spawn(reload(Rc::clone(gateway)));
+    if let Err(error) = stop::requested().await {
+        log::error!(error:%; "signals cannot be watched");
+    }
+    let start = now();
+    gateway.stopping.set(Some(start));
+    log::info!(open = gateway.active.get(); "stopping");
+    gateway.desk.hand_over(gateway).await;
+    let limit = gateway.settings.borrow().grace.saturating_sub(BEFORE_KILL);
+    loop {
+        let passed = now().since(start);
+        if passed >= limit || (passed >= LINGER && gateway.active.get() == 0) {
+            return;
+        }
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
+/// Reads the settings again on SIGHUP.
+async fn reload(gateway: Rc<Gateway>) {
+    let mut hangups = match signal(SignalKind::hangup()) {
+        Ok(hangups) => hangups,
+        Err(error) => {
+            log::error!(error:%; "SIGHUP cannot be watched");
+            return;
+        }
+    };
+    while hangups.recv().await.is_some() {
+        match Settings::load() {
+            Ok(settings) => {
+                let is_changed = *gateway.settings.borrow() != settings;
+                *gateway.settings.borrow_mut() = settings;
+                log::info!(is_changed; "settings read");
+            }
+            Err(error) => log::error!(error:%; "settings refused"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/store.rs
@@ -0,0 +1,119 @@
+//! Following a kind of objects in the platform's store.
+
+use std::time::Duration;
+
+use tamaracksail_adapter::store::{Client, Error, Object};
+
+/// How long a watch waits for a change. The platform's longest. Every watch is paid for; the
+/// kernel's probes find a connection that fell silent much sooner.
+const WAIT: Duration = Duration::from_secs(30);
+
+/// The pause after a first failure; doubles up to [`LONGEST_PAUSE`].
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+
+/// The longest pause. After an outage entries must be here again within two seconds.
+const LONGEST_PAUSE: Duration = Duration::from_millis(800);
+
+/// News of a kind.
+#[derive(Debug)]
+pub enum News<'a> {
+    /// All objects of the kind.
+    All(&'a [Object]),
+    /// An object was created or changed.
+    Changed(&'a Object),
+    /// An object was removed.
+    Removed(&'a Object),
+    /// The store does not answer.
+    Lost,
+}
+
+/// Reports all objects of `kind`, then each change, for ever.
+pub async fn follow(client: Client, kind: &str, mut report: impl FnMut(News)) {
+    let mut pause = FIRST_PAUSE;
+    let mut is_lost = false;
+    let mut revision = None;
+    loop {
+        let outcome = match revision {
+            None => match list(&client, kind).await {
+                Ok((objects, at)) => {
+                    report(News::All(&objects));
+                    Ok(at)
+                }
+                Err(error) => Err(error),
+            },
+            Some(at) => match client.watch(kind, at, WAIT).await {
+                Ok(changes) => {
+                    for change in &changes.events {
+                        report(if change.is_removed {
+                            News::Removed(&change.object)
+                        } else {
+                            News::Changed(&change.object)
+                        });
+                    }
+                    Ok(changes.revision)
+                }
+                Err(error) => Err(error),
+            },
+        };
+        match outcome {
+            Ok(at) => {
+                if is_lost {
+                    log::info!(kind, revision = at; "store regained");
+                    is_lost = false;
+                }
+                revision = Some(at);
+                pause = FIRST_PAUSE;
+            }
+            Err(Error::HistoryGone { .. }) => {
+                log::info!(kind, revision; "store history gone, reading all");
+                revision = None;
+            }
+            Err(error) => {
+                if !is_lost {
+                    log::warn!(kind, error:%; "store lost");
+                    is_lost = true;
+                    report(News::Lost);
+                }
+                tokio::time::sleep(pause).await;
+                pause = (pause * 2).min(LONGEST_PAUSE);
+            }
+        }
+    }
+}
+
+/// Lists all objects of a kind, with the revision from which to watch on.
+///
+/// # Errors
+/// As [`Client::list`].
+pub async fn list(client: &Client, kind: &str) -> Result<(Vec<Object>, u64), Error> {
+    list_after(client, kind, None).await
+}
+
+/// Lists the objects of a kind whose names come after `start`.
+///
+/// # Errors
+/// As [`Client::list`].
+pub async fn list_after(
+    client: &Client,
+    kind: &str,
+    start: Option<String>,
+) -> Result<(Vec<Object>, u64), Error> {
+    let mut objects: Vec<Object> = Vec::new();
+    let mut revision = None;
+    loop {
+        let last = objects.last().map(|object| object.name.clone());
+        let after = last.or_else(|| start.clone());
+        let page = match client.list(kind, after.as_deref()).await {
+            Ok(page) => page,
+            Err(Error::Missing { .. }) => return Ok((objects, 0)),
+            Err(error) => return Err(error),
+        };
+        // Changes between two pages come again with a watch from the first.
+        let first = *revision.get_or_insert(page.revision);
+        let is_last = !page.has_more || page.items.is_empty();
+        objects.extend(page.items);
+        if is_last {
+            return Ok((objects, first));
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/version/routes.rs
@@ -0,0 +1,44 @@
+//! The routes in force.
+
+use std::rc::Rc;
+
+use tamaracksail_adapter::store::Object;
+use tamaracksail_adapter::{manifest, names};
+
+use crate::gateway::Gateway;
+use crate::store::{self, News};
+
+/// Follows the routes.
+pub async fn follow(gateway: Rc<Gateway>) {
+    let client = gateway.store.clone();
+    store::follow(client, names::CONFIG, |news| match news {
+        News::All(objects) => objects.iter().for_each(|object| apply(&gateway, object)),
+        News::Changed(object) => apply(&gateway, object),
+        // Routes in force stay in force.
+        News::Removed(_) | News::Lost => {}
+    })
+    .await;
+}
+
+fn apply(gateway: &Gateway, object: &Object) {
+    if object.name != names::CONFIG_MAIN {
+        return;
+    }
+    let table = match manifest::parse(object.spec_text()) {
+        Ok(table) => table,
+        Err(error) => {
+            log::error!(revision = object.revision, error:%; "routes refused");
+            return;
+        }
+    };
+    let in_force = gateway.table.borrow().as_ref().map(|table| table.version);
+    let version = table.version;
+    if in_force.is_some_and(|in_force| in_force >= version) {
+        log::debug!(version, in_force; "routes passed over");
+        return;
+    }
+    *gateway.table.borrow_mut() = Some(Rc::new(table));
+    gateway.table_changed.notify_waiters();
+    log::info!(version, before = in_force, revision = object.revision; "routes in force");
+    gateway.desk.reroute(gateway);
+}
--- /dev/null
+++ b/crates/gateway/src/version/servers.rs
@@ -0,0 +1,109 @@
+//! Backend servers.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tamaracksail_adapter::store::Object;
+use tamaracksail_adapter::{discovery, names};
+use tamaracksail_model::backend::State;
+
+use crate::gateway::{Gateway, now};
+use crate::store::{self, News};
+
+/// How long after the store's return a lapsed entry is still believed. Living servers are back
+/// within about two seconds.
+const LAPSE_GRACE: Duration = Duration::from_millis(2200);
+
+/// How long the store counts as disturbed after a call failed.
+const DISTURBED: Duration = Duration::from_secs(3);
+
+/// Follows the entries of backend servers.
+pub async fn follow(gateway: Rc<Gateway>) {
+    let client = gateway.store.clone();
+    // When the store was last known to be away.
+    let lost = Cell::new(None);
+    let lapsed: Rc<RefCell<BTreeSet<String>>> = Rc::default();
+    store::follow(client, names::SERVERS, |news| match news {
+        News::All(objects) => {
+            let mut listed = BTreeSet::new();
+            for object in objects {
+                listed.insert(object.name.clone());
+                lapsed.borrow_mut().remove(&object.name);
+                apply(&gateway, object);
+            }
+            let known: Vec<String> = gateway.fleet.borrow().instances().cloned().collect();
+            for instance in known.into_iter().filter(|known| !listed.contains(known)) {
+                drop_later(&gateway, &lapsed, instance, LAPSE_GRACE);
+            }
+            gateway.knows_servers.set(true);
+        }
+        News::Changed(object) => {
+            lapsed.borrow_mut().remove(&object.name);
+            apply(&gateway, object);
+        }
+        News::Removed(object) => {
+            let at = now();
+            let is_disturbed = lost
+                .get()
+                .is_some_and(|lost| at.since(lost) < DISTURBED + LAPSE_GRACE);
+            if is_disturbed {
+                drop_later(&gateway, &lapsed, object.name.clone(), LAPSE_GRACE);
+            } else {
+                remove(&gateway, &object.name);
+            }
+        }
+        News::Lost => lost.set(Some(now())),
+    })
+    .await;
+}
+
+fn drop_later(
+    gateway: &Rc<Gateway>,
+    lapsed: &Rc<RefCell<BTreeSet<String>>>,
+    instance: String,
+    grace: Duration,
+) {
+    if !lapsed.borrow_mut().insert(instance.clone()) {
+        return;
+    }
+    log::info!(server = instance.as_str(), grace_ms = grace.as_millis(); "server entry lapsed");
+    let gateway = Rc::clone(gateway);
+    let lapsed = Rc::clone(lapsed);
+    actix_rt::spawn(async move {
+        tokio::time::sleep(grace).await;
+        if lapsed.borrow_mut().remove(&instance) {
+            remove(&gateway, &instance);
+        }
+    });
+}
+
+fn apply(gateway: &Rc<Gateway>, object: &Object) {
+    match discovery::parse(object) {
+        Ok(entry) => {
+            log::debug!(
+                server = entry.instance.as_str(),
+                service = entry.service.as_str(),
+                is_ready = entry.state == State::Ready,
+                revision = object.revision;
+                "server entry"
+            );
+            gateway.desk.engine(gateway, entry.clone());
+            gateway.fleet.borrow_mut().put(entry);
+        }
+        Err(error) => {
+            log::warn!(server = object.name.as_str(), error:%; "server entry passed over");
+            remove(gateway, &object.name);
+        }
+    }
+}
+
+fn remove(gateway: &Rc<Gateway>, instance: &str) {
+    let Some(entry) = gateway.fleet.borrow_mut().remove(instance) else {
+        return;
+    };
+    log::info!(server = instance, service = entry.service.as_str(); "server gone");
+    gateway.http.forget(entry.address);
+    gateway.desk.engine_gone(gateway, instance);
+}
--- /dev/null
+++ b/crates/http/src/connection.rs
@@ -0,0 +1,124 @@
+//! One connection to a peer.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+
+use crate::error::{Error, Step};
+use crate::socket;
+
+/// A connection that carries one request at a time. Dropping it closes the socket at once,
+/// which tells the peer that nobody waits any longer.
+#[derive(Debug)]
+pub struct Connection {
+    peer: SocketAddr,
+    sender: SendRequest<Full<Bytes>>,
+    driver: AbortHandle,
+}
+
+impl Connection {
+    /// Connects within `limit`. Must be called on a `LocalSet`.
+    ///
+    /// # Errors
+    /// With [`Step::Connect`]: nothing was sent.
+    pub async fn open(peer: SocketAddr, limit: Duration) -> Result<Self, Error> {
+        let failed = |problem: String| Error {
+            step: Step::Connect,
+            peer,
+            problem,
+        };
+        let stream = tokio::time::timeout(limit, TcpStream::connect(peer))
+            .await
+            .map_err(|_| failed(format!("no connection within {} ms", limit.as_millis())))?
+            .map_err(|error| failed(error.to_string()))?;
+        socket::tune(&stream).map_err(|error| failed(error.to_string()))?;
+        let (sender, connection) = http1::Builder::new()
+            .title_case_headers(true)
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(|error| failed(error.to_string()))?;
+        let driver = tokio::task::spawn_local(async move {
+            // The exchange that it breaks reports the error with its step.
+            drop(connection.await);
+        });
+        Ok(Self {
+            peer,
+            sender,
+            driver: driver.abort_handle(),
+        })
+    }
+
+    /// The peer's address.
+    #[must_use]
+    pub fn peer(&self) -> SocketAddr {
+        self.peer
+    }
+
+    /// Whether the peer has closed it or sent bytes that nobody asked for.
+    #[must_use]
+    pub fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+
+    /// Waits until the last answer is over. False if the connection ended with it.
+    pub async fn is_reusable(&mut self) -> bool {
+        self.sender.ready().await.is_ok()
+    }
+
+    /// Sends a request and waits for the head of the answer.
+    ///
+    /// # Errors
+    /// With [`Step::Head`]: the request may have been sent. With [`Step::Connect`]: the
+    /// connection had ended before anything was sent.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, Error> {
+        let peer = self.peer;
+        if self.sender.is_closed() || self.sender.ready().await.is_err() {
+            return Err(Error {
+                step: Step::Connect,
+                peer,
+                problem: "the kept connection had ended".to_owned(),
+            });
+        }
+        self.sender
+            .send_request(request)
+            .await
+            .map_err(|error| Error {
+                step: if error.is_canceled() {
+                    Step::Connect
+                } else {
+                    Step::Head
+                },
+                peer,
+                problem: describe(&error),
+            })
+    }
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+/// The error with its causes.
+pub(crate) fn describe(error: &dyn std::error::Error) -> String {
+    let mut text = error.to_string();
+    let mut source = error.source();
+    while let Some(cause) = source {
+        text.push_str(": ");
+        text.push_str(&cause.to_string());
+        source = cause.source();
+    }
+    text
+}
--- /dev/null
+++ b/crates/http/src/error.rs
@@ -0,0 +1,37 @@
+//! What goes wrong on a connection.
+
+use std::fmt;
+use std::net::SocketAddr;
+
+/// Where an exchange failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Before a connection stood: nothing was sent.
+    Connect,
+    /// After the request may have been sent, before the head of the answer.
+    Head,
+    /// Within the body of the answer.
+    Body,
+}
+
+impl fmt::Display for Step {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Connect => "connect",
+            Self::Head => "answer head",
+            Self::Body => "answer body",
+        })
+    }
+}
+
+/// A failed exchange.
+#[derive(Clone, Debug, thiserror::Error)]
+#[error("{step} with {peer}: {problem}")]
+pub struct Error {
+    /// Where it failed.
+    pub step: Step,
+    /// The peer's address.
+    pub peer: SocketAddr,
+    /// What happened.
+    pub problem: String,
+}
--- /dev/null
+++ b/crates/model/src/batch.rs
@@ -0,0 +1,64 @@
+//! A batch: requests that are accepted at once and run later.
+
+use bytes::Bytes;
+
+
+key! {
+    /// How an item ended.
+    pub enum Ending {
+        /// Its text is whole.
+        Completed,
+        /// It was given up.
+        Aborted,
+    }
+}
+
+plain! {
+    /// One item of a batch.
+    pub struct Item {
+        /// Its id, which is also its request id at a backend server.
+        pub id: String,
+        /// The path at the backend server.
+        pub path: String,
+        /// Headers to send.
+        pub headers: Vec<(String, String)>,
+        /// The body to send.
+        pub body: Bytes,
+        /// Prompt tokens plus the most output tokens.
+        pub tokens: u64,
+        /// The client's estimate of the output tokens.
+        pub hint: Option<u64>,
+        /// The group whose samples share one prompt.
+        pub group: Option<String>,
+    }
+}
+
+plain! {
+    /// A batch as its client sent it.
+    pub struct Submission {
+        /// The model of a training step.
+        pub model: Option<String>,
+        /// The training step.
+        pub step: Option<u64>,
+        /// The oldest version of the weights that may generate.
+        pub min_version: Option<u64>,
+        /// How many whole groups the trainer waits for.
+        pub target_groups: Option<usize>,
+        /// The items.
+        pub items: Vec<Item>,
+    }
+}
+
+plain! {
+    /// A result as it is listed. Its position and content never change.
+    pub struct Listing {
+        /// The item.
+        pub item: String,
+        /// How it ended.
+        pub ending: Ending,
+        /// The data of all events, separated by line feeds.
+        pub text: String,
+        /// The versions under which the events were made, rising.
+        pub versions: Vec<u64>,
+    }
+}
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -7,6 +7,8 @@
 #[macro_use]
 mod derive;
 
+pub mod backend;
+pub mod batch;
 pub mod change;
 pub mod check;
 pub mod config;
@@ -15,5 +17,7 @@
 pub mod manifest;
 pub mod object;
 pub mod outcome;
+pub mod route;
 pub mod store;
+pub mod table;
 pub mod time;
--- /dev/null
+++ b/crates/policy/src/batch/action.rs
@@ -0,0 +1,66 @@
+//! What the process must do, and what it reports back.
+
+use std::rc::Rc;
+
+use tamaracksail_model::batch::{Item, Listing};
+
+use super::scheduler::BatchKey;
+use super::seat::SeatKey;
+use super::work::WorkKey;
+
+/// What the process must do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Send an item to an engine.
+    Start {
+        /// The run's number, unique in this life of the scheduler.
+        run: u64,
+        /// The item's work.
+        work: WorkKey,
+        /// Where it runs.
+        seat: SeatKey,
+        /// What runs.
+        item: Rc<Item>,
+        /// The last event that is here from earlier runs.
+        after: Option<u64>,
+        /// The only version that may answer, where the text must come from one.
+        version: Option<u64>,
+    },
+    /// Close the connection of a run.
+    Stop {
+        /// The run.
+        run: u64,
+        /// Why.
+        reason: &'static str,
+    },
+    /// Write results to the store, then report [`super::Scheduler::listed`].
+    List {
+        /// The batch.
+        batch: BatchKey,
+        /// The results, in their order.
+        listings: Vec<Listing>,
+    },
+    /// Order an engine to load weights, then report [`super::Scheduler::loaded`] or
+    /// [`super::Scheduler::order_failed`].
+    Order {
+        /// The engine.
+        seat: SeatKey,
+        /// The model.
+        model: String,
+        /// The version.
+        version: u64,
+    },
+}
+
+/// How a run ended before its text was whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// The engine states that it did not run the item.
+    Refused,
+    /// The engine failed the item.
+    Failed,
+    /// The engine will never be able to run the item.
+    Impossible,
+    /// The connection broke, or the answer was not in the protocol.
+    Broken,
+}
--- /dev/null
+++ b/crates/policy/src/batch/mod.rs
@@ -0,0 +1,20 @@
+//! Batches: which item runs where and when, what is listed, and which engine loads which weights.
+//!
+//! [`Scheduler`] answers the load of several trainers on one pool of engines. It is run by the
+//! one process that holds the scheduling lease; what it lists is durable before callers see it.
+
+mod action;
+mod home;
+mod pending;
+mod pool;
+mod run;
+mod scheduler;
+mod seat;
+mod tail;
+mod weights;
+mod work;
+
+pub use action::{Action, Failure};
+pub use scheduler::{BatchKey, Intake, Scheduler};
+pub use seat::{Seat, SeatKey};
+pub use work::WorkKey;
--- /dev/null
+++ b/crates/policy/src/batch/pending.rs
@@ -0,0 +1,115 @@
+//! One batch: its items, groups and results.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use tamaracksail_model::batch::Listing;
+use tamaracksail_model::time::Instant;
+
+use super::work::WorkKey;
+
+/// How long results wait for more before they are written. Each write is paid for; a training
+/// step lasts seconds.
+pub(crate) const GATHER: Duration = Duration::from_millis(150);
+
+/// A group of items that share a prompt.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Group {
+    /// Items without a result.
+    pub(crate) open: usize,
+}
+
+/// A batch that is not over.
+#[derive(Clone, Debug)]
+pub(crate) struct Pending {
+    pub(crate) id: String,
+    /// The route's host name, by which an item's path finds its service.
+    pub(crate) host: String,
+    pub(crate) model: Option<String>,
+    pub(crate) min_version: Option<u64>,
+    pub(crate) target_groups: usize,
+    pub(crate) groups: Vec<Group>,
+    pub(crate) works: Vec<WorkKey>,
+    pub(crate) is_single_version: bool,
+    pub(crate) max_attempts: u32,
+    /// When its items may be given up.
+    pub(crate) expires: Instant,
+    /// Results that are not written yet.
+    pub(crate) results: Vec<Listing>,
+    /// When the oldest of them came.
+    pub(crate) results_since: Instant,
+    pub(crate) is_writing: bool,
+    /// Whether the trainer has what it waits for.
+    pub(crate) is_satisfied: bool,
+}
+
+impl Pending {
+    /// Groups without an open item.
+    pub(crate) fn whole_groups(&self) -> usize {
+        self.groups.iter().filter(|group| group.open == 0).count()
+    }
+
+    /// Adds a result of an item of `group`.
+    pub(crate) fn add(&mut self, now: Instant, group: usize, listing: Listing) {
+        if self.results.is_empty() {
+            self.results_since = now;
+        }
+        self.results.push(listing);
+        if let Some(group) = self.groups.get_mut(group) {
+            group.open = group.open.saturating_sub(1);
+        }
+    }
+
+    /// Takes the results to write now, if it is time.
+    pub(crate) fn take(&mut self, now: Instant) -> Option<Vec<Listing>> {
+        if self.is_writing || self.results.is_empty() {
+            return None;
+        }
+        let completes = !self.is_satisfied && self.whole_groups() >= self.target_groups;
+        if !completes && now.since(self.results_since) < GATHER {
+            return None;
+        }
+        self.is_satisfied |= completes;
+        self.is_writing = true;
+        Some(std::mem::take(&mut self.results))
+    }
+
+    /// The items whose results stand in `listed`.
+    pub(crate) fn is_over(&self) -> bool {
+        self.groups.iter().all(|group| group.open == 0) && self.results.is_empty()
+    }
+}
+
+/// The names of the groups of `items`, in the order in which they appear, and each item's group.
+/// An item without a group is one of its own.
+pub(crate) fn grouping<'a>(
+    items: impl Iterator<Item = (&'a str, Option<&'a str>)>,
+) -> (Vec<String>, Vec<usize>) {
+    let mut names: Vec<String> = Vec::new();
+    let mut numbers = std::collections::BTreeMap::new();
+    let mut of_item = Vec::new();
+    for (id, group) in items {
+        let key = (group.is_some(), group.unwrap_or(id));
+        let number = *numbers.entry(key).or_insert_with(|| {
+            names.push(key.1.to_owned());
+            names.len() - 1
+        });
+        of_item.push(number);
+    }
+    (names, of_item)
+}
+
+/// The groups that are left for last: those expected to be the longest, as many as the trainer
+/// does not wait for. Groups in `carried` are always waited for.
+pub(crate) fn leftovers(
+    lengths: &[u64],
+    carried: &BTreeSet<usize>,
+    target: usize,
+) -> BTreeSet<usize> {
+    let spare = lengths.len().saturating_sub(target);
+    let mut free: Vec<usize> = (0..lengths.len())
+        .filter(|group| !carried.contains(group))
+        .collect();
+    free.sort_by_key(|group| std::cmp::Reverse(lengths[*group]));
+    free.into_iter().take(spare).collect()
+}
--- /dev/null
+++ b/crates/policy/src/batch/run.rs
@@ -0,0 +1,41 @@
+//! One try of an item at one engine.
+
+use std::time::Duration;
+
+use tamaracksail_model::time::Instant;
+
+use super::seat::SeatKey;
+use super::work::WorkKey;
+
+/// How long an engine may stay silent after the first event. Events of a healthy engine come
+/// several times in this span, also while it reads prompts.
+pub(crate) const SILENCE: Duration = Duration::from_millis(700);
+
+/// How long an engine may take to the first event, when all its slots were full and a prompt
+/// was long.
+pub(crate) const FIRST_EVENT: Duration = Duration::from_millis(1500);
+
+/// One run.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Run {
+    pub(crate) work: WorkKey,
+    pub(crate) seat: SeatKey,
+    pub(crate) started: Instant,
+    /// The last event, or the start.
+    pub(crate) progress: Instant,
+    pub(crate) events: u64,
+    /// The version of the weights that makes the next event.
+    pub(crate) version: Option<u64>,
+}
+
+impl Run {
+    /// Whether it has been silent for too long.
+    pub(crate) fn is_stuck(&self, now: Instant) -> bool {
+        let limit = if self.events == 0 {
+            FIRST_EVENT
+        } else {
+            SILENCE
+        };
+        now.since(self.progress) >= limit
+    }
+}
--- /dev/null
+++ b/crates/policy/src/batch/seat.rs
@@ -0,0 +1,95 @@
+//! One engine as the scheduler sees it.
+
+use std::time::Duration;
+
+use tamaracksail_model::backend::{Entry, State};
+use tamaracksail_model::time::Instant;
+
+slotmap::new_key_type! {
+    /// One life of one engine.
+    pub struct SeatKey;
+}
+
+/// How long an engine gets no work after a first failure; doubles with each further one. An
+/// engine that crashed is back within seconds.
+const FIRST_REST: Duration = Duration::from_millis(500);
+
+/// The longest rest.
+const LONGEST_REST: Duration = Duration::from_secs(4);
+
+/// The share that the newest sample has in the pace. About ten samples decide.
+const PACE_SHARE: f64 = 0.1;
+
+/// Weights on their way to an engine.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct Loading {
+    /// The model.
+    pub(crate) model: String,
+}
+
+/// One engine.
+#[derive(Clone, Debug)]
+pub struct Seat {
+    /// What it says of itself. The versions are kept up from its answers.
+    pub entry: Entry,
+    /// Runs that this scheduler has there.
+    pub(crate) running: u32,
+    /// Milliseconds between two events of a run; none before the first sample.
+    pub(crate) pace: Option<f64>,
+    /// No work before this time.
+    pub(crate) rest_until: Instant,
+    pub(crate) failures: u32,
+    pub(crate) loading: Option<Loading>,
+    /// The model for which it is kept.
+    pub(crate) home: Option<String>,
+}
+
+impl Seat {
+    pub(crate) fn new(entry: Entry) -> Self {
+        Self {
+            entry,
+            running: 0,
+            pace: None,
+            rest_until: Instant(0),
+            failures: 0,
+            loading: None,
+            home: None,
+        }
+    }
+
+    /// The version that it holds of a model.
+    pub(crate) fn version(&self, model: &str) -> Option<u64> {
+        self.entry.models.get(model).copied()
+    }
+
+    /// Whether it takes new work at all.
+    pub(crate) fn is_open(&self, now: Instant) -> bool {
+        self.entry.state == State::Ready && self.loading.is_none() && now >= self.rest_until
+    }
+
+    /// Slots that are free.
+    pub(crate) fn free(&self) -> u32 {
+        self.entry.slots.saturating_sub(self.running)
+    }
+
+    /// Notes the time between two events.
+    pub(crate) fn sample(&mut self, millis: f64) {
+        let old = self.pace.unwrap_or(millis);
+        self.pace = Some(old + (millis - old) * PACE_SHARE);
+    }
+
+    /// Notes a failure: it rests.
+    pub(crate) fn fail(&mut self, now: Instant) {
+        if now < self.rest_until {
+            return;
+        }
+        let rest = FIRST_REST * 2u32.saturating_pow(self.failures.min(8));
+        self.failures += 1;
+        self.rest_until = now.after(rest.min(LONGEST_REST));
+    }
+
+    /// Notes that it works.
+    pub(crate) fn succeed(&mut self) {
+        self.failures = 0;
+    }
+}
--- /dev/null
+++ b/crates/policy/src/batch/tail.rs
@@ -0,0 +1,57 @@
+//! Items that hold up a step: stuck at an engine, or at a slow one.
+//!
+//! An item goes on at another engine from its last event, which costs one reading of its text:
+//! some milliseconds against the seconds that it would lose.
+
+use tamaracksail_model::time::Instant;
+
+use super::scheduler::Scheduler;
+
+/// Takes back items from engines that fell silent. The engine rests.
+pub(super) fn move_stuck(scheduler: &mut Scheduler, now: Instant) {
+    let stuck: Vec<u64> = scheduler
+        .runs
+        .iter()
+        .filter(|(_, run)| {
+            let is_loading = scheduler
+                .pool
+                .seats
+                .get(run.seat)
+                .is_some_and(|seat| seat.loading.is_some());
+            run.is_stuck(now) && !is_loading
+        })
+        .map(|(number, _)| *number)
+        .collect();
+    for number in stuck {
+        let seat = scheduler.runs[&number].seat;
+        if let Some(seat) = scheduler.pool.seats.get_mut(seat) {
+            seat.fail(now);
+        }
+        scheduler.take_back(now, number, "the engine is silent");
+    }
+}
+
+/// Moves items from slow engines to free ones, once nothing waits for these.
+pub(super) fn move_slow(scheduler: &mut Scheduler, now: Instant) {
+    if !scheduler.queue.is_empty() {
+        return;
+    }
+    let median = scheduler.pool.median_pace();
+    let slow: Vec<u64> = scheduler
+        .runs
+        .iter()
+        .filter(|(_, run)| scheduler.pool.is_slow(run.seat, median))
+        .map(|(number, _)| *number)
+        .collect();
+    for number in slow {
+        let run = scheduler.runs[&number];
+        let need = scheduler.need(run.work);
+        let target = scheduler.pool.choose(now, &need, median, Some(run.seat));
+        if let Some(seat) = target
+            && !scheduler.pool.is_slow(seat, median)
+        {
+            scheduler.take_back(now, number, "the engine is slow");
+            scheduler.restart(now, run.work, seat);
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/batch/weights.rs
@@ -0,0 +1,122 @@
+//! Which engine loads which version when.
+//!
+//! Engines out of use and trainers that wait are both dear. A step allows the version before the
+//! newest, so an engine loads where it is idle: first those that no open step can use, then, when
+//! nothing waits for an engine, the one with the fewest items, which go on elsewhere.
+
+use std::collections::BTreeMap;
+
+use tamaracksail_model::time::Instant;
+
+use super::action::Action;
+use super::scheduler::Scheduler;
+use super::seat::{Loading, Seat, SeatKey};
+
+/// One in this many engines loads at a time. More at once slow each other down.
+const LOADING_SHARE: usize = 5;
+
+/// Orders loads for engines that are behind the version named.
+pub(super) fn load(scheduler: &mut Scheduler, now: Instant) {
+    let seats = &scheduler.pool.seats;
+    let most = (seats.len() / LOADING_SHARE).max(2);
+    let mut loading = seats.values().filter(|s| s.loading.is_some()).count();
+    let named: Vec<(String, u64)> = scheduler
+        .named
+        .iter()
+        .map(|(model, version)| (model.clone(), *version))
+        .collect();
+    let mut behind: Vec<(u64, u32, SeatKey, String, u64)> = Vec::new();
+    for (model, version) in named {
+        for (key, seat) in &scheduler.pool.seats {
+            let held = seat.version(&model);
+            if seat.home.as_deref() == Some(&model)
+                && seat.is_open(now)
+                && let Some(held) = held.filter(|held| *held < version)
+            {
+                behind.push((held, seat.running, key, model.clone(), version));
+            }
+        }
+    }
+    behind.sort();
+    let needed = needed(scheduler);
+    for (held, _, key, model, version) in behind {
+        if loading >= most {
+            return;
+        }
+        let is_useless = needed.get(&model).is_some_and(|min| held < *min);
+        let is_empty = scheduler.pool.seats[key].running == 0;
+        if !is_empty && !(is_idle(scheduler, &model) && clear(scheduler, now, key)) {
+            continue;
+        }
+        if !is_useless && !is_idle(scheduler, &model) {
+            continue;
+        }
+        loading += 1;
+        scheduler.pool.seats[key].loading = Some(Loading {
+            model: model.clone(),
+        });
+        scheduler.actions.push(Action::Order {
+            seat: key,
+            model,
+            version,
+        });
+    }
+}
+
+/// The oldest version that the newest open step of each model allows.
+fn needed(scheduler: &Scheduler) -> BTreeMap<String, u64> {
+    let mut needed = BTreeMap::new();
+    for batch in scheduler.batches.values() {
+        if let (Some(model), Some(min)) = (&batch.model, batch.min_version) {
+            let newest = needed.entry(model.clone()).or_insert(min);
+            *newest = min.max(*newest);
+        }
+    }
+    needed
+}
+
+/// Whether no item of a model waits for an engine.
+fn is_idle(scheduler: &Scheduler, model: &str) -> bool {
+    !scheduler.queue.iter().any(|(_, key)| {
+        let batch = &scheduler.batches[scheduler.works[*key].batch];
+        batch.model.as_deref() == Some(model) && !batch.is_satisfied
+    })
+}
+
+/// Moves all items of an engine to others, if these have room. False if they have not.
+fn clear(scheduler: &mut Scheduler, now: Instant, key: SeatKey) -> bool {
+    let runs: Vec<u64> = scheduler
+        .runs
+        .iter()
+        .filter(|(_, run)| run.seat == key)
+        .map(|(number, _)| *number)
+        .collect();
+    let elsewhere: usize = scheduler
+        .pool
+        .seats
+        .iter()
+        .filter(|(other, seat)| *other != key && seat.is_open(now) && seat.home.is_some())
+        .filter(|(_, seat)| is_as_new(seat, &scheduler.pool.seats[key]))
+        .map(|(_, seat)| seat.free() as usize)
+        .sum();
+    if elsewhere < runs.len() {
+        return false;
+    }
+    let median = scheduler.pool.median_pace();
+    for number in runs {
+        let work = scheduler.runs[&number].work;
+        let need = scheduler.need(work);
+        let Some(seat) = scheduler.pool.choose(now, &need, median, Some(key)) else {
+            return false;
+        };
+        scheduler.take_back(now, number, "the engine loads weights");
+        scheduler.restart(now, work, seat);
+    }
+    true
+}
+
+/// Whether an engine holds versions at least as new as another's.
+fn is_as_new(seat: &Seat, other: &Seat) -> bool {
+    let home = other.home.as_deref().unwrap_or_default();
+    seat.version(home) >= other.version(home)
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -10,12 +10,21 @@
 //! - [`version::rollout::Controller`]: which server loads which weights when;
 //! - [`version::owner::Owner`]: a trainer's step, sample by sample and batch by batch.
 //!
+//!
+//! On a platform whose store keeps what must last, an entry host sends straight to servers:
+//! - [`fleet::Fleet`]: which backend server takes a request;
+//! - [`batch::Scheduler`]: items of batches, their results and the weights of engines;
+//! - [`lease::Lease`]: which process schedules.
+//!
 //! What they share is ordered by life span: [`request`], [`connection`], [`version`],
 //! [`process`]. [`store`] is how a machine asks for the platform's objects.
 
 pub mod agent;
+pub mod batch;
 pub mod connection;
 pub mod entry;
+pub mod fleet;
+pub mod lease;
 pub mod process;
 pub mod request;
 pub mod version;
