--- a/crates/gateway/src/batches/desk.rs
+++ b/crates/gateway/src/batches/desk.rs
@@ -177,6 +177,10 @@
         if !desk.is_open.get() {
             continue;
         }
+        if desk.lease.borrow().fence(now()).is_none() {
+            desk.close("the lease is not held");
+            continue;
+        }
         let actions = desk.scheduler.borrow_mut().pump(now());
         for action in actions {
             perform(&gateway, action);
--- a/crates/gateway/src/batches/keeper.rs
+++ b/crates/gateway/src/batches/keeper.rs
@@ -94,6 +94,7 @@
         }
     }
     if desk.lease.borrow().fence(now()).is_none() {
+        desk.close("the lease was lost");
         return LOOK;
     }
     if !desk.is_open.get() {
--- a/crates/policy/src/lease.rs
+++ b/crates/policy/src/lease.rs
@@ -27,6 +27,8 @@
         pub incarnation: u64,
         /// Raised whenever the holder or its life changes.
         pub fence: u64,
+        /// Raised by each write, since a write that changes nothing shows no sign of life.
+        pub writes: u64,
     }
 }
 
@@ -147,7 +149,7 @@
     pub fn step(&self, now: Instant, is_fresh: bool) -> Step {
         let (Some((revision, since)), Some(record)) = (self.seen, &self.record) else {
             return if is_fresh {
-                Step::Create(self.next(0))
+                Step::Create(self.next(0, 0))
             } else {
                 Step::Read
             };
@@ -155,7 +157,7 @@
         if let Some(held) = self.held {
             let renewal = held.until.since(Instant(0)) - self.span * (RENEWALS - 1) / RENEWALS;
             return if now.since(Instant(0)) >= renewal {
-                Step::Replace(revision, self.next(held.fence))
+                Step::Replace(revision, self.next(held.fence, record.writes))
             } else {
                 Step::Rest
             };
@@ -163,7 +165,7 @@
         let is_own_host = record.holder.as_ref() == Some(&self.host);
         let is_lapsed = now.since(since) >= self.span + MARGIN;
         if record.holder.is_none() || is_own_host || is_lapsed {
-            return Step::Replace(revision, self.next(record.fence + 1));
+            return Step::Replace(revision, self.next(record.fence + 1, record.writes));
         }
         if is_fresh { Step::Rest } else { Step::Read }
     }
@@ -173,21 +175,24 @@
     pub fn give_back(&mut self) -> Option<(u64, Record)> {
         let held = self.held.take()?;
         let (revision, _) = self.seen?;
+        let writes = self.record.as_ref()?.writes;
         Some((
             revision,
             Record {
                 holder: None,
                 incarnation: self.incarnation,
                 fence: held.fence,
+                writes: writes + 1,
             },
         ))
     }
 
-    fn next(&self, fence: u64) -> Record {
+    fn next(&self, fence: u64, writes: u64) -> Record {
         Record {
             holder: Some(self.host.clone()),
             incarnation: self.incarnation,
             fence,
+            writes: writes + 1,
         }
     }
 }
