Let runs go on between steps and keep spare groups on the newest version

Cause: long items of the groups that a trainer does not wait for came again in the next step with text of a version that this step no longer allowed, and began anew. Change: a run of an ended batch goes on for up to 2.5 s for a batch with the same item; groups left for last run on engines with the newest version only.

--- a/crates/gateway/src/batches/desk.rs
+++ b/crates/gateway/src/batches/desk.rs
@@ -165,7 +165,7 @@
 pub async fn turn(gateway: Rc<Gateway>) {
     let desk = &gateway.desk;
     loop {
-        let has_work = desk.is_open.get() && !desk.names.borrow().is_empty();
+        let has_work = desk.is_open.get() && desk.scheduler.borrow().is_busy();
         if has_work {
             tokio::select! {
                 () = desk.wake.notified() => {}
--- a/crates/gateway/src/batches/takeover.rs
+++ b/crates/gateway/src/batches/takeover.rs
@@ -177,7 +177,6 @@
         .collect();
     let listed: BTreeSet<String> = results.iter().map(|result| result.item.clone()).collect();
     let intake = Intake {
-        id: id.to_owned(),
         host: head.host.clone(),
         model: submission.model,
         min_version: submission.min_version,
--- a/crates/policy/src/batch/pending.rs
+++ b/crates/policy/src/batch/pending.rs
@@ -22,7 +22,6 @@
 /// A batch that is not over.
 #[derive(Clone, Debug)]
 pub(crate) struct Pending {
-    pub(crate) id: String,
     /// The route's host name, by which an item's path finds its service.
     pub(crate) host: String,
     pub(crate) model: Option<String>,
@@ -41,6 +40,8 @@
     pub(crate) is_writing: bool,
     /// Whether the trainer has what it waits for.
     pub(crate) is_satisfied: bool,
+    /// When its client ended it.
+    pub(crate) ended: Option<Instant>,
 }
 
 impl Pending {
@@ -62,7 +63,7 @@
 
     /// Takes the results to write now, if it is time.
     pub(crate) fn take(&mut self, now: Instant) -> Option<Vec<Listing>> {
-        if self.is_writing || self.results.is_empty() {
+        if self.is_writing || self.results.is_empty() || self.ended.is_some() {
             return None;
         }
         let completes = !self.is_satisfied && self.whole_groups() >= self.target_groups;
--- a/crates/policy/src/batch/scheduler.rs
+++ b/crates/policy/src/batch/scheduler.rs
@@ -26,6 +26,10 @@
 /// again within a step or two.
 const KEEP_TEXT: Duration = Duration::from_secs(30);
 
+/// How long runs of an ended batch go on, for a later batch with the same items. A trainer asks
+/// again after a short training; a run that has begun may finish, but none begins.
+const LINGER: Duration = Duration::from_millis(2500);
+
 /// How long an item waits after an engine refused or failed it, so that a failing engine does
 /// not use up an item's attempts at once.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
@@ -33,8 +37,6 @@
 /// A batch to take in.
 #[derive(Clone, Debug)]
 pub struct Intake {
-    /// Its id.
-    pub id: String,
     /// The route's host name.
     pub host: String,
     /// The model, for training steps.
@@ -71,6 +73,8 @@
     /// Text of ended batches, by item.
     kept: BTreeMap<String, (Instant, Text)>,
     past_groups: BTreeMap<String, Instant>,
+    /// Running items of ended batches.
+    lingering: BTreeMap<String, WorkKey>,
     pub(super) actions: Vec<Action>,
     next_run: u64,
     next_rank: u64,
@@ -144,7 +148,6 @@
             self.past_groups.insert(name, now);
         }
         let batch = self.batches.insert(Pending {
-            id: intake.id,
             host: intake.host,
             model: intake.model,
             min_version: intake.min_version,
@@ -158,6 +161,7 @@
             results_since: now,
             is_writing: false,
             is_satisfied: false,
+            ended: None,
         });
         let mut order: Vec<(Item, usize)> = intake.items.into_iter().zip(group_of).collect();
         order.sort_by_key(|(item, group)| {
@@ -165,17 +169,54 @@
             (last.contains(group), std::cmp::Reverse(length))
         });
         for (item, group) in order {
-            self.add_work(now, batch, item, group, &intake.listed, &route);
+            if self.adopt(batch, &item.id, group) {
+                continue;
+            }
+            let is_spare = last.contains(&group);
+            self.add_work(now, batch, (item, group, is_spare), &intake.listed, &route);
         }
         batch
     }
 
+    /// Takes over a run of an ended batch with the same item. False if there is none whose text
+    /// may be used.
+    fn adopt(&mut self, batch: BatchKey, id: &str, group: usize) -> bool {
+        let Some(key) = self.lingering.remove(id) else {
+            return false;
+        };
+        let pending = &mut self.batches[batch];
+        let Some(work) = self.works.get_mut(key) else {
+            return false;
+        };
+        let is_allowed = work.text.fits(pending.min_version)
+            && !(pending.is_single_version && work.text.versions.len() > 1);
+        if !is_allowed {
+            self.release(key, "its text is too old for the next batch");
+            return false;
+        }
+        work.batch = batch;
+        work.group = group;
+        work.failures = 0;
+        work.is_spare = false;
+        pending.works.push(key);
+        pending.groups[group].open += 1;
+        self.next_rank += 1;
+        self.ranks.insert(key, self.next_rank);
+        true
+    }
+
+    /// Stops and forgets an item of an ended batch, and keeps its text.
+    fn release(&mut self, key: WorkKey, reason: &'static str) {
+        if let Some(Stage::Running(run)) = self.works.get(key).map(|work| work.stage) {
+            self.stop(run, reason);
+        }
+    }
+
     fn add_work(
         &mut self,
         now: Instant,
         batch: BatchKey,
-        item: Item,
-        group: usize,
+        (item, group, is_spare): (Item, usize, bool),
         listed: &BTreeSet<String>,
         route: &impl Fn(&str, &str) -> Option<String>,
     ) {
@@ -200,6 +241,7 @@
             stage: Stage::Waiting,
             failures: 0,
             service: service.unwrap_or_default(),
+            is_spare,
         });
         pending.works.push(work);
         if is_listed {
@@ -223,7 +265,7 @@
         let open: Vec<WorkKey> = self
             .works
             .iter()
-            .filter(|(_, work)| work.stage != Stage::Over)
+            .filter(|(key, work)| work.stage != Stage::Over && !self.is_ended(*key))
             .map(|(key, _)| key)
             .collect();
         for key in open {
@@ -238,26 +280,81 @@
         }
     }
 
-    /// Ends a batch: nothing of it runs or is listed any more. Its text is kept for a later batch.
+    /// Ends a batch: nothing of it begins or is listed any more. Its text is kept for a later
+    /// batch, and runs that such a batch could use go on for a while.
     pub fn end(&mut self, now: Instant, batch: BatchKey) {
-        let Some(pending) = self.batches.remove(batch) else {
+        let Some(pending) = self.batches.get_mut(batch) else {
             return;
         };
-        for key in pending.works {
-            if let Some(Stage::Running(run)) = self.works.get(key).map(|work| work.stage) {
-                self.stop(run, "the batch has ended");
-            }
-            let Some(work) = self.works.remove(key) else {
+        pending.ended = Some(now);
+        pending.results.clear();
+        let newest = pending
+            .model
+            .as_ref()
+            .and_then(|model| self.named.get(model))
+            .copied();
+        for key in std::mem::take(&mut pending.works) {
+            let Some(work) = self.works.get(key) else {
                 continue;
             };
-            if let Some(rank) = self.ranks.remove(&key) {
-                self.queue.remove(&(rank, key));
-            }
-            self.paused.remove(&key);
-            if work.text.last.is_some() {
-                self.kept.insert(work.item.id.clone(), (now, work.text));
+            if let Stage::Running(run) = work.stage {
+                let made_by = self.runs.get(&run).and_then(|run| run.version);
+                if newest.is_some() && made_by >= newest && work.text.fits(newest) {
+                    self.lingering.insert(work.item.id.clone(), key);
+                    continue;
+                }
+                self.stop(run, "the batch has ended");
             }
+            self.forget(now, key);
+        }
+    }
+
+    /// Forgets an item and keeps its text.
+    fn forget(&mut self, now: Instant, key: WorkKey) {
+        if let Some(rank) = self.ranks.remove(&key) {
+            self.queue.remove(&(rank, key));
+        }
+        self.paused.remove(&key);
+        if let Some(work) = self.works.remove(key)
+            && work.text.last.is_some()
+        {
+            self.kept.insert(work.item.id.clone(), (now, work.text));
+        }
+    }
+
+    /// Ends runs of ended batches for which no later batch came.
+    fn end_lingering(&mut self, now: Instant) {
+        let works = &self.works;
+        let batches = &self.batches;
+        let is_late = |key: &WorkKey| {
+            let batch = works.get(*key).and_then(|work| batches.get(work.batch));
+            batch.is_none_or(|batch| {
+                batch
+                    .ended
+                    .is_some_and(|ended| now.since(ended) >= LINGER)
+            })
+        };
+        let late: Vec<(String, WorkKey)> = self
+            .lingering
+            .iter()
+            .filter(|(_, key)| is_late(key))
+            .map(|(id, key)| (id.clone(), *key))
+            .collect();
+        for (id, key) in late {
+            self.lingering.remove(&id);
+            self.release(key, "no later batch has the item");
+            self.forget(now, key);
         }
+        self.batches
+            .retain(|_, batch| batch.ended.is_none_or(|ended| now.since(ended) < LINGER));
+    }
+
+    /// Whether an item belongs to an ended batch.
+    fn is_ended(&self, key: WorkKey) -> bool {
+        let batch = self.works.get(key).map(|work| work.batch);
+        batch
+            .and_then(|batch| self.batches.get(batch))
+            .is_none_or(|batch| batch.ended.is_some())
     }
 
     /// Notes the head of a run's answer. False if the run is to be closed.
@@ -319,7 +416,14 @@
         let Some(found) = self.drop_run(run) else {
             return;
         };
+        let is_ended = self.is_ended(found.work);
         let work = &mut self.works[found.work];
+        if is_ended {
+            work.text.is_whole = work.text.last.is_some();
+            self.lingering.remove(&work.item.id.clone());
+            self.forget(now, found.work);
+            return;
+        }
         if work.text.last.is_none() {
             self.requeue(now, found.work);
             return;
@@ -344,6 +448,12 @@
         {
             seat.fail(now);
         }
+        if self.is_ended(found.work) {
+            let id = self.works[found.work].item.id.clone();
+            self.lingering.remove(&id);
+            self.forget(now, found.work);
+            return;
+        }
         let work = &mut self.works[found.work];
         let max_attempts = self.batches[work.batch].max_attempts;
         match failure {
@@ -367,6 +477,12 @@
         }
     }
 
+    /// Whether any batch is open, or runs of ended ones go on.
+    #[must_use]
+    pub fn is_busy(&self) -> bool {
+        !self.batches.is_empty()
+    }
+
     /// Whether every item of a batch has a result and all are taken for writing.
     #[must_use]
     pub fn is_over(&self, batch: BatchKey) -> bool {
@@ -395,6 +511,7 @@
             .retain(|_, (since, _)| now.since(*since) < KEEP_TEXT);
         self.past_groups
             .retain(|_, since| now.since(*since) < KEEP_TEXT);
+        self.end_lingering(now);
         self.expire(now);
         tail::move_stuck(self, now);
         weights::load(self, now);
@@ -415,8 +532,10 @@
         let late: Vec<WorkKey> = self
             .works
             .iter()
-            .filter(|(_, work)| {
-                work.stage != Stage::Over && now >= self.batches[work.batch].expires
+            .filter(|(key, work)| {
+                work.stage != Stage::Over
+                    && !self.is_ended(*key)
+                    && now >= self.batches[work.batch].expires
             })
             .map(|(key, _)| key)
             .collect();
@@ -434,7 +553,7 @@
                 return;
             }
             let work = &self.works[key];
-            if self.batches[work.batch].is_satisfied {
+            if self.batches[work.batch].is_satisfied && !work.is_spare {
                 continue;
             }
             if self.paused.get(&key).is_some_and(|until| now < *until) {
@@ -448,6 +567,21 @@
         }
     }
 
+    /// Whether an item that a trainer waits for waits for an engine, of one model or of any.
+    pub(super) fn is_waited_for(&self, model: Option<&str>) -> bool {
+        self.queue.iter().any(|(_, key)| {
+            let work = &self.works[*key];
+            let batch = &self.batches[work.batch];
+            let is_asked = model.is_none() || batch.model.as_deref() == model;
+            is_asked && !work.is_spare && !batch.is_satisfied
+        })
+    }
+
+    /// Whether a running item may go on elsewhere. One of an ended batch may not begin again.
+    pub(super) fn may_move(&self, key: WorkKey) -> bool {
+        !self.is_ended(key)
+    }
+
     /// What an item needs of an engine, given the text that it has.
     pub(super) fn need(&self, key: WorkKey) -> Need<'_> {
         let work = &self.works[key];
@@ -457,10 +591,17 @@
         } else {
             None
         };
+        // Text of the newest version may still be used in the next step, which is where an item
+        // ends that this step does not wait for.
+        let newest = batch.model.as_ref().and_then(|model| self.named.get(model));
+        let min_version = match (work.is_spare, newest) {
+            (true, Some(newest)) => batch.min_version.max(Some(*newest)),
+            _ => batch.min_version,
+        };
         Need {
             service: &work.service,
             model: batch.model.as_deref(),
-            min_version: batch.min_version,
+            min_version,
             version,
         }
     }
@@ -498,8 +639,15 @@
 
     /// Ends a run and lets its item wait again.
     pub(super) fn take_back(&mut self, now: Instant, run: u64, reason: &'static str) {
-        if let Some(found) = self.runs.get(&run).copied() {
-            self.stop(run, reason);
+        let Some(found) = self.runs.get(&run).copied() else {
+            return;
+        };
+        self.stop(run, reason);
+        if self.is_ended(found.work) {
+            let id = self.works[found.work].item.id.clone();
+            self.lingering.remove(&id);
+            self.forget(now, found.work);
+        } else {
             self.requeue(now, found.work);
         }
     }
--- a/crates/policy/src/batch/tail.rs
+++ b/crates/policy/src/batch/tail.rs
@@ -33,7 +33,7 @@
 
 /// Moves items from slow engines to free ones, once nothing waits for these.
 pub(super) fn move_slow(scheduler: &mut Scheduler, now: Instant) {
-    if !scheduler.queue.is_empty() {
+    if scheduler.is_waited_for(None) {
         return;
     }
     let median = scheduler.pool.median_pace();
@@ -45,6 +45,9 @@
         .collect();
     for number in slow {
         let run = scheduler.runs[&number];
+        if !scheduler.may_move(run.work) {
+            continue;
+        }
         let need = scheduler.need(run.work);
         let target = scheduler.pool.choose(now, &need, median, Some(run.seat));
         if let Some(seat) = target
--- a/crates/policy/src/batch/weights.rs
+++ b/crates/policy/src/batch/weights.rs
@@ -18,7 +18,8 @@
 /// Orders loads for engines that are behind the version named.
 pub(super) fn load(scheduler: &mut Scheduler, now: Instant) {
     let seats = &scheduler.pool.seats;
-    let most = (seats.len() / LOADING_SHARE).max(2);
+    let engines = seats.values().filter(|s| !s.entry.models.is_empty()).count();
+    let most = (engines / LOADING_SHARE).max(2);
     let mut loading = seats.values().filter(|s| s.loading.is_some()).count();
     let named: Vec<(String, u64)> = scheduler
         .named
@@ -45,10 +46,10 @@
         }
         let is_useless = needed.get(&model).is_some_and(|min| held < *min);
         let is_empty = scheduler.pool.seats[key].running == 0;
-        if !is_empty && !(is_idle(scheduler, &model) && clear(scheduler, now, key)) {
+        if !is_empty && !(!scheduler.is_waited_for(Some(&model)) && clear(scheduler, now, key)) {
             continue;
         }
-        if !is_useless && !is_idle(scheduler, &model) {
+        if !is_useless && scheduler.is_waited_for(Some(&model)) {
             continue;
         }
         loading += 1;
@@ -75,14 +76,6 @@
     needed
 }
 
-/// Whether no item of a model waits for an engine.
-fn is_idle(scheduler: &Scheduler, model: &str) -> bool {
-    !scheduler.queue.iter().any(|(_, key)| {
-        let batch = &scheduler.batches[scheduler.works[*key].batch];
-        batch.model.as_deref() == Some(model) && !batch.is_satisfied
-    })
-}
-
 /// Moves all items of an engine to others, if these have room. False if they have not.
 fn clear(scheduler: &mut Scheduler, now: Instant, key: SeatKey) -> bool {
     let runs: Vec<u64> = scheduler
@@ -99,7 +92,10 @@
         .filter(|(_, seat)| is_as_new(seat, &scheduler.pool.seats[key]))
         .map(|(_, seat)| seat.free() as usize)
         .sum();
-    if elsewhere < runs.len() {
+    let is_movable = runs
+        .iter()
+        .all(|run| scheduler.may_move(scheduler.runs[run].work));
+    if elsewhere < runs.len() || !is_movable {
         return false;
     }
     let median = scheduler.pool.median_pace();
--- a/crates/policy/src/batch/work.rs
+++ b/crates/policy/src/batch/work.rs
@@ -66,6 +66,8 @@
     pub(crate) failures: u32,
     /// The service that runs it.
     pub(crate) service: String,
+    /// Whether the trainer is not expected to wait for it.
+    pub(crate) is_spare: bool,
 }
 
 impl Work {
--- a/crates/process/src/logs/line.rs
+++ b/crates/process/src/logs/line.rs
@@ -38,6 +38,10 @@
 
 impl<'kvs> VisitSource<'kvs> for Fields {
     fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
+        let text = value.to_string();
+        if text == "None" {
+            return Ok(());
+        }
         let json = if let Some(number) = value.to_u64() {
             number.into()
         } else if let Some(number) = value.to_i64() {
@@ -47,7 +51,7 @@
         } else if let Some(number) = value.to_f64() {
             number.into()
         } else {
-            Json::String(value.to_string())
+            Json::String(text)
         };
         self.0.insert(key.to_string(), json);
         Ok(())
--- a/crates/process/src/logs/queue.rs
+++ b/crates/process/src/logs/queue.rs
@@ -60,17 +60,32 @@
     }
 }
 
-/// Writes lines as they come, all that wait in one call.
+/// The most bytes of one write: what a pipe takes as a whole.
+const PIPE_BYTES: usize = 4096;
+
+/// Writes lines as they come, those that wait together.
 fn write(waiting: &Receiver<Vec<u8>>) {
-    while let Ok(mut text) = waiting.recv() {
-        while let Ok(more) = waiting.try_recv() {
-            text.extend_from_slice(&more);
+    let mut text = Vec::new();
+    while let Ok(line) = waiting.recv() {
+        text.extend_from_slice(&line);
+        while let Ok(line) = waiting.try_recv() {
+            if text.len() + line.len() > PIPE_BYTES {
+                put(&text);
+                text.clear();
+            }
+            text.extend_from_slice(&line);
         }
-        // Nobody reads: there is no other place to say so.
-        drop(std::io::stdout().write_all(&text));
+        put(&text);
+        text.clear();
     }
 }
 
+fn put(text: &[u8]) {
+    let mut out = std::io::stdout().lock();
+    // Nobody reads: there is no other place to say so.
+    drop(out.write_all(text).and_then(|()| out.flush()));
+}
+
 impl Append for Queue {
     fn append(&self, record: &Record) -> anyhow::Result<()> {
         let Ok(mut budget) = self.budget.lock() else {
