--- a/crates/gateway/src/batches/desk.rs
+++ b/crates/gateway/src/batches/desk.rs
@@ -8,18 +8,18 @@
 use tamaracksail_adapter::settings::Settings;
 use tamaracksail_adapter::store::Error;
 use tamaracksail_model::backend::Entry;
-use tamaracksail_model::batch::Listing;
+use tamaracksail_model::batch::{Draft, Listing};
 use tamaracksail_model::table::{Table, draw_target};
 use tamaracksail_model::time::Instant;
 use tamaracksail_policy::batch::{Action, BatchKey, Scheduler};
-use tamaracksail_policy::lease::Lease;
-use tokio::sync::Notify;
+use tamaracksail_policy::lease::{Candidate, Lease};
+use tokio::sync::{Mutex, Notify};
 use tokio::task::AbortHandle;
 
 use super::record::{self, Chunk};
 use super::shelf::Shelf;
 use super::{orders, running};
-use crate::gateway::{Gateway, now};
+use crate::gateway::{Gateway, now, peer_address};
 
 /// How often the scheduler looks at the time while batches are open: a fraction of the silence
 /// after which an engine counts as stuck, and of the time for which results gather.
@@ -46,6 +46,16 @@
     pub(super) shelves: RefCell<BTreeMap<String, Shelf>>,
     pub(super) tasks: RefCell<BTreeMap<u64, AbortHandle>>,
     pub(super) names: RefCell<BTreeMap<BatchKey, String>>,
+    /// How many items batches have that were read, and whether they have ended.
+    pub(super) sizes: RefCell<BTreeMap<String, (usize, bool)>>,
+    /// Held while the lease is written, so that giving it up waits for a renewal on its way.
+    pub(super) lease_call: Mutex<()>,
+    /// Since when the store does not answer the lease's calls.
+    pub(super) failing_since: Cell<Option<Instant>>,
+    /// When the last order was given.
+    pub(super) last_order: Cell<Option<Instant>>,
+    /// Wakes those who ask whether the lease is held.
+    pub(super) lease_changed: Notify,
     /// Wakes the turn.
     wake: Notify,
 }
@@ -54,15 +64,25 @@
     /// A desk without the lease.
     pub fn new(settings: &Settings, incarnation: u64) -> Self {
         let span = settings.lease + LEASE_EXTRA;
+        let own = Candidate {
+            host: settings.host.clone(),
+            address: peer_address(settings),
+            incarnation,
+        };
         Self {
             scheduler: RefCell::default(),
-            lease: RefCell::new(Lease::new(span, settings.host.clone(), incarnation)),
+            lease: RefCell::new(Lease::new(span, settings.lease, own)),
             wanted: Cell::new(Instant(0)),
             wake_keeper: Notify::new(),
             is_open: Cell::new(false),
             shelves: RefCell::default(),
             tasks: RefCell::default(),
             names: RefCell::default(),
+            sizes: RefCell::default(),
+            lease_call: Mutex::new(()),
+            failing_since: Cell::new(None),
+            last_order: Cell::new(None),
+            lease_changed: Notify::new(),
             wake: Notify::new(),
         }
     }
@@ -102,9 +122,11 @@
     /// Gives the lease back and stops what runs. Another gateway goes on from the store.
     pub async fn hand_over(&self, gateway: &Gateway) {
         self.wanted.set(Instant(0));
-        let given_back = self.lease.borrow_mut().give_back();
         self.close("this process stops");
-        let Some((revision, record)) = given_back else {
+        let _call = self.lease_call.lock().await;
+        let given_up = self.lease.borrow_mut().give_up();
+        self.lease_changed.notify_waiters();
+        let Some((revision, record)) = given_up else {
             return;
         };
         let written = gateway
@@ -117,6 +139,11 @@
         }
     }
 
+    /// Text of unfinished items.
+    pub fn drafts(&self) -> Vec<(String, Draft)> {
+        self.scheduler.borrow().drafts()
+    }
+
     /// Stops all that runs and forgets all batches.
     pub(super) fn close(&self, reason: &str) {
         if !self.is_open.replace(false) {
@@ -129,12 +156,10 @@
         for shelf in std::mem::take(&mut *self.shelves.borrow_mut()).into_values() {
             shelf.changed.notify_waiters();
         }
-        let mut scheduler = self.scheduler.borrow_mut();
-        for (batch, _) in std::mem::take(&mut *self.names.borrow_mut()) {
-            scheduler.end(now(), batch);
-        }
-        // What it would still do is void.
-        drop(scheduler.pump(now()));
+        self.names.borrow_mut().clear();
+        // The tasks of its runs are stopped above.
+        drop(self.scheduler.borrow_mut().close(now()));
+        self.lease_changed.notify_waiters();
     }
 
     /// Ends a batch that this process schedules.
@@ -256,9 +281,14 @@
     };
     let kind = record::kind(&id);
     let name = record::chunk(number);
+    let mut is_unknown = false;
     loop {
         let is_held = desk.lease.borrow().fence(now()).is_some();
         if !desk.is_open.get() || !desk.names.borrow().contains_key(&batch) {
+            if is_unknown {
+                // The store may know more results than this process, so reads go there.
+                desk.shelves.borrow_mut().remove(&id);
+            }
             return;
         }
         let outcome = if is_held {
@@ -282,10 +312,12 @@
                     break;
                 }
                 log::warn!(batch = id.as_str(), chunk = number; "results of another scheduler");
+                desk.lease.borrow_mut().doubt();
                 desk.close("another process lists results");
                 return;
             }
             Err(error) => {
+                is_unknown |= matches!(error, Error::Unknown { .. });
                 log::warn!(batch = id.as_str(), chunk = number, error:%; "results not written");
                 tokio::time::sleep(REWRITE).await;
             }
--- a/crates/gateway/src/batches/keeper.rs
+++ b/crates/gateway/src/batches/keeper.rs
@@ -6,17 +6,19 @@
 use tamaracksail_adapter::store::{Error, Object};
 use tamaracksail_model::time::Instant;
 use tamaracksail_policy::lease::{Record, Step};
+use tamaracksail_wire::peer::{Ask, Reply};
 
 use super::record;
 use super::takeover;
 use crate::gateway::{Gateway, now};
+use crate::peer::{self, Trouble};
 
 /// How long after the last sign of work this process wants the lease. Clients read about twice a
 /// second.
 const WANTED: Duration = Duration::from_secs(10);
 
-/// Between two looks at a lease that another holds. Each is a paid call.
-const LOOK: Duration = Duration::from_millis(1500);
+/// Between two looks at a lease whose holder does not answer. Each is a paid call.
+const LOOK: Duration = Duration::from_millis(1000);
 
 /// Between two looks at the own lease.
 const OWN_LOOK: Duration = Duration::from_millis(250);
@@ -24,6 +26,16 @@
 /// After a failed call.
 const RETRY: Duration = Duration::from_millis(400);
 
+/// How long a call about the lease may take. The store answers in milliseconds; a holder must
+/// know well before its span is over that it is cut off.
+const CALL: Duration = Duration::from_millis(1000);
+
+/// How long a holder lets the question wait whether it still holds.
+const HOLDING: Duration = Duration::from_millis(1000);
+
+/// How long a peer may take beyond that.
+const PEER: Duration = Duration::from_millis(600);
+
 /// Notes that batches are at work here, so that some process must schedule.
 pub fn want(gateway: &Gateway) {
     if gateway.stopping.get().is_some() {
@@ -38,6 +50,48 @@
     }
 }
 
+/// Answers a peer that asks whether this process still holds the lease.
+pub async fn holding(gateway: &Gateway, fence: u64) -> Reply {
+    let desk = &gateway.desk;
+    let deadline = now().after(HOLDING);
+    loop {
+        let is_held = desk.lease.borrow().fence(now()) == Some(fence);
+        if !is_held {
+            return released(gateway);
+        }
+        let is_cut = desk.failing_since.get().is_some();
+        let left = deadline.since(now());
+        if is_cut || left.is_zero() {
+            return Reply::Holding { is_cut };
+        }
+        // Whichever comes first; the loop looks again.
+        drop(tokio::time::timeout(left, desk.lease_changed.notified()).await);
+    }
+}
+
+/// Stops scheduling for a peer that reaches the store, if this process does not.
+pub fn yield_lease(gateway: &Gateway, fence: u64) -> Reply {
+    let desk = &gateway.desk;
+    let is_held = desk.lease.borrow().fence(now()) == Some(fence);
+    if is_held && desk.failing_since.get().is_none() {
+        return Reply::Holding { is_cut: false };
+    }
+    if is_held {
+        desk.close("a peer reaches the store and this process does not");
+        if let Some((_, record)) = desk.lease.borrow_mut().give_up() {
+            log::info!(fence = record.fence; "lease left to a peer");
+        }
+    }
+    released(gateway)
+}
+
+fn released(gateway: &Gateway) -> Reply {
+    let age = gateway.desk.last_order.get().map(|last| now().since(last));
+    Reply::Released {
+        order_age_ms: age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
+    }
+}
+
 /// Takes and renews the lease, for ever.
 pub async fn keep(gateway: Rc<Gateway>) {
     let desk = &gateway.desk;
@@ -61,111 +115,212 @@
     if !is_wanted || gateway.stopping.get().is_some() {
         return LOOK;
     }
-    let next = desk.lease.borrow().step(now(), false);
-    let next = match next {
-        Step::Read => match read(gateway).await {
-            Ok(()) => desk.lease.borrow().step(now(), true),
+    let mut next = desk.lease.borrow().step(now(), false);
+    if let Step::Ask(_) = next {
+        match ask(gateway).await {
+            Asked::Holds => {
+                desk.lease.borrow_mut().confirmed(now());
+                return Duration::ZERO;
+            }
+            Asked::Gone(fence, last_order) => match read(gateway).await {
+                Ok(()) => {
+                    desk.lease.borrow_mut().released(fence, last_order);
+                    next = desk.lease.borrow().step(now(), true);
+                }
+                Err(error) => {
+                    log::warn!(error:%; "lease not read");
+                    return RETRY;
+                }
+            },
+            Asked::Nothing => next = Step::Read,
+        }
+    }
+    if next == Step::Read {
+        match read(gateway).await {
+            Ok(()) => next = desk.lease.borrow().step(now(), true),
             Err(error) => {
                 log::warn!(error:%; "lease not read");
                 return RETRY;
             }
-        },
-        next => next,
-    };
-    match next {
-        Step::Rest | Step::Read => {}
-        Step::Create(wanted) => {
-            let asked = now();
-            let outcome = gateway
-                .store
-                .create(record::LEASES, record::LEASE, &wanted)
-                .await;
-            written(gateway, asked, &wanted, outcome, true).await;
-        }
-        Step::Replace(revision, wanted) => {
-            let asked = now();
-            let previous = desk.lease.borrow().holder().map(str::to_owned);
-            let is_own = previous.as_ref() == wanted.holder.as_ref();
-            let outcome = gateway
-                .store
-                .replace(record::LEASES, record::LEASE, revision, &wanted)
-                .await;
-            written(gateway, asked, &wanted, outcome, is_own).await;
         }
     }
+    write(gateway, next).await;
     if desk.lease.borrow().fence(now()).is_none() {
         desk.close("the lease was lost");
-        return LOOK;
+        return if desk.lease.borrow().record().is_some() {
+            LOOK
+        } else {
+            RETRY
+        };
     }
-    if !desk.is_open.get() {
-        takeover::open(gateway).await;
+    if !desk.is_open.get() && gateway.stopping.get().is_none() {
+        let before = desk.lease.borrow().before();
+        takeover::open(gateway, before).await;
     }
     OWN_LOOK
 }
 
-async fn read(gateway: &Gateway) -> Result<(), Error> {
-    let asked = now();
-    match gateway.store.get(record::LEASES, record::LEASE).await {
-        Ok(object) => {
-            saw(gateway, asked, &object);
-            Ok(())
-        }
-        Err(Error::Missing { .. }) => {
-            gateway.desk.lease.borrow_mut().missing();
-            Ok(())
-        }
-        Err(error) => Err(error),
-    }
+/// What the holder says.
+enum Asked {
+    /// It holds.
+    Holds,
+    /// It has stopped under this fencing number; its last order was no later than this.
+    Gone(u64, Instant),
+    /// It does not answer.
+    Nothing,
 }
 
-fn saw(gateway: &Gateway, asked: Instant, object: &Object) {
-    match object.spec::<Record>() {
-        Ok(record) => {
-            let mut lease = gateway.desk.lease.borrow_mut();
-            lease.saw(asked, now(), object.revision, record);
+async fn ask(gateway: &Gateway) -> Asked {
+    let record = gateway.desk.lease.borrow().record().cloned();
+    let Some((fence, Some(address))) = record.map(|record| (record.fence, record.address)) else {
+        return Asked::Nothing;
+    };
+    let gone = |age: Option<u64>, at: Instant| {
+        let age = age.map_or(Duration::MAX, Duration::from_millis);
+        let micros = u64::try_from(age.as_micros()).unwrap_or(u64::MAX);
+        Asked::Gone(fence, Instant(at.0.saturating_sub(micros)))
+    };
+    let at = now();
+    match peer::ask(gateway, address, &Ask::Holding { fence }, HOLDING + PEER).await {
+        Ok(Reply::Holding { is_cut: false }) => Asked::Holds,
+        Ok(Reply::Holding { is_cut: true }) => {
+            if let Err(error) = read(gateway).await {
+                log::info!(error:%; "the store answers neither the holder nor this process");
+                return Asked::Nothing;
+            }
+            let at = now();
+            match peer::ask(gateway, address, &Ask::Yield { fence }, PEER).await {
+                Ok(Reply::Released { order_age_ms }) => {
+                    log::info!(fence, holder:% = address; "lease left by a holder that is cut off");
+                    gone(order_age_ms, at)
+                }
+                _ => Asked::Nothing,
+            }
+        }
+        Ok(Reply::Released { order_age_ms }) => {
+            log::info!(fence, holder:% = address; "the holder has stopped");
+            gone(order_age_ms, at)
+        }
+        Err(Trouble::Dead(_)) => {
+            log::info!(fence, holder:% = address; "the holder's process is gone");
+            Asked::Gone(fence, now())
+        }
+        Ok(_) => Asked::Nothing,
+        Err(error) => {
+            log::info!(fence, error:%; "the holder does not answer");
+            Asked::Nothing
         }
-        Err(error) => log::error!(revision = object.revision, error:%; "lease cannot be read"),
     }
 }
 
-async fn written(
-    gateway: &Gateway,
-    asked: Instant,
-    wanted: &Record,
-    outcome: Result<Object, Error>,
-    is_own: bool,
-) {
+async fn write(gateway: &Rc<Gateway>, next: Step) {
     let desk = &gateway.desk;
+    let _call = desk.lease_call.lock().await;
+    if gateway.stopping.get().is_some() {
+        return;
+    }
+    let asked = now();
+    let (wanted, outcome) = match next {
+        Step::Rest | Step::Read | Step::Ask(_) => return,
+        Step::Create(wanted) => {
+            let call = gateway.store.create(record::LEASES, record::LEASE, &wanted);
+            let outcome = limit(call).await;
+            (wanted, outcome)
+        }
+        Step::Replace(revision, wanted) => {
+            let call = gateway
+                .store
+                .replace(record::LEASES, record::LEASE, revision, &wanted);
+            let outcome = limit(call).await;
+            (wanted, outcome)
+        }
+    };
     match outcome {
         Ok(object) => {
+            contact(gateway, true);
             let was_held = desk.lease.borrow().fence(now()).is_some();
+            let fence = wanted.fence;
             let mut lease = desk.lease.borrow_mut();
-            lease.wrote(asked, now(), object.revision, wanted.clone());
-            if !was_held && is_own {
-                lease.skip_pause();
-            }
+            lease.wrote(asked, now(), object.revision, wanted);
             drop(lease);
             if !was_held {
-                log::info!(fence = wanted.fence, revision = object.revision; "lease taken");
+                log::info!(fence, revision = object.revision; "lease taken");
             }
         }
         Err(Error::Conflict { object, .. }) => {
+            contact(gateway, true);
             log::info!(fence = wanted.fence; "lease changed by another");
             match object {
-                Some(object) => saw(gateway, asked, &object),
-                None => {
-                    if let Err(error) = read(gateway).await {
-                        log::warn!(error:%; "lease not read");
-                    }
-                }
+                Some(object) => saw(gateway, &object),
+                None => reread(gateway).await,
             }
         }
         Err(error) => {
+            contact(gateway, false);
             log::warn!(fence = wanted.fence, error:%; "lease not written");
             // It may be written all the same; what stands there tells.
-            if let Err(error) = read(gateway).await {
-                log::warn!(error:%; "lease not read");
-            }
+            reread(gateway).await;
+        }
+    }
+}
+
+/// Bounds a call about the lease.
+async fn limit(call: impl Future<Output = Result<Object, Error>>) -> Result<Object, Error> {
+    tokio::time::timeout(CALL, call)
+        .await
+        .unwrap_or_else(|_| {
+            Err(Error::Unknown {
+                call: record::LEASES.to_owned(),
+                problem: "no answer in time".to_owned(),
+            })
+        })
+}
+
+/// Notes whether the store answers.
+fn contact(gateway: &Gateway, is_answered: bool) {
+    let desk = &gateway.desk;
+    let since = desk.failing_since.get();
+    desk.failing_since.set(match (is_answered, since) {
+        (true, _) => None,
+        (false, None) => Some(now()),
+        (false, since) => since,
+    });
+    if !is_answered && since.is_none() {
+        desk.lease_changed.notify_waiters();
+    }
+}
+
+async fn reread(gateway: &Gateway) {
+    if let Err(error) = read(gateway).await {
+        log::warn!(error:%; "lease not read");
+    }
+}
+
+async fn read(gateway: &Gateway) -> Result<(), Error> {
+    match limit(gateway.store.get(record::LEASES, record::LEASE)).await {
+        Ok(object) => {
+            contact(gateway, true);
+            saw(gateway, &object);
+            Ok(())
         }
+        Err(Error::Missing { .. }) => {
+            contact(gateway, true);
+            gateway.desk.lease.borrow_mut().missing();
+            Ok(())
+        }
+        Err(error) => {
+            contact(gateway, false);
+            Err(error)
+        }
+    }
+}
+
+fn saw(gateway: &Gateway, object: &Object) {
+    match object.spec::<Record>() {
+        Ok(record) => {
+            let mut lease = gateway.desk.lease.borrow_mut();
+            lease.saw(now(), object.revision, record);
+        }
+        Err(error) => log::error!(revision = object.revision, error:%; "lease cannot be read"),
     }
 }
--- a/crates/gateway/src/batches/mod.rs
+++ b/crates/gateway/src/batches/mod.rs
@@ -13,7 +13,8 @@
 
 pub use accept::accept;
 pub use desk::Desk;
-pub use read::{body, end, results};
+pub use keeper::{holding, yield_lease};
+pub use read::{body, end, results, shared_results};
 
 use std::rc::Rc;
 
--- a/crates/gateway/src/batches/orders.rs
+++ b/crates/gateway/src/batches/orders.rs
@@ -67,7 +67,9 @@
             return Ok(before.version(model).unwrap_or(version));
         }
         if !before.is_busy {
-            let Some(fence) = gateway.desk.lease.borrow().order_fence(now()) else {
+            let may_order = gateway.desk.failing_since.get().is_none();
+            let fence = gateway.desk.lease.borrow().order_fence(now());
+            let Some(fence) = fence.filter(|_| may_order) else {
                 return Err("orders may not be given now".to_owned());
             };
             let holder = gateway.settings.borrow().host.clone();
@@ -77,6 +79,7 @@
                 server = entry.instance.as_str(), model, version, fence,
                 expected = before.accepted; "order given"
             );
+            gateway.desk.last_order.set(Some(now()));
             match give(gateway, entry, &order).await {
                 Ok(StatusCode::ACCEPTED | StatusCode::OK | StatusCode::CONFLICT) => {}
                 Ok(code) => return Err(format!("order answered {code}")),
--- a/crates/gateway/src/batches/read.rs
+++ b/crates/gateway/src/batches/read.rs
@@ -8,20 +8,28 @@
 use tamaracksail_adapter::batch;
 use tamaracksail_adapter::store::Error;
 use tamaracksail_model::batch::Listing;
+use tamaracksail_wire::peer::{Ask, Reply};
 
 use super::keeper;
 use super::record::{self, Chunk, Head, Part, Progress};
 use crate::connection::Body;
 use crate::gateway::{Gateway, now};
+use crate::peer;
 use crate::request::{refusal, status, with_body};
 use crate::store;
 
 /// When to come back while the store does not answer.
 const STORE_AWAY: Duration = Duration::from_millis(500);
 
+/// Batches whose size is remembered.
+const SIZES: usize = 1024;
+
 /// How often an end whose outcome is unknown is written.
 const END_TRIES: usize = 3;
 
+/// How much longer than the wait a peer may take to answer.
+const PEER: Duration = Duration::from_millis(400);
+
 /// Results from position `from` on, waiting up to `wait` for one.
 pub async fn results(
     gateway: &Rc<Gateway>,
@@ -30,8 +38,11 @@
     wait: Duration,
 ) -> Response<Body> {
     keeper::want(gateway);
-    if let Some(response) = from_memory(gateway, id, from, wait).await {
-        return response;
+    if let Some((total, results)) = from_memory(gateway, id, from, wait).await {
+        return page(total, from, results.iter());
+    }
+    if let Some((total, results)) = from_peer(gateway, id, from, wait).await {
+        return page(total, from, results.iter());
     }
     match from_store(gateway, id, from, wait).await {
         Ok(response) => response,
@@ -39,6 +50,45 @@
     }
 }
 
+/// Results for a peer.
+pub async fn shared_results(
+    gateway: &Rc<Gateway>,
+    id: &str,
+    from: usize,
+    wait: Duration,
+) -> Reply {
+    match from_memory(gateway, id, from, wait).await {
+        Some((total, results)) => Reply::Results { total, results },
+        None => Reply::Unknown,
+    }
+}
+
+/// The results as the scheduling gateway has them.
+async fn from_peer(
+    gateway: &Gateway,
+    id: &str,
+    from: usize,
+    wait: Duration,
+) -> Option<(usize, Vec<Listing>)> {
+    let holder = gateway.desk.lease.borrow().record()?.address?;
+    if holder == gateway.peer_address() {
+        return None;
+    }
+    let question = Ask::Results {
+        batch: id.to_owned(),
+        from,
+        wait_ms: u64::try_from(wait.as_millis()).unwrap_or(0),
+    };
+    match peer::ask(gateway, holder, &question, wait + PEER).await {
+        Ok(Reply::Results { total, results }) => Some((total, results)),
+        Ok(_) => None,
+        Err(error) => {
+            log::info!(batch = id, error:%; "results not had from the holder");
+            None
+        }
+    }
+}
+
 fn unread(id: &str, error: &Error) -> Response<Body> {
     if matches!(error, Error::Missing { .. }) {
         log::info!(batch = id; "no such batch");
@@ -48,13 +98,14 @@
     refusal(STORE_AWAY)
 }
 
-/// The answer from this process's own memory, if it schedules the batch.
+/// The results as this process has them, if it schedules the batch: its size, and what stands
+/// from the position on.
 async fn from_memory(
     gateway: &Gateway,
     id: &str,
     from: usize,
     wait: Duration,
-) -> Option<Response<Body>> {
+) -> Option<(usize, Vec<Listing>)> {
     let desk = &gateway.desk;
     let deadline = now().after(wait);
     loop {
@@ -68,7 +119,7 @@
             let is_ended = shelf.batch.is_none();
             let left = deadline.since(now());
             if shelf.results.len() > from || is_ended || left.is_zero() {
-                return Some(page(shelf.total, from, shelf.results.iter().skip(from)));
+                return Some((shelf.total, some(shelf.results.iter().skip(from))));
             }
             Rc::clone(&shelf.changed)
         };
@@ -77,6 +128,20 @@
     }
 }
 
+/// As many results as fit in one answer, at least one if there is one.
+fn some<'a>(results: impl Iterator<Item = &'a Listing>) -> Vec<Listing> {
+    let mut bytes = 0;
+    let mut taken = Vec::new();
+    for result in results {
+        bytes += result.text.len();
+        if bytes > batch::PAGE_BYTES && !taken.is_empty() {
+            break;
+        }
+        taken.push(result.clone());
+    }
+    taken
+}
+
 fn page<'a>(
     total: usize,
     from: usize,
@@ -96,17 +161,9 @@
     from: usize,
     wait: Duration,
 ) -> Result<Response<Body>, Error> {
-    let head = gateway.store.get(record::HEADS, id).await?;
-    let total = match head.spec::<Head>() {
-        Ok(head) => head.total,
-        Err(error) => {
-            log::error!(batch = id, error:%; "batch cannot be read");
-            return Ok(refusal(STORE_AWAY));
-        }
+    let Some((total, is_ended)) = size(gateway, id).await? else {
+        return Ok(refusal(STORE_AWAY));
     };
-    let is_ended = head
-        .status::<Progress>()
-        .is_ok_and(|progress| progress.is_some_and(|progress| progress.is_ended));
     let kind = record::kind(id);
     let deadline = now().after(wait);
     loop {
@@ -123,6 +180,32 @@
     }
 }
 
+/// How many items a batch has, and whether it is known to have ended. None if its head cannot be
+/// read.
+async fn size(gateway: &Gateway, id: &str) -> Result<Option<(usize, bool)>, Error> {
+    let known = gateway.desk.sizes.borrow().get(id).copied();
+    if let Some(known) = known {
+        return Ok(Some(known));
+    }
+    let object = gateway.store.get(record::HEADS, id).await?;
+    let head = match object.spec::<Head>() {
+        Ok(head) => head,
+        Err(error) => {
+            log::error!(batch = id, error:%; "batch cannot be read");
+            return Ok(None);
+        }
+    };
+    let is_ended = object
+        .status::<Progress>()
+        .is_ok_and(|progress| progress.is_some_and(|progress| progress.is_ended));
+    let mut sizes = gateway.desk.sizes.borrow_mut();
+    if sizes.len() >= SIZES {
+        sizes.clear();
+    }
+    sizes.insert(id.to_owned(), (head.total, is_ended));
+    Ok(Some((head.total, is_ended)))
+}
+
 /// The chunks of a batch in their order.
 async fn chunks(gateway: &Gateway, kind: &str) -> Result<(Vec<Chunk>, u64), Error> {
     let (objects, revision) =
--- a/crates/gateway/src/batches/takeover.rs
+++ b/crates/gateway/src/batches/takeover.rs
@@ -1,6 +1,7 @@
 //! Takes over all open batches from the store, and follows new ones.
 
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -10,12 +11,14 @@
 use tamaracksail_adapter::{batch, names};
 use tamaracksail_model::batch::Listing;
 use tamaracksail_policy::batch::Intake;
+use tamaracksail_wire::peer::{Ask, Reply};
 use tokio::sync::Notify;
 
 use super::desk::service;
 use super::record::{self, Chunk, Head, Part, Progress};
 use super::shelf::Shelf;
 use crate::gateway::{Gateway, now, unix_millis};
+use crate::peer;
 use crate::store::{self, News};
 
 /// The pause before a batch that could not be read is read again.
@@ -24,9 +27,16 @@
 /// How long items of routes that do not say it may take.
 const PATIENCE: Duration = Duration::from_secs(60);
 
-/// Opens the desk: from now on this process schedules.
-pub async fn open(gateway: &Rc<Gateway>) {
+/// How long the holder before may take to hand over the text of unfinished items.
+const DRAFTS: Duration = Duration::from_millis(700);
+
+/// Opens the desk: from now on this process schedules. `before` is the holder before, if it is
+/// another process.
+pub async fn open(gateway: &Rc<Gateway>, before: Option<SocketAddr>) {
     let desk = &gateway.desk;
+    if let Some(before) = before {
+        take_drafts(gateway, before).await;
+    }
     desk.is_open.set(true);
     log::info!("scheduling begins");
     let mut tasks = desk.tasks.borrow_mut();
@@ -44,9 +54,24 @@
     desk.turn_soon();
 }
 
+/// Asks the holder before for the text of unfinished items, so that they need not begin anew.
+async fn take_drafts(gateway: &Gateway, before: SocketAddr) {
+    match peer::ask(gateway, before, &Ask::Drafts, DRAFTS).await {
+        Ok(Reply::Drafts { drafts }) => {
+            log::info!(from:% = before, drafts = drafts.len(); "text taken over");
+            let mut scheduler = gateway.desk.scheduler.borrow_mut();
+            for (item, draft) in drafts {
+                scheduler.keep_draft(now(), item, draft);
+            }
+        }
+        Ok(_) => {}
+        Err(error) => log::info!(error:%; "no text taken over"),
+    }
+}
+
 async fn follow_versions(gateway: Rc<Gateway>) {
     let client = gateway.store.clone();
-    store::follow(client, names::VERSION_KIND, |news| match news {
+    store::follow(client, names::VERSION_KIND, Duration::ZERO, |news| match news {
         News::All(objects) => objects.iter().for_each(|object| named(&gateway, object)),
         News::Changed(object) => named(&gateway, object),
         News::Removed(_) | News::Lost => {}
@@ -71,7 +96,7 @@
 
 async fn follow_heads(gateway: Rc<Gateway>) {
     let client = gateway.store.clone();
-    store::follow(client, record::HEADS, |news| match news {
+    store::follow(client, record::HEADS, Duration::ZERO, |news| match news {
         News::All(objects) => objects.iter().for_each(|object| head(&gateway, object)),
         News::Changed(object) => head(&gateway, object),
         News::Removed(object) => gateway.desk.end(&object.name),
@@ -139,9 +164,40 @@
         }
     }
     log::info!(batch = id, parts = head.parts, chunks, results = results.len(); "batch read");
+    let chunks = seal(gateway, id, &kind, &mut results, chunks).await?;
     Ok((body.into(), results, chunks))
 }
 
+/// Writes an empty chunk after the last, so that a chunk of an earlier scheduler that is still on
+/// its way can no longer be created. Returns the number of the next chunk.
+async fn seal(
+    gateway: &Gateway,
+    id: &str,
+    kind: &str,
+    results: &mut Vec<Listing>,
+    mut next: usize,
+) -> Result<usize, Error> {
+    loop {
+        let empty = Chunk {
+            first: results.len(),
+            results: Vec::new(),
+        };
+        let name = record::chunk(next);
+        next += 1;
+        match gateway.store.create(kind, &name, &empty).await {
+            Ok(_) => return Ok(next),
+            Err(Error::Conflict { .. }) => {}
+            Err(error) => return Err(error),
+        }
+        let object = gateway.store.get(kind, &name).await?;
+        match object.spec::<Chunk>() {
+            Ok(chunk) if chunk == empty => return Ok(next),
+            Ok(chunk) => results.extend(chunk.results),
+            Err(error) => log::error!(batch = id, error:%; "results cannot be read"),
+        }
+    }
+}
+
 /// Takes a batch in that stands in the store.
 pub fn take_in(
     gateway: &Gateway,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,8 +1,8 @@
 //! What lives as long as the process.
 
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 
 use rustix::time::{ClockId, clock_gettime};
 use tamaracksail_adapter::settings::Settings;
@@ -72,6 +72,11 @@
         self.stopping.get().is_none() && self.table.borrow().is_some() && self.knows_servers.get()
     }
 
+    /// Where other gateways reach this one.
+    pub fn peer_address(&self) -> SocketAddr {
+        peer_address(&self.settings.borrow())
+    }
+
     /// The routes in force.
     pub fn table(&self) -> Option<Rc<Table>> {
         self.table.borrow().clone()
@@ -96,7 +101,7 @@
         })
 }
 
-/// The time from `now` to `then`; zero if it is past.
-pub fn until(now: Instant, then: Instant) -> Duration {
-    then.since(now)
+/// Where other gateways reach the one with these settings.
+pub fn peer_address(settings: &Settings) -> SocketAddr {
+    SocketAddr::new(settings.address, settings.inner_ports.0)
 }
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -8,6 +8,7 @@
 mod connection;
 mod gateway;
 mod options;
+mod peer;
 mod request;
 mod stop;
 mod store;
@@ -29,11 +30,16 @@
     actix_rt::System::new().block_on(async move {
         let gateway = Rc::new(Gateway::new(settings, &options));
         log::info!(host = gateway.settings.borrow().host.as_str(), incarnation = gateway.incarnation; "start");
+        for listening in [
+            connection::listen(&gateway).await,
+            peer::listen(&gateway).await,
+        ] {
+            if let Err(error) = listening {
+                settings::fail(options::NAME, &error.to_string());
+            }
+        }
         version::follow(&gateway);
         batches::start(&gateway);
-        if let Err(error) = connection::listen(&gateway).await {
-            settings::fail(options::NAME, &error.to_string());
-        }
         stop::serve_until_stopped(&gateway).await;
         log::info!("stop");
     });
--- /dev/null
+++ b/crates/gateway/src/peer/server.rs
@@ -0,0 +1,94 @@
+//! Answers other gateways.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tamaracksail_http::socket;
+use tamaracksail_wire::codec::MAX_BYTES;
+use tamaracksail_wire::peer::{Ask, Reply};
+use tokio::net::{TcpListener, TcpStream};
+
+use super::PATH;
+use crate::batches;
+use crate::connection::Body;
+use crate::gateway::Gateway;
+use crate::request::{status, with_body};
+
+/// Listens on the host's first inner port.
+///
+/// # Errors
+/// If it cannot be bound.
+pub async fn listen(gateway: &Rc<Gateway>) -> std::io::Result<()> {
+    let address = gateway.peer_address();
+    let listener = TcpListener::bind(address).await?;
+    log::info!(address:%; "listening for peers");
+    let gateway = Rc::clone(gateway);
+    actix_rt::spawn(async move {
+        loop {
+            match listener.accept().await {
+                Ok((stream, peer)) => {
+                    actix_rt::spawn(serve(Rc::clone(&gateway), stream, peer));
+                }
+                Err(error) => {
+                    log::warn!(error:%; "peer not accepted");
+                    tokio::time::sleep(Duration::from_millis(20)).await;
+                }
+            }
+        }
+    });
+    Ok(())
+}
+
+async fn serve(gateway: Rc<Gateway>, stream: TcpStream, peer: SocketAddr) {
+    if let Err(error) = socket::tune(&stream) {
+        log::warn!(peer:%, error:%; "peer's socket not tuned");
+    }
+    let service = service_fn(|request| {
+        let gateway = Rc::clone(&gateway);
+        async move { Ok::<_, Infallible>(answer(&gateway, request).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(None)
+        .serve_connection(TokioIo::new(stream), service);
+    if let Err(error) = connection.await {
+        log::debug!(peer:%, error:%; "peer's connection ended");
+    }
+}
+
+async fn answer(gateway: &Rc<Gateway>, request: Request<Incoming>) -> Response<Body> {
+    if request.uri().path() != PATH {
+        return status(StatusCode::NOT_FOUND);
+    }
+    let Ok(body) = Limited::new(request.into_body(), MAX_BYTES).collect().await else {
+        return status(StatusCode::BAD_REQUEST);
+    };
+    let question: Ask = match tamaracksail_wire::decode(&body.to_bytes()) {
+        Ok(question) => question,
+        Err(error) => {
+            log::warn!(error:%; "peer's question cannot be read");
+            return status(StatusCode::BAD_REQUEST);
+        }
+    };
+    let reply = match question {
+        Ask::Holding { fence } => batches::holding(gateway, fence).await,
+        Ask::Yield { fence } => batches::yield_lease(gateway, fence),
+        Ask::Results {
+            batch,
+            from,
+            wait_ms,
+        } => batches::shared_results(gateway, &batch, from, Duration::from_millis(wait_ms)).await,
+        Ask::Drafts => Reply::Drafts {
+            drafts: gateway.desk.drafts(),
+        },
+    };
+    with_body(StatusCode::OK, tamaracksail_wire::encode(&reply))
+}
--- a/crates/gateway/src/request/sending.rs
+++ b/crates/gateway/src/request/sending.rs
@@ -12,7 +12,7 @@
 use hyper::http::response;
 use tamaracksail_adapter::backend::{Answer, Stamp};
 use tamaracksail_adapter::ingress;
-use tamaracksail_http::{Reply, Step};
+use tamaracksail_http::Reply;
 use tamaracksail_model::time::Instant;
 use tamaracksail_policy::fleet::{Report, ServerKey};
 
@@ -85,7 +85,7 @@
             Ok(reply) => self.read(reply, id).await,
             Err(error) => {
                 self.report(Report::Failed);
-                if error.step == Step::Connect {
+                if error.is_unsent() {
                     Outcome::NotRun(error.to_string())
                 } else {
                     Outcome::Failed(error.to_string())
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -28,7 +28,14 @@
 }
 
 /// Reports all objects of `kind`, then each change, for ever.
-pub async fn follow(client: Client, kind: &str, mut report: impl FnMut(News)) {
+/// After a change the next watch begins `gather` later, so that changes in quick succession cost
+/// one call.
+pub async fn follow(
+    client: Client,
+    kind: &str,
+    gather: Duration,
+    mut report: impl FnMut(News),
+) {
     let mut pause = FIRST_PAUSE;
     let mut is_lost = false;
     let mut revision = None;
@@ -50,6 +57,9 @@
                             News::Changed(&change.object)
                         });
                     }
+                    if !changes.events.is_empty() {
+                        tokio::time::sleep(gather).await;
+                    }
                     Ok(changes.revision)
                 }
                 Err(error) => Err(error),
--- a/crates/gateway/src/version/retirements.rs
+++ b/crates/gateway/src/version/retirements.rs
@@ -21,7 +21,7 @@
 /// Follows the requests.
 pub async fn follow(gateway: Rc<Gateway>) {
     let client = gateway.store.clone();
-    store::follow(client, names::RETIREMENTS, |news| match news {
+    store::follow(client, names::RETIREMENTS, Duration::ZERO, |news| match news {
         News::All(objects) => objects.iter().for_each(|object| answer(&gateway, object)),
         News::Changed(object) => answer(&gateway, object),
         News::Removed(_) | News::Lost => {}
--- a/crates/gateway/src/version/routes.rs
+++ b/crates/gateway/src/version/routes.rs
@@ -1,6 +1,7 @@
 //! The routes in force.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use tamaracksail_adapter::store::Object;
 use tamaracksail_adapter::{manifest, names};
@@ -11,7 +12,7 @@
 /// Follows the routes.
 pub async fn follow(gateway: Rc<Gateway>) {
     let client = gateway.store.clone();
-    store::follow(client, names::CONFIG, |news| match news {
+    store::follow(client, names::CONFIG, Duration::ZERO, |news| match news {
         News::All(objects) => objects.iter().for_each(|object| apply(&gateway, object)),
         News::Changed(object) => apply(&gateway, object),
         // Routes in force stay in force.
--- a/crates/gateway/src/version/servers.rs
+++ b/crates/gateway/src/version/servers.rs
@@ -19,13 +19,17 @@
 /// How long the store counts as disturbed after a call failed.
 const DISTURBED: Duration = Duration::from_secs(3);
 
+/// How long changes gather. A server that leaves must get no more requests within about two
+/// seconds; loads of weights change entries all the time.
+const GATHER: Duration = Duration::from_millis(700);
+
 /// Follows the entries of backend servers.
 pub async fn follow(gateway: Rc<Gateway>) {
     let client = gateway.store.clone();
     // When the store was last known to be away.
     let lost = Cell::new(None);
     let lapsed: Rc<RefCell<BTreeSet<String>>> = Rc::default();
-    store::follow(client, names::SERVERS, |news| match news {
+    store::follow(client, names::SERVERS, GATHER, |news| match news {
         News::All(objects) => {
             let mut listed = BTreeSet::new();
             for object in objects {
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -11,7 +11,7 @@
 use hyper::Request;
 
 use crate::connection::Connection;
-use crate::error::{Error, Step};
+use crate::error::Error;
 use crate::reply::Reply;
 
 /// Idle connections kept to one peer. A share of what a backend server takes from all callers.
@@ -43,7 +43,7 @@
                     let (head, body) = response.into_parts();
                     return Ok(Reply::new(head, body, connection));
                 }
-                Err(error) if error.step == Step::Connect => {}
+                Err(error) if error.is_unsent() => {}
                 Err(error) => return Err(error),
             }
         }
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -38,7 +38,15 @@
         let stream = tokio::time::timeout(limit, TcpStream::connect(peer))
             .await
             .map_err(|_| failed(format!("no connection within {} ms", limit.as_millis())))?
-            .map_err(|error| failed(error.to_string()))?;
+            .map_err(|error| Error {
+                step: if error.kind() == std::io::ErrorKind::ConnectionRefused {
+                    Step::Refused
+                } else {
+                    Step::Connect
+                },
+                peer,
+                problem: error.to_string(),
+            })?;
         socket::tune(&stream).map_err(|error| failed(error.to_string()))?;
         let (sender, connection) = http1::Builder::new()
             .title_case_headers(true)
--- a/crates/http/src/error.rs
+++ b/crates/http/src/error.rs
@@ -6,6 +6,8 @@
 /// Where an exchange failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Step {
+    /// The peer's host is there and no process listens: nothing was sent.
+    Refused,
     /// Before a connection stood: nothing was sent.
     Connect,
     /// After the request may have been sent, before the head of the answer.
@@ -17,7 +19,7 @@
 impl fmt::Display for Step {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
-            Self::Connect => "connect",
+            Self::Refused | Self::Connect => "connect",
             Self::Head => "answer head",
             Self::Body => "answer body",
         })
@@ -35,3 +37,11 @@
     /// What happened.
     pub problem: String,
 }
+
+impl Error {
+    /// Whether nothing was sent.
+    #[must_use]
+    pub fn is_unsent(&self) -> bool {
+        matches!(self.step, Step::Refused | Step::Connect)
+    }
+}
--- a/crates/model/src/batch.rs
+++ b/crates/model/src/batch.rs
@@ -1,5 +1,7 @@
 //! A batch: requests that are accepted at once and run later.
 
+use std::collections::BTreeSet;
+
 use bytes::Bytes;
 
 
@@ -62,3 +64,39 @@
         pub versions: Vec<u64>,
     }
 }
+
+plain! {
+    /// The text that an item has so far.
+    #[derive(Default)]
+    pub struct Draft {
+        /// The data of the events so far, separated by line feeds.
+        pub data: String,
+        /// The id of the last event.
+        pub last: Option<u64>,
+        /// The versions under which the events were made.
+        pub versions: BTreeSet<u64>,
+        /// Whether the last event is the stream's last.
+        pub is_whole: bool,
+    }
+}
+
+impl Draft {
+    /// Whether all of it comes from allowed versions.
+    #[must_use]
+    pub fn fits(&self, min_version: Option<u64>) -> bool {
+        match (self.versions.first(), min_version) {
+            (Some(oldest), Some(min)) => *oldest >= min,
+            _ => true,
+        }
+    }
+
+    /// Adds an event.
+    pub fn push(&mut self, id: u64, data: &str, version: Option<u64>) {
+        if self.last.is_some() {
+            self.data.push('\n');
+        }
+        self.data.push_str(data);
+        self.last = Some(id);
+        self.versions.extend(version);
+    }
+}
--- a/crates/policy/src/batch/pending.rs
+++ b/crates/policy/src/batch/pending.rs
@@ -9,8 +9,8 @@
 use super::work::WorkKey;
 
 /// How long results wait for more before they are written. Each write is paid for; a training
-/// step lasts seconds.
-pub(crate) const GATHER: Duration = Duration::from_millis(150);
+/// step lasts seconds, and what completes a step is written at once.
+pub(crate) const GATHER: Duration = Duration::from_millis(400);
 
 /// A group of items that share a prompt.
 #[derive(Clone, Debug, Default)]
--- a/crates/policy/src/batch/pool.rs
+++ b/crates/policy/src/batch/pool.rs
@@ -58,10 +58,6 @@
         self.seats.remove(key);
     }
 
-    pub(crate) fn find(&self, instance: &str) -> Option<SeatKey> {
-        self.by_instance.get(instance).copied()
-    }
-
     pub(crate) fn instances(&self) -> Vec<String> {
         self.by_instance.keys().cloned().collect()
     }
--- a/crates/policy/src/batch/run.rs
+++ b/crates/policy/src/batch/run.rs
@@ -20,7 +20,6 @@
 pub(crate) struct Run {
     pub(crate) work: WorkKey,
     pub(crate) seat: SeatKey,
-    pub(crate) started: Instant,
     /// The last event, or the start.
     pub(crate) progress: Instant,
     pub(crate) events: u64,
--- a/crates/policy/src/batch/scheduler.rs
+++ b/crates/policy/src/batch/scheduler.rs
@@ -6,7 +6,7 @@
 
 use slotmap::SlotMap;
 use tamaracksail_model::backend::Entry;
-use tamaracksail_model::batch::Item;
+use tamaracksail_model::batch::{Draft, Item};
 use tamaracksail_model::time::Instant;
 
 use super::action::{Action, Failure};
@@ -14,7 +14,7 @@
 use super::pool::{Need, Pool};
 use super::run::Run;
 use super::seat::SeatKey;
-use super::work::{Stage, Text, Work, WorkKey};
+use super::work::{Stage, Work, WorkKey};
 use super::{home, tail, weights};
 
 slotmap::new_key_type! {
@@ -71,7 +71,7 @@
     /// The newest version that each trainer has named.
     pub(super) named: BTreeMap<String, u64>,
     /// Text of ended batches, by item.
-    kept: BTreeMap<String, (Instant, Text)>,
+    kept: BTreeMap<String, (Instant, Draft)>,
     past_groups: BTreeMap<String, Instant>,
     /// Running items of ended batches.
     lingering: BTreeMap<String, WorkKey>,
@@ -288,6 +288,9 @@
         };
         pending.ended = Some(now);
         pending.results.clear();
+        let whole: BTreeSet<usize> = (0..pending.groups.len())
+            .filter(|group| pending.groups[*group].open == 0)
+            .collect();
         let newest = pending
             .model
             .as_ref()
@@ -305,6 +308,10 @@
                 }
                 self.stop(run, "the batch has ended");
             }
+            if whole.contains(&self.works[key].group) {
+                // A group that the trainer has whole does not come again.
+                self.works[key].text = Draft::default();
+            }
             self.forget(now, key);
         }
     }
@@ -430,7 +437,7 @@
         }
         let is_mixed = self.batches[work.batch].is_single_version && work.text.versions.len() > 1;
         if is_mixed {
-            work.text = Text::default();
+            work.text = Draft::default();
             self.requeue(now, found.work);
         } else {
             work.text.is_whole = true;
@@ -477,6 +484,51 @@
         }
     }
 
+    /// Text of ended batches, for a scheduler that takes over.
+    #[must_use]
+    pub fn drafts(&self) -> Vec<(String, Draft)> {
+        self.kept
+            .iter()
+            .map(|(item, (_, draft))| (item.clone(), draft.clone()))
+            .collect()
+    }
+
+    /// Takes in text that another scheduler had.
+    pub fn keep_draft(&mut self, now: Instant, item: String, draft: Draft) {
+        let is_longer = self
+            .kept
+            .get(&item)
+            .is_none_or(|(_, kept)| kept.last < draft.last);
+        if is_longer {
+            self.kept.insert(item, (now, draft));
+        }
+    }
+
+    /// Ends all batches at once and keeps their text. Returns what is still to be done.
+    pub fn close(&mut self, now: Instant) -> Vec<Action> {
+        let unwritten: BTreeSet<String> = self
+            .batches
+            .values()
+            .flat_map(|batch| batch.results.iter().map(|result| result.item.clone()))
+            .collect();
+        let keys: Vec<WorkKey> = self.works.keys().collect();
+        for key in keys {
+            let work = &mut self.works[key];
+            if work.stage == Stage::Over && !unwritten.contains(&work.item.id) {
+                work.text = Draft::default();
+            }
+            self.release(key, "scheduling ends here");
+            self.forget(now, key);
+        }
+        self.batches.clear();
+        self.lingering.clear();
+        self.queue.clear();
+        for seat in self.pool.seats.values_mut() {
+            seat.loading = None;
+        }
+        std::mem::take(&mut self.actions)
+    }
+
     /// Whether any batch is open, or runs of ended ones go on.
     #[must_use]
     pub fn is_busy(&self) -> bool {
@@ -621,7 +673,6 @@
             Run {
                 work: key,
                 seat,
-                started: now,
                 progress: now,
                 events: 0,
                 version: held,
@@ -693,7 +744,7 @@
         let batch = &self.batches[work.batch];
         let text = &work.text;
         if !text.fits(batch.min_version) || (batch.is_single_version && text.versions.len() > 1) {
-            work.text = Text::default();
+            work.text = Draft::default();
         }
         let rank = self.ranks.get(&key).copied().unwrap_or(0);
         self.queue.insert((rank, key));
--- a/crates/policy/src/batch/work.rs
+++ b/crates/policy/src/batch/work.rs
@@ -1,9 +1,8 @@
 //! One item on its way to a result.
 
-use std::collections::BTreeSet;
 use std::rc::Rc;
 
-use tamaracksail_model::batch::{Ending, Item, Listing};
+use tamaracksail_model::batch::{Draft, Ending, Item, Listing};
 
 use super::scheduler::BatchKey;
 
@@ -23,36 +22,6 @@
     Over,
 }
 
-/// Text that an item has so far.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub(crate) struct Text {
-    pub(crate) data: String,
-    /// The id of the last event.
-    pub(crate) last: Option<u64>,
-    pub(crate) versions: BTreeSet<u64>,
-    /// Whether the last event is the stream's last.
-    pub(crate) is_whole: bool,
-}
-
-impl Text {
-    /// Whether all of it comes from allowed versions.
-    pub(crate) fn fits(&self, min_version: Option<u64>) -> bool {
-        match (self.versions.first(), min_version) {
-            (Some(oldest), Some(min)) => *oldest >= min,
-            _ => true,
-        }
-    }
-
-    pub(crate) fn push(&mut self, id: u64, data: &str, version: Option<u64>) {
-        if self.last.is_some() {
-            self.data.push('\n');
-        }
-        self.data.push_str(data);
-        self.last = Some(id);
-        self.versions.extend(version);
-    }
-}
-
 /// One item.
 #[derive(Clone, Debug)]
 pub(crate) struct Work {
@@ -60,7 +29,7 @@
     pub(crate) batch: BatchKey,
     /// The group's number within the batch.
     pub(crate) group: usize,
-    pub(crate) text: Text,
+    pub(crate) text: Draft,
     pub(crate) stage: Stage,
     /// Answers that count as failed attempts.
     pub(crate) failures: u32,
--- a/crates/policy/src/lease.rs
+++ b/crates/policy/src/lease.rs
@@ -6,6 +6,7 @@
 //! a margin longer. So no two clocks are compared, and a holder that was frozen knows that it has
 //! lost the lease before it acts.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use tamaracksail_model::plain;
@@ -15,6 +16,9 @@
 /// order that is on its way as the lease ends.
 const MARGIN: Duration = Duration::from_millis(700);
 
+/// Added to the span by which orders of two holders must lie apart, for an order on its way.
+const ORDER_MARGIN: Duration = Duration::from_millis(100);
+
 /// The holder renews when this share of the span is over, so that two renewals may fail.
 const RENEWALS: u32 = 3;
 
@@ -23,6 +27,8 @@
     pub struct Record {
         /// The holder; none if it was given back.
         pub holder: Option<String>,
+        /// Where the holder answers other processes.
+        pub address: Option<SocketAddr>,
         /// The life of the holder's process.
         pub incarnation: u64,
         /// Raised whenever the holder or its life changes.
@@ -32,15 +38,34 @@
     }
 }
 
+/// Who this process is.
+#[derive(Clone, Debug)]
+pub struct Candidate {
+    /// Its host.
+    pub host: String,
+    /// Where it answers other processes.
+    pub address: SocketAddr,
+    /// Its life.
+    pub incarnation: u64,
+}
+
 /// The lease as one process sees it.
 #[derive(Clone, Debug)]
 pub struct Lease {
+    /// How long a write keeps the lease.
     span: Duration,
-    host: String,
-    incarnation: u64,
+    /// How long orders of two holders must lie apart.
+    pause: Duration,
+    own: Candidate,
     /// The revision seen last and since when.
     seen: Option<(u64, Instant)>,
     record: Option<Record>,
+    /// Where the last holder that was another process answers.
+    before: Option<SocketAddr>,
+    /// The revision at which the holder is known to have stopped, and when it last gave an order.
+    released: Option<(u64, Instant)>,
+    /// The fencing number under which this process has stopped for good.
+    given_up: Option<u64>,
     held: Option<Held>,
 }
 
@@ -48,8 +73,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Held {
     fence: u64,
-    since: Instant,
     until: Instant,
+    orders_from: Instant,
 }
 
 /// What to do about the lease.
@@ -59,6 +84,8 @@
     Rest,
     /// Read the object.
     Read,
+    /// Ask the holder whether it still holds.
+    Ask(SocketAddr),
     /// Create the object.
     Create(Record),
     /// Replace the object that stands at the revision.
@@ -66,44 +93,72 @@
 }
 
 impl Lease {
-    /// A lease of the given span, unseen as yet.
+    /// A lease unseen as yet. `pause` is how long orders of two holders must lie apart.
     #[must_use]
-    pub fn new(span: Duration, host: String, incarnation: u64) -> Self {
+    pub fn new(span: Duration, pause: Duration, own: Candidate) -> Self {
         Self {
             span,
-            host,
-            incarnation,
+            pause,
+            own,
             seen: None,
             record: None,
+            before: None,
+            released: None,
+            given_up: None,
             held: None,
         }
     }
 
-    /// Notes the object as it was read or written. `asked` is when the call was made.
-    pub fn saw(&mut self, asked: Instant, now: Instant, revision: u64, record: Record) {
+    /// Notes the object as it was read.
+    pub fn saw(&mut self, now: Instant, revision: u64, record: Record) {
         if self.seen.is_none_or(|(seen, _)| seen != revision) {
             self.seen = Some((revision, now));
         }
-        let is_ours =
-            record.holder.as_ref() == Some(&self.host) && record.incarnation == self.incarnation;
-        if !is_ours {
+        if !self.is_ours(&record) || self.held.is_some_and(|held| held.fence != record.fence) {
             self.held = None;
-        } else if self.held.is_none_or(|held| held.fence != record.fence) {
-            // The span counts from the write, which came after `asked` only if this was its call.
-            self.held = Some(Held {
-                fence: record.fence,
-                since: asked,
-                until: asked,
-            });
         }
+        let other = record.address.filter(|address| *address != self.own.address);
+        self.before = other.or(self.before);
         self.record = Some(record);
     }
 
+    /// Where the last holder answers that was another process.
+    #[must_use]
+    pub fn before(&self) -> Option<SocketAddr> {
+        self.before
+    }
+
     /// Notes that a write of ours, sent at `asked`, was done.
     pub fn wrote(&mut self, asked: Instant, now: Instant, revision: u64, record: Record) {
-        self.saw(asked, now, revision, record);
-        if let Some(held) = &mut self.held {
-            held.until = asked.after(self.span);
+        if self.given_up == Some(record.fence) {
+            // A renewal that was on its way as the lease was left to another.
+            self.saw(now, revision, record);
+            return;
+        }
+        let until = asked.after(self.span);
+        let orders_from = match self.held {
+            Some(held) if held.fence == record.fence => held.orders_from,
+            _ => self.orders_from(now),
+        };
+        self.held = Some(Held {
+            fence: record.fence,
+            until,
+            orders_from,
+        });
+        self.seen = Some((revision, now));
+        self.record = Some(record);
+        self.released = None;
+    }
+
+    /// When orders of this host no longer mix with those of the holder before.
+    fn orders_from(&self, now: Instant) -> Instant {
+        let before = self.record.as_ref().and_then(|record| record.holder.as_ref());
+        if self.record.is_none() || before == Some(&self.own.host) {
+            return now;
+        }
+        match self.released {
+            Some((_, last_order)) => last_order.after(self.pause + ORDER_MARGIN),
+            None => now.after(self.pause + ORDER_MARGIN),
         }
     }
 
@@ -114,6 +169,28 @@
         self.held = None;
     }
 
+    /// Notes that the holder under `fence` has stopped, and that it gave no order after
+    /// `last_order`. Says nothing of a holder that came after it.
+    pub fn released(&mut self, fence: u64, last_order: Instant) {
+        let is_current = self.record.as_ref().is_some_and(|record| record.fence == fence);
+        if let Some((revision, _)) = self.seen.filter(|_| is_current) {
+            self.released = Some((revision, last_order));
+        }
+    }
+
+    /// Notes that the holder has said that it still holds.
+    pub fn confirmed(&mut self, now: Instant) {
+        if let Some((_, since)) = &mut self.seen {
+            *since = now;
+        }
+    }
+
+    /// Notes a sign that another process has taken the lease: it counts as lost until it was
+    /// written again.
+    pub fn doubt(&mut self) {
+        self.held = None;
+    }
+
     /// The fencing number, while the lease is held.
     #[must_use]
     pub fn fence(&self, now: Instant) -> Option<u64> {
@@ -122,25 +199,17 @@
             .map(|held| held.fence)
     }
 
-    /// The fencing number, while orders may be given: not before the orders of an earlier holder
-    /// are over.
+    /// The fencing number, while orders may be given.
     #[must_use]
     pub fn order_fence(&self, now: Instant) -> Option<u64> {
         let held = self.held.filter(|held| now < held.until)?;
-        (now.since(held.since) >= self.span + MARGIN).then_some(held.fence)
-    }
-
-    /// Lets orders be given at once: the earlier holder was this host or nobody.
-    pub fn skip_pause(&mut self) {
-        if let Some(held) = &mut self.held {
-            held.since = Instant(0);
-        }
+        (now >= held.orders_from).then_some(held.fence)
     }
 
-    /// The holder, as far as it is known.
+    /// The record as it was seen last.
     #[must_use]
-    pub fn holder(&self) -> Option<&str> {
-        self.record.as_ref()?.holder.as_deref()
+    pub fn record(&self) -> Option<&Record> {
+        self.record.as_ref()
     }
 
     /// What a process does that wants to hold the lease. `is_fresh` says that the object was
@@ -155,42 +224,56 @@
             };
         };
         if let Some(held) = self.held {
-            let renewal = held.until.since(Instant(0)) - self.span * (RENEWALS - 1) / RENEWALS;
-            return if now.since(Instant(0)) >= renewal {
+            let is_due = now.after(self.span * (RENEWALS - 1) / RENEWALS) >= held.until;
+            return if is_due {
                 Step::Replace(revision, self.next(held.fence, record.writes))
             } else {
                 Step::Rest
             };
         }
-        let is_own_host = record.holder.as_ref() == Some(&self.host);
+        let is_own_host = record.holder.as_ref() == Some(&self.own.host);
         let is_lapsed = now.since(since) >= self.span + MARGIN;
-        if record.holder.is_none() || is_own_host || is_lapsed {
+        let is_released = self.released.is_some_and(|(at, _)| at == revision);
+        if record.holder.is_none() || is_own_host || is_lapsed || is_released {
             return Step::Replace(revision, self.next(record.fence + 1, record.writes));
         }
-        if is_fresh { Step::Rest } else { Step::Read }
+        match record.address {
+            _ if is_fresh => Step::Rest,
+            Some(address) => Step::Ask(address),
+            None => Step::Read,
+        }
     }
 
-    /// The record that gives the lease back, with the revision at which it stands.
+    /// Gives the lease up. Returns the record that says so, with the revision at which the object
+    /// stands; none if it was not held.
     #[must_use]
-    pub fn give_back(&mut self) -> Option<(u64, Record)> {
+    pub fn give_up(&mut self) -> Option<(u64, Record)> {
         let held = self.held.take()?;
+        self.given_up = Some(held.fence);
         let (revision, _) = self.seen?;
         let writes = self.record.as_ref()?.writes;
         Some((
             revision,
             Record {
                 holder: None,
-                incarnation: self.incarnation,
+                address: None,
+                incarnation: self.own.incarnation,
                 fence: held.fence,
                 writes: writes + 1,
             },
         ))
     }
 
+    fn is_ours(&self, record: &Record) -> bool {
+        record.holder.as_ref() == Some(&self.own.host)
+            && record.incarnation == self.own.incarnation
+    }
+
     fn next(&self, fence: u64, writes: u64) -> Record {
         Record {
-            holder: Some(self.host.clone()),
-            incarnation: self.incarnation,
+            holder: Some(self.own.host.clone()),
+            address: Some(self.own.address),
+            incarnation: self.own.incarnation,
             fence,
             writes: writes + 1,
         }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod codec;
 pub mod message;
+pub mod peer;
 
 pub use codec::{Error, decode, encode};
 pub use message::{
--- /dev/null
+++ b/crates/wire/src/peer.rs
@@ -0,0 +1,62 @@
+//! What gateways ask each other.
+
+use tamaracksail_model::batch::{Draft, Listing};
+use tamaracksail_model::plain;
+
+plain! {
+    /// A question.
+    pub enum Ask {
+        /// Whether the peer holds the scheduling lease under a fencing number. The answer waits a
+        /// while for a change.
+        Holding {
+            /// The fencing number.
+            fence: u64,
+        },
+        /// Asks a holder that cannot reach the store to stop.
+        Yield {
+            /// The fencing number under which it holds.
+            fence: u64,
+        },
+        /// Results of a batch that the peer schedules.
+        Results {
+            /// The batch.
+            batch: String,
+            /// The first position wanted.
+            from: usize,
+            /// How long the answer may wait for a result, in milliseconds.
+            wait_ms: u64,
+        },
+        /// Text of unfinished items, from a peer that has stopped scheduling.
+        Drafts,
+    }
+}
+
+plain! {
+    /// An answer.
+    pub enum Reply {
+        /// The peer holds the lease.
+        Holding {
+            /// Whether it cannot reach the store.
+            is_cut: bool,
+        },
+        /// The peer does not hold the lease and will not act under the fencing number again.
+        Released {
+            /// How long ago it gave its last order, in milliseconds; none if it gave none.
+            order_age_ms: Option<u64>,
+        },
+        /// Results.
+        Results {
+            /// How many items the batch has.
+            total: usize,
+            /// The results.
+            results: Vec<Listing>,
+        },
+        /// The peer does not schedule that batch.
+        Unknown,
+        /// Text of unfinished items.
+        Drafts {
+            /// The text, by item.
+            drafts: Vec<(String, Draft)>,
+        },
+    }
+}
