Resume streams at other servers, and never take in a batch that has ended

Change: ends that arrive during a read are remembered; a submission that stood before is left to the watch; stream routes pass events on as they come and resume by the last event id.

--- a/crates/gateway/src/batches/accept.rs
+++ b/crates/gateway/src/batches/accept.rs
@@ -60,7 +60,9 @@
     keeper::want(gateway);
     let kind = record::kind(id);
     for (number, part) in parts.into_iter().enumerate() {
-        let part = Part { text: part.to_owned() };
+        let part = Part {
+            text: part.to_owned(),
+        };
         let name = record::part(number);
         if let Err(error) = create(gateway, &kind, &name, &part, deadline).await {
             // Without its head a batch is not accepted, and no head was sent.
@@ -69,9 +71,16 @@
         }
     }
     match create(gateway, record::HEADS, id, &stored, deadline).await {
-        Ok(()) => {
-            log::info!(batch = id, route = route.name.as_str(), items = total; "batch accepted");
-            takeover::take_in(gateway, id, &stored, &body, Vec::new(), 0);
+        Ok(created) => {
+            let is_new = created == Created::Now;
+            log::info!(
+                batch = id, route = route.name.as_str(), items = total, is_new;
+                "batch accepted"
+            );
+            // One that stood before may have ended; the scheduling gateway knows.
+            if is_new {
+                takeover::take_in(gateway, id, &stored, &body, Vec::new(), 0);
+            }
             status(StatusCode::ACCEPTED)
         }
         Err(Failure::NotKept(error)) => {
@@ -85,6 +94,15 @@
     }
 }
 
+/// An object that stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Created {
+    /// This call created it.
+    Now,
+    /// It stood before, or an earlier call without an answer created it.
+    Before,
+}
+
 /// An object that may not stand.
 #[derive(Debug, thiserror::Error)]
 enum Failure {
@@ -101,11 +119,12 @@
     name: &str,
     spec: &T,
     deadline: Instant,
-) -> Result<(), Failure> {
+) -> Result<Created, Failure> {
     let mut is_unknown = false;
     loop {
         let error = match gateway.store.create(kind, name, spec).await {
-            Ok(_) | Err(Error::Conflict { .. }) => return Ok(()),
+            Ok(_) => return Ok(Created::Now),
+            Err(Error::Conflict { .. }) => return Ok(Created::Before),
             Err(error) => error,
         };
         is_unknown |= matches!(error, Error::Unknown { .. });
--- a/crates/gateway/src/batches/desk.rs
+++ b/crates/gateway/src/batches/desk.rs
@@ -1,7 +1,7 @@
 //! The scheduling gateway's desk: the scheduler, and what carries out its actions.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -17,7 +17,7 @@
 use tokio::task::AbortHandle;
 
 use super::record::{self, Chunk};
-use super::shelf::Shelf;
+use super::register::Register;
 use super::{orders, running};
 use crate::gateway::{Gateway, now, peer_address};
 
@@ -30,7 +30,7 @@
 
 /// How much longer than the platform's span of two holders the lease lasts, so that a short
 /// outage of the store does not stop the work.
-const LEASE_EXTRA: Duration = Duration::from_millis(1000);
+const LEASE_EXTRA: Duration = Duration::from_secs(1);
 
 /// All that this process knows of batches.
 #[derive(Debug)]
@@ -43,9 +43,11 @@
     pub(super) wake_keeper: Notify,
     /// Whether the lease is held and everything was taken over.
     pub(super) is_open: Cell<bool>,
-    pub(super) shelves: RefCell<BTreeMap<String, Shelf>>,
+    pub(super) registers: RefCell<BTreeMap<String, Register>>,
     pub(super) tasks: RefCell<BTreeMap<u64, AbortHandle>>,
     pub(super) names: RefCell<BTreeMap<BatchKey, String>>,
+    /// Batches known to have ended while this process schedules.
+    pub(super) ended: RefCell<BTreeSet<String>>,
     /// How many items batches have that were read, and whether they have ended.
     pub(super) sizes: RefCell<BTreeMap<String, (usize, bool)>>,
     /// Held while the lease is written, so that giving it up waits for a renewal on its way.
@@ -75,9 +77,10 @@
             wanted: Cell::new(Instant(0)),
             wake_keeper: Notify::new(),
             is_open: Cell::new(false),
-            shelves: RefCell::default(),
+            registers: RefCell::default(),
             tasks: RefCell::default(),
             names: RefCell::default(),
+            ended: RefCell::default(),
             sizes: RefCell::default(),
             lease_call: Mutex::new(()),
             failing_since: Cell::new(None),
@@ -149,14 +152,15 @@
         if !self.is_open.replace(false) {
             return;
         }
-        log::info!(reason, batches = self.shelves.borrow().len(); "scheduling ends");
+        log::info!(reason, batches = self.registers.borrow().len(); "scheduling ends");
         for (_, task) in std::mem::take(&mut *self.tasks.borrow_mut()) {
             task.abort();
         }
-        for shelf in std::mem::take(&mut *self.shelves.borrow_mut()).into_values() {
-            shelf.changed.notify_waiters();
+        for register in std::mem::take(&mut *self.registers.borrow_mut()).into_values() {
+            register.changed.notify_waiters();
         }
         self.names.borrow_mut().clear();
+        self.ended.borrow_mut().clear();
         // The tasks of its runs are stopped above.
         drop(self.scheduler.borrow_mut().close(now()));
         self.lease_changed.notify_waiters();
@@ -164,10 +168,12 @@
 
     /// Ends a batch that this process schedules.
     pub(super) fn end(&self, id: &str) {
-        let batch = match self.shelves.borrow_mut().get_mut(id) {
-            Some(shelf) => {
-                shelf.changed.notify_waiters();
-                shelf.batch.take()
+        // It may still be on its way here from the store.
+        self.ended.borrow_mut().insert(id.to_owned());
+        let batch = match self.registers.borrow_mut().get_mut(id) {
+            Some(register) => {
+                register.changed.notify_waiters();
+                register.batch.take()
             }
             None => None,
         };
@@ -268,10 +274,10 @@
 async fn list(gateway: Rc<Gateway>, batch: BatchKey, id: String, listings: Vec<Listing>) {
     let desk = &gateway.desk;
     let place = desk
-        .shelves
+        .registers
         .borrow()
         .get(&id)
-        .map(|shelf| (shelf.next_chunk, shelf.results.len()));
+        .map(|register| (register.next_chunk, register.results.len()));
     let Some((number, first)) = place else {
         return;
     };
@@ -287,7 +293,7 @@
         if !desk.is_open.get() || !desk.names.borrow().contains_key(&batch) {
             if is_unknown {
                 // The store may know more results than this process, so reads go there.
-                desk.shelves.borrow_mut().remove(&id);
+                desk.registers.borrow_mut().remove(&id);
             }
             return;
         }
@@ -303,11 +309,10 @@
             Ok(()) => break,
             Err(Error::Conflict { .. }) => {
                 // An earlier try of ours, or a scheduler that has taken over.
-                let ours = gateway
-                    .store
-                    .get(&kind, &name)
-                    .await
-                    .is_ok_and(|object| object.spec::<Chunk>().is_ok_and(|found| found == chunk));
+                let ours =
+                    gateway.store.get(&kind, &name).await.is_ok_and(|object| {
+                        object.spec::<Chunk>().is_ok_and(|found| found == chunk)
+                    });
                 if ours {
                     break;
                 }
@@ -327,10 +332,10 @@
         batch = id.as_str(), chunk = number, first, results = chunk.results.len();
         "results listed"
     );
-    if let Some(shelf) = desk.shelves.borrow_mut().get_mut(&id) {
-        shelf.results.extend(chunk.results);
-        shelf.next_chunk = number + 1;
-        shelf.changed.notify_waiters();
+    if let Some(register) = desk.registers.borrow_mut().get_mut(&id) {
+        register.results.extend(chunk.results);
+        register.next_chunk = number + 1;
+        register.changed.notify_waiters();
     }
     desk.scheduler.borrow_mut().listed(batch);
     desk.turn_soon();
--- a/crates/gateway/src/batches/keeper.rs
+++ b/crates/gateway/src/batches/keeper.rs
@@ -18,7 +18,7 @@
 const WANTED: Duration = Duration::from_secs(10);
 
 /// Between two looks at a lease whose holder does not answer. Each is a paid call.
-const LOOK: Duration = Duration::from_millis(1000);
+const LOOK: Duration = Duration::from_secs(1);
 
 /// Between two looks at the own lease.
 const OWN_LOOK: Duration = Duration::from_millis(250);
@@ -28,10 +28,10 @@
 
 /// How long a call about the lease may take. The store answers in milliseconds; a holder must
 /// know well before its span is over that it is cut off.
-const CALL: Duration = Duration::from_millis(1000);
+const CALL: Duration = Duration::from_secs(1);
 
 /// How long a holder lets the question wait whether it still holds.
-const HOLDING: Duration = Duration::from_millis(1000);
+const HOLDING: Duration = Duration::from_secs(1);
 
 /// How long a peer may take beyond that.
 const PEER: Duration = Duration::from_millis(600);
@@ -266,14 +266,12 @@
 
 /// Bounds a call about the lease.
 async fn limit(call: impl Future<Output = Result<Object, Error>>) -> Result<Object, Error> {
-    tokio::time::timeout(CALL, call)
-        .await
-        .unwrap_or_else(|_| {
-            Err(Error::Unknown {
-                call: record::LEASES.to_owned(),
-                problem: "no answer in time".to_owned(),
-            })
+    tokio::time::timeout(CALL, call).await.unwrap_or_else(|_| {
+        Err(Error::Unknown {
+            call: record::LEASES.to_owned(),
+            problem: "no answer in time".to_owned(),
         })
+    })
 }
 
 /// Notes whether the store answers.
--- a/crates/gateway/src/batches/mod.rs
+++ b/crates/gateway/src/batches/mod.rs
@@ -7,8 +7,8 @@
 mod orders;
 mod read;
 mod record;
+mod register;
 mod running;
-mod shelf;
 mod takeover;
 
 pub use accept::accept;
--- a/crates/gateway/src/batches/orders.rs
+++ b/crates/gateway/src/batches/orders.rs
@@ -54,12 +54,7 @@
     gateway.desk.turn_soon();
 }
 
-async fn bring(
-    gateway: &Gateway,
-    entry: &Entry,
-    model: &str,
-    version: u64,
-) -> Result<u64, String> {
+async fn bring(gateway: &Gateway, entry: &Entry, model: &str, version: u64) -> Result<u64, String> {
     let mut last = String::new();
     for _ in 0..TRIES {
         let before = report(gateway, entry).await?;
@@ -157,7 +152,10 @@
             .send(entry.address, request, CONNECT)
             .await
             .map_err(|error| error.to_string())?;
-        let body = reply.read(1 << 20).await.map_err(|error| error.to_string())?;
+        let body = reply
+            .read(1 << 20)
+            .await
+            .map_err(|error| error.to_string())?;
         let code = reply.head.status;
         reply.keep(&gateway.http);
         Ok((code, body))
--- a/crates/gateway/src/batches/read.rs
+++ b/crates/gateway/src/batches/read.rs
@@ -51,12 +51,7 @@
 }
 
 /// Results for a peer.
-pub async fn shared_results(
-    gateway: &Rc<Gateway>,
-    id: &str,
-    from: usize,
-    wait: Duration,
-) -> Reply {
+pub async fn shared_results(gateway: &Rc<Gateway>, id: &str, from: usize, wait: Duration) -> Reply {
     match from_memory(gateway, id, from, wait).await {
         Some((total, results)) => Reply::Results { total, results },
         None => Reply::Unknown,
@@ -114,14 +109,14 @@
             return None;
         }
         let changed = {
-            let shelves = desk.shelves.borrow();
-            let shelf = shelves.get(id)?;
-            let is_ended = shelf.batch.is_none();
+            let registers = desk.registers.borrow();
+            let register = registers.get(id)?;
+            let is_ended = register.batch.is_none();
             let left = deadline.since(now());
-            if shelf.results.len() > from || is_ended || left.is_zero() {
-                return Some((shelf.total, some(shelf.results.iter().skip(from))));
+            if register.results.len() > from || is_ended || left.is_zero() {
+                return Some((register.total, some(register.results.iter().skip(from))));
             }
-            Rc::clone(&shelf.changed)
+            Rc::clone(&register.changed)
         };
         // Whichever comes first; the loop looks again.
         drop(tokio::time::timeout(deadline.since(now()), changed.notified()).await);
@@ -226,8 +221,8 @@
 /// The body of an item.
 pub async fn body(gateway: &Rc<Gateway>, id: &str, item: &str) -> Response<Body> {
     keeper::want(gateway);
-    if let Some(shelf) = gateway.desk.shelves.borrow().get(id) {
-        let found = shelf.items.iter().find(|(name, _)| name == item);
+    if let Some(register) = gateway.desk.registers.borrow().get(id) {
+        let found = register.items.iter().find(|(name, _)| name == item);
         return found.map_or_else(
             || status(StatusCode::NOT_FOUND),
             |(_, body)| with_body(StatusCode::OK, body.clone()),
@@ -275,11 +270,7 @@
 pub async fn end(gateway: &Rc<Gateway>, id: &str) -> Response<Body> {
     let progress = Progress { is_ended: true };
     for _ in 0..END_TRIES {
-        match gateway
-            .store
-            .put_status(record::HEADS, id, &progress)
-            .await
-        {
+        match gateway.store.put_status(record::HEADS, id, &progress).await {
             Ok(_) => {
                 log::info!(batch = id; "batch end kept");
                 gateway.desk.end(id);
--- a/crates/gateway/src/batches/shelf.rs
+++ b/crates/gateway/src/batches/register.rs
@@ -8,7 +8,7 @@
 
 /// The durable results of a batch.
 #[derive(Debug)]
-pub struct Shelf {
+pub struct Register {
     /// How many items the batch has.
     pub total: usize,
     /// The results by position.
--- a/crates/gateway/src/batches/running.rs
+++ b/crates/gateway/src/batches/running.rs
@@ -114,7 +114,7 @@
         .map_err(|error| broken(error.to_string()))?
     {
         reader.push(&piece).map_err(malformed)?;
-        while let Some(event) = reader.next().map_err(malformed)? {
+        while let Some(event) = reader.take().map_err(malformed)? {
             let is_wanted = gateway.desk.scheduler.borrow_mut().event(
                 now(),
                 run,
@@ -133,7 +133,11 @@
     Ok(())
 }
 
-fn request(item: &Item, host: &str, stamp: &Stamp) -> Result<Request<Full<bytes::Bytes>>, Malformed> {
+fn request(
+    item: &Item,
+    host: &str,
+    stamp: &Stamp,
+) -> Result<Request<Full<bytes::Bytes>>, Malformed> {
     let what = "item";
     let mut request = Request::post(&item.path)
         .body(Full::new(item.body.clone()))
--- a/crates/gateway/src/batches/takeover.rs
+++ b/crates/gateway/src/batches/takeover.rs
@@ -16,7 +16,7 @@
 
 use super::desk::service;
 use super::record::{self, Chunk, Head, Part, Progress};
-use super::shelf::Shelf;
+use super::register::Register;
 use crate::gateway::{Gateway, now, unix_millis};
 use crate::peer;
 use crate::store::{self, News};
@@ -25,7 +25,7 @@
 const REREAD: Duration = Duration::from_millis(300);
 
 /// How long items of routes that do not say it may take.
-const PATIENCE: Duration = Duration::from_secs(60);
+const PATIENCE: Duration = Duration::from_mins(1);
 
 /// How long the holder before may take to hand over the text of unfinished items.
 const DRAFTS: Duration = Duration::from_millis(700);
@@ -71,11 +71,16 @@
 
 async fn follow_versions(gateway: Rc<Gateway>) {
     let client = gateway.store.clone();
-    store::follow(client, names::VERSION_KIND, Duration::ZERO, |news| match news {
-        News::All(objects) => objects.iter().for_each(|object| named(&gateway, object)),
-        News::Changed(object) => named(&gateway, object),
-        News::Removed(_) | News::Lost => {}
-    })
+    store::follow(
+        client,
+        names::VERSION_KIND,
+        Duration::ZERO,
+        |news| match news {
+            News::All(objects) => objects.iter().for_each(|object| named(&gateway, object)),
+            News::Changed(object) => named(&gateway, object),
+            News::Removed(_) | News::Lost => {}
+        },
+    )
     .await;
 }
 
@@ -112,7 +117,7 @@
         gateway.desk.end(&id);
         return;
     }
-    if gateway.desk.shelves.borrow().contains_key(&id) {
+    if gateway.desk.registers.borrow().contains_key(&id) {
         return;
     }
     match object.spec::<Head>() {
@@ -125,7 +130,13 @@
 
 /// Reads a batch from the store and takes it in.
 async fn load(gateway: Rc<Gateway>, id: String, head: Head) {
-    while gateway.desk.is_open.get() && !gateway.desk.shelves.borrow().contains_key(&id) {
+    let is_wanted = || {
+        let desk = &gateway.desk;
+        desk.is_open.get()
+            && !desk.registers.borrow().contains_key(&id)
+            && !desk.ended.borrow().contains(&id)
+    };
+    while is_wanted() {
         match read(&gateway, &id, &head).await {
             Ok((body, results, chunks)) => {
                 take_in(&gateway, &id, &head, &body, results, chunks);
@@ -208,7 +219,8 @@
     chunks: usize,
 ) {
     let desk = &gateway.desk;
-    if !desk.is_open.get() || desk.shelves.borrow().contains_key(id) {
+    let is_known = desk.registers.borrow().contains_key(id) || desk.ended.borrow().contains(id);
+    if !desk.is_open.get() || is_known {
         return;
     }
     let submission = match batch::parse(body) {
@@ -252,7 +264,7 @@
         .borrow_mut()
         .submit(now(), intake, |host, path| service(&table, host, path));
     desk.names.borrow_mut().insert(batch, id.to_owned());
-    let shelf = Shelf {
+    let register = Register {
         total: head.total,
         results,
         next_chunk: chunks,
@@ -260,6 +272,6 @@
         batch: Some(batch),
         items: bodies,
     };
-    desk.shelves.borrow_mut().insert(id.to_owned(), shelf);
+    desk.registers.borrow_mut().insert(id.to_owned(), register);
     desk.turn_soon();
 }
--- a/crates/gateway/src/connection/mod.rs
+++ b/crates/gateway/src/connection/mod.rs
@@ -73,10 +73,7 @@
     }
 }
 
-async fn serve(
-    gateway: &Rc<Gateway>,
-    stream: TcpStream,
-) -> Result<(), Box<dyn std::error::Error>> {
+async fn serve(gateway: &Rc<Gateway>, stream: TcpStream) -> Result<(), Box<dyn std::error::Error>> {
     socket::tune(&stream)?;
     let activity = Rc::new(Activity {
         requests: Cell::new(0),
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -25,8 +25,8 @@
 fn main() {
     let options = Options::parse();
     logs::start(options.log_format, options.log_level);
-    let settings = Settings::load()
-        .unwrap_or_else(|error| settings::fail(options::NAME, &error.to_string()));
+    let settings =
+        Settings::load().unwrap_or_else(|error| settings::fail(options::NAME, &error.to_string()));
     actix_rt::System::new().block_on(async move {
         let gateway = Rc::new(Gateway::new(settings, &options));
         log::info!(host = gateway.settings.borrow().host.as_str(), incarnation = gateway.incarnation; "start");
--- a/crates/gateway/src/peer/mod.rs
+++ b/crates/gateway/src/peer/mod.rs
@@ -1,4 +1,4 @@
-//! Questions between gateways: HTTP with MessagePack on the hosts' inner ports.
+//! Questions between gateways: HTTP with `rmp-serde` on the hosts' inner ports.
 //!
 //! Nothing that must last depends on it. It saves calls to the store, and the seconds for which a
 //! lease would have to lapse.
--- a/crates/gateway/src/request/forward.rs
+++ b/crates/gateway/src/request/forward.rs
@@ -19,6 +19,7 @@
 
 use super::answer::{SOON, refusal, status};
 use super::sending::{Outcome, Sending};
+use super::streaming::{self, Stream};
 use crate::connection::Body;
 use crate::gateway::{Gateway, now};
 
@@ -30,7 +31,7 @@
 const SECOND_SEND: f64 = 0.5;
 
 /// Pieces of a long answer that wait for the client.
-const PIECES: usize = 4;
+pub(super) const PIECES: usize = 4;
 
 type Try<'a> = Pin<Box<dyn Future<Output = (ServerKey, Outcome)> + 'a>>;
 
@@ -105,12 +106,15 @@
                         }
                         return pass(head, Body::whole(body));
                     }
+                    Outcome::Long(_, reply) if self.is_resumable() => {
+                        return streaming::relay(self.into_stream(), *reply);
+                    }
                     Outcome::Long(first, reply) => return relay(first, *reply),
                     Outcome::NotRun(problem) => self.note(key, &problem),
                     Outcome::Failed(problem) => {
                         self.note(key, &problem);
                         self.may_have_run = true;
-                        if self.route.kind != Kind::Idempotent {
+                        if self.route.kind != Kind::Idempotent && !self.is_resumable() {
                             return self.give_up(None);
                         }
                     }
@@ -130,6 +134,24 @@
         }
     }
 
+    /// Whether the answer is a stream that may go on at another server.
+    fn is_resumable(&self) -> bool {
+        self.route.kind == Kind::Stream && self.route.is_resumable
+    }
+
+    fn into_stream(self) -> Stream {
+        Stream {
+            gateway: Rc::clone(self.gateway),
+            service: self.service.to_owned(),
+            head: self.head.clone(),
+            body: self.body,
+            id: self.id.to_owned(),
+            deadline: self.deadline,
+            attempts_left: (self.route.max_attempts as usize).saturating_sub(self.tried.len()),
+            tried: self.tried,
+        }
+    }
+
     /// Whether a request that may have run may be sent again.
     fn may_repeat(&self) -> bool {
         self.route.kind == Kind::Idempotent && self.has_attempts()
@@ -149,9 +171,8 @@
         let key = {
             let settings = gateway.settings.borrow();
             let fleet = gateway.fleet.borrow();
-            let choose = |except: &[ServerKey]| {
-                fleet.choose(at, self.service, &settings.domain, except)
-            };
+            let choose =
+                |except: &[ServerKey]| fleet.choose(at, self.service, &settings.domain, except);
             choose(&self.tried).or_else(|| choose(&[]))?
         };
         if let Some(entry) = gateway.fleet.borrow().entry(key) {
@@ -161,7 +182,7 @@
             );
         }
         self.tried.push(key);
-        let sending = Sending::new(gateway, key);
+        let sending = Sending::new(gateway, key, self.route.kind == Kind::Stream);
         let (head, body, id, deadline) = (self.head, self.body.clone(), self.id, self.deadline);
         Some(Box::pin(async move {
             (key, sending.run(head, body, id, deadline).await)
@@ -197,7 +218,7 @@
 }
 
 /// Passes an answer on.
-fn pass(mut head: hyper::http::response::Parts, body: Body) -> Response<Body> {
+pub(super) fn pass(mut head: hyper::http::response::Parts, body: Body) -> Response<Body> {
     ingress::strip_hop_by_hop(&mut head.headers);
     head.version = hyper::Version::HTTP_11;
     Response::from_parts(head, body)
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -3,6 +3,7 @@
 mod answer;
 mod forward;
 mod sending;
+mod streaming;
 
 use std::convert::Infallible;
 use std::rc::Rc;
@@ -56,7 +57,10 @@
         Call::Body { batch, item } => batches::body(gateway, &batch, &item).await,
         Call::End { batch } => batches::end(gateway, &batch).await,
         Call::Routed if head.uri.path() == METRICS_PATH && gateway.metrics_port.is_some() => {
-            with_body(StatusCode::OK, metrics::render(prometheus::default_registry()))
+            with_body(
+                StatusCode::OK,
+                metrics::render(prometheus::default_registry()),
+            )
         }
         Call::Routed => routed(gateway, head, body).await,
     }
--- a/crates/gateway/src/request/sending.rs
+++ b/crates/gateway/src/request/sending.rs
@@ -42,17 +42,20 @@
 pub struct Sending {
     gateway: Rc<Gateway>,
     key: ServerKey,
+    /// Whether the answer is passed on as it arrives.
+    is_stream: bool,
     start: Instant,
     is_reported: Cell<bool>,
 }
 
 impl Sending {
     /// Notes a send to a server.
-    pub fn new(gateway: &Rc<Gateway>, key: ServerKey) -> Self {
+    pub fn new(gateway: &Rc<Gateway>, key: ServerKey, is_stream: bool) -> Self {
         gateway.fleet.borrow_mut().sent(key);
         Self {
             gateway: Rc::clone(gateway),
             key,
+            is_stream,
             start: now(),
             is_reported: Cell::new(false),
         }
@@ -80,7 +83,11 @@
         *request.method_mut() = head.method.clone();
         *request.uri_mut() = head.uri.clone();
         *request.headers_mut() = headers;
-        let sent = self.gateway.http.send(entry.address, request, CONNECT).await;
+        let sent = self
+            .gateway
+            .http
+            .send(entry.address, request, CONNECT)
+            .await;
         match sent {
             Ok(reply) => self.read(reply, id).await,
             Err(error) => {
@@ -110,6 +117,10 @@
             self.report(Report::Failed);
             return Outcome::Failed(format!("{code} that the server does not vouch for"));
         }
+        if self.is_stream && code.is_success() {
+            self.report(Report::Answered(now().since(self.start)));
+            return Outcome::Long(Bytes::new(), Box::new(reply));
+        }
         let mut whole = Vec::new();
         loop {
             match reply.next().await {
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -30,12 +30,7 @@
 /// Reports all objects of `kind`, then each change, for ever.
 /// After a change the next watch begins `gather` later, so that changes in quick succession cost
 /// one call.
-pub async fn follow(
-    client: Client,
-    kind: &str,
-    gather: Duration,
-    mut report: impl FnMut(News),
-) {
+pub async fn follow(client: Client, kind: &str, gather: Duration, mut report: impl FnMut(News)) {
     let mut pause = FIRST_PAUSE;
     let mut is_lost = false;
     let mut revision = None;
--- a/crates/gateway/src/version/retirements.rs
+++ b/crates/gateway/src/version/retirements.rs
@@ -4,8 +4,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use tamaracksail_adapter::retirement::{self, State, Status};
 use tamaracksail_adapter::names;
+use tamaracksail_adapter::retirement::{self, State, Status};
 use tamaracksail_adapter::store::{Error, Object};
 
 use crate::gateway::Gateway;
@@ -21,11 +21,16 @@
 /// Follows the requests.
 pub async fn follow(gateway: Rc<Gateway>) {
     let client = gateway.store.clone();
-    store::follow(client, names::RETIREMENTS, Duration::ZERO, |news| match news {
-        News::All(objects) => objects.iter().for_each(|object| answer(&gateway, object)),
-        News::Changed(object) => answer(&gateway, object),
-        News::Removed(_) | News::Lost => {}
-    })
+    store::follow(
+        client,
+        names::RETIREMENTS,
+        Duration::ZERO,
+        |news| match news {
+            News::All(objects) => objects.iter().for_each(|object| answer(&gateway, object)),
+            News::Changed(object) => answer(&gateway, object),
+            News::Removed(_) | News::Lost => {}
+        },
+    )
     .await;
 }
 
--- a/crates/model/src/backend.rs
+++ b/crates/model/src/backend.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-
 key! {
     /// Whether a backend server takes work.
     pub enum State {
--- a/crates/model/src/batch.rs
+++ b/crates/model/src/batch.rs
@@ -4,7 +4,6 @@
 
 use bytes::Bytes;
 
-
 key! {
     /// How an item ended.
     pub enum Ending {
--- a/crates/model/src/route.rs
+++ b/crates/model/src/route.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-
 key! {
     /// What may be repeated.
     pub enum Kind {
--- a/crates/policy/src/batch/pool.rs
+++ b/crates/policy/src/batch/pool.rs
@@ -102,7 +102,9 @@
         return false;
     }
     let held = need.model.and_then(|model| seat.version(model));
-    let is_new_enough = need.min_version.is_none_or(|min| held.is_some_and(|v| v >= min));
+    let is_new_enough = need
+        .min_version
+        .is_none_or(|min| held.is_some_and(|v| v >= min));
     let is_exact = need.version.is_none_or(|version| held == Some(version));
     is_new_enough && is_exact
 }
--- a/crates/policy/src/batch/scheduler.rs
+++ b/crates/policy/src/batch/scheduler.rs
@@ -113,7 +113,9 @@
     #[must_use]
     pub fn host(&self, run: u64) -> Option<&str> {
         let work = self.works.get(self.runs.get(&run)?.work)?;
-        self.batches.get(work.batch).map(|batch| batch.host.as_str())
+        self.batches
+            .get(work.batch)
+            .map(|batch| batch.host.as_str())
     }
 
     /// Notes that a trainer has named a version.
@@ -335,11 +337,7 @@
         let batches = &self.batches;
         let is_late = |key: &WorkKey| {
             let batch = works.get(*key).and_then(|work| batches.get(work.batch));
-            batch.is_none_or(|batch| {
-                batch
-                    .ended
-                    .is_some_and(|ended| now.since(ended) >= LINGER)
-            })
+            batch.is_none_or(|batch| batch.ended.is_some_and(|ended| now.since(ended) >= LINGER))
         };
         let late: Vec<(String, WorkKey)> = self
             .lingering
--- a/crates/policy/src/batch/weights.rs
+++ b/crates/policy/src/batch/weights.rs
@@ -18,7 +18,10 @@
 /// Orders loads for engines that are behind the version named.
 pub(super) fn load(scheduler: &mut Scheduler, now: Instant) {
     let seats = &scheduler.pool.seats;
-    let engines = seats.values().filter(|s| !s.entry.models.is_empty()).count();
+    let engines = seats
+        .values()
+        .filter(|s| !s.entry.models.is_empty())
+        .count();
     let most = (engines / LOADING_SHARE).max(2);
     let mut loading = seats.values().filter(|s| s.loading.is_some()).count();
     let named: Vec<(String, u64)> = scheduler
@@ -46,10 +49,11 @@
         }
         let is_useless = needed.get(&model).is_some_and(|min| held < *min);
         let is_empty = scheduler.pool.seats[key].running == 0;
-        if !is_empty && !(!scheduler.is_waited_for(Some(&model)) && clear(scheduler, now, key)) {
+        let is_waited_for = scheduler.is_waited_for(Some(&model));
+        if !is_empty && (is_waited_for || !clear(scheduler, now, key)) {
             continue;
         }
-        if !is_useless && scheduler.is_waited_for(Some(&model)) {
+        if !is_useless && is_waited_for {
             continue;
         }
         loading += 1;
--- a/crates/policy/src/lease.rs
+++ b/crates/policy/src/lease.rs
@@ -117,7 +117,9 @@
         if !self.is_ours(&record) || self.held.is_some_and(|held| held.fence != record.fence) {
             self.held = None;
         }
-        let other = record.address.filter(|address| *address != self.own.address);
+        let other = record
+            .address
+            .filter(|address| *address != self.own.address);
         self.before = other.or(self.before);
         self.record = Some(record);
     }
@@ -152,7 +154,10 @@
 
     /// When orders of this host no longer mix with those of the holder before.
     fn orders_from(&self, now: Instant) -> Instant {
-        let before = self.record.as_ref().and_then(|record| record.holder.as_ref());
+        let before = self
+            .record
+            .as_ref()
+            .and_then(|record| record.holder.as_ref());
         if self.record.is_none() || before == Some(&self.own.host) {
             return now;
         }
@@ -172,7 +177,10 @@
     /// Notes that the holder under `fence` has stopped, and that it gave no order after
     /// `last_order`. Says nothing of a holder that came after it.
     pub fn released(&mut self, fence: u64, last_order: Instant) {
-        let is_current = self.record.as_ref().is_some_and(|record| record.fence == fence);
+        let is_current = self
+            .record
+            .as_ref()
+            .is_some_and(|record| record.fence == fence);
         if let Some((revision, _)) = self.seen.filter(|_| is_current) {
             self.released = Some((revision, last_order));
         }
@@ -265,8 +273,7 @@
     }
 
     fn is_ours(&self, record: &Record) -> bool {
-        record.holder.as_ref() == Some(&self.own.host)
-            && record.incarnation == self.own.incarnation
+        record.holder.as_ref() == Some(&self.own.host) && record.incarnation == self.own.incarnation
     }
 
     fn next(&self, fence: u64, writes: u64) -> Record {
