Drive real gateways before stand-ins of the platform

Change: platform/standins holds a store, backend servers and a client with switches for faults; 25 tests start real gateways before them. Found on the way: a resumed stream gave up with two servers once both had broken off; one failed answer let a whole engine rest for half a second.

--- a/crates/gateway/src/request/streaming.rs
+++ b/crates/gateway/src/request/streaming.rs
@@ -96,7 +96,12 @@
             let key = {
                 let settings = self.gateway.settings.borrow();
                 let fleet = self.gateway.fleet.borrow();
-                fleet.choose(now(), &self.service, &settings.domain, &self.tried)?
+                let choose = |except: &[ServerKey]| {
+                    fleet.choose(now(), &self.service, &settings.domain, except)
+                };
+                // A server that broke off long ago is better than none.
+                let broken_last = self.tried.last().copied();
+                choose(&self.tried).or_else(|| choose(broken_last.as_slice()))?
             };
             self.tried.push(key);
             let mut head = self.head.clone();
--- /dev/null
+++ b/crates/gateway/tests/common/mod.rs
@@ -0,0 +1,235 @@
+//! Real gateway processes before the stand-ins of the platform.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::io::{BufRead, BufReader};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use tamaracksail_adapter_standins::{Client, Engine, Store, settings};
+
+/// How long a condition may take before a test fails. Far beyond what any needs.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// A loopback address that no other test of this machine uses: the process id and a counter.
+pub fn address() -> IpAddr {
+    static NEXT: AtomicU8 = AtomicU8::new(1);
+    let process = std::process::id();
+    let octet = |bits: u32| u8::try_from(bits & 0xff).unwrap_or(0);
+    let last = NEXT.fetch_add(1, Ordering::Relaxed);
+    IpAddr::V4(Ipv4Addr::new(
+        127,
+        octet(process >> 8) | 1,
+        octet(process),
+        last,
+    ))
+}
+
+/// A gateway process. Killed when dropped.
+pub struct Gateway {
+    child: Child,
+    host: String,
+    ip: IpAddr,
+    folder: std::path::PathBuf,
+    lines: Arc<Mutex<Vec<Value>>>,
+}
+
+impl Gateway {
+    /// Starts a gateway on `host` before the store.
+    pub fn start(host: &str, store: &Store) -> Self {
+        let ip = address();
+        let folder = std::env::temp_dir().join(format!("tamaracksail-{ip}"));
+        std::fs::create_dir_all(&folder).expect("a folder for settings");
+        let text = settings::file(host, ip, store.address);
+        std::fs::write(folder.join("settings"), text).expect("a settings file");
+        let lines = Arc::default();
+        let child = spawn(&folder, &lines);
+        Self {
+            child,
+            host: host.to_owned(),
+            ip,
+            folder,
+            lines,
+        }
+    }
+
+    /// A client of it.
+    pub fn client(&self) -> Client {
+        Client::new(SocketAddr::new(self.ip, settings::INGRESS_PORT))
+    }
+
+    /// Waits until it is ready.
+    pub async fn ready(&self) {
+        let client = Client::new(SocketAddr::new(self.ip, settings::READINESS_PORT));
+        until("the gateway is ready", async || {
+            client.is_ready().await.unwrap_or(false)
+        })
+        .await;
+    }
+
+    /// Whether it says that it is ready.
+    pub async fn is_ready(&self) -> bool {
+        let client = Client::new(SocketAddr::new(self.ip, settings::READINESS_PORT));
+        client.is_ready().await.unwrap_or(false)
+    }
+
+    /// Kills it at once.
+    pub fn kill(&mut self) {
+        self.child.kill().expect("the process can be killed");
+        self.child.wait().expect("the process ends");
+    }
+
+    /// Starts it again on its host.
+    pub fn restart(&mut self) {
+        self.child = spawn(&self.folder, &self.lines);
+    }
+
+    /// Sends it a signal by name.
+    pub fn signal(&self, name: &str) {
+        let status = Command::new("kill")
+            .args([format!("-{name}"), self.child.id().to_string()])
+            .status()
+            .expect("kill runs");
+        assert!(status.success());
+    }
+
+    /// Waits until it has ended by itself.
+    pub async fn ended(&mut self) -> bool {
+        let child = &mut self.child;
+        let mut code = None;
+        until("the gateway ends", async || {
+            code = child.try_wait().expect("the process can be asked");
+            code.is_some()
+        })
+        .await;
+        code.is_some_and(|code| code.success())
+    }
+
+    /// The log lines with an event so far.
+    pub fn lines(&self, event: &str) -> Vec<Value> {
+        let lines = self.lines.lock().expect("no reader panics");
+        let found = lines.iter().filter(|line| line["event"] == event);
+        found.cloned().collect()
+    }
+
+    /// Waits for a log line with an event.
+    pub async fn logged(&self, event: &str) -> Value {
+        until(event, async || !self.lines(event).is_empty()).await;
+        self.lines(event).remove(0)
+    }
+
+    /// Its host's name.
+    pub fn host(&self) -> &str {
+        &self.host
+    }
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        // It may have ended by itself.
+        drop(self.child.kill());
+        drop(self.child.wait());
+        drop(std::fs::remove_dir_all(&self.folder));
+    }
+}
+
+fn spawn(folder: &std::path::Path, lines: &Arc<Mutex<Vec<Value>>>) -> Child {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_tamaracksail-gateway"))
+        .env(settings::PATH_VARIABLE, folder.join("settings"))
+        .stdout(Stdio::piped())
+        .spawn()
+        .expect("the gateway starts");
+    let output = child.stdout.take().expect("its output is piped");
+    let lines = Arc::clone(lines);
+    std::thread::spawn(move || {
+        for line in BufReader::new(output).lines().map_while(Result::ok) {
+            let parsed = serde_json::from_str(&line).unwrap_or_else(|_| json!({"event": line}));
+            lines.lock().expect("no reader panics").push(parsed);
+        }
+    });
+    child
+}
+
+/// A platform with some engines and one plain server.
+pub struct World {
+    pub store: Store,
+    pub engines: Vec<Engine>,
+    pub app: Engine,
+}
+
+impl World {
+    /// Starts a store and backend servers; the engines answer with `events` events, `pace` apart.
+    pub async fn start(engines: usize, events: u64, pace: Duration) -> Self {
+        let store = Store::start(SocketAddr::new(address(), 7100))
+            .await
+            .expect("the store starts");
+        store.put("config", "main", settings::routes(1));
+        let mut started = Vec::new();
+        for number in 0..engines {
+            let engine = server(&format!("engine-{number}"), events, pace).await;
+            engine.register(&store, "pool", "ready");
+            started.push(engine);
+        }
+        let app = server("app-0", events, pace).await;
+        app.register(&store, "app", "ready");
+        Self {
+            store,
+            engines: started,
+            app,
+        }
+    }
+
+    /// All arrivals of an item, over all engines.
+    pub fn arrivals(&self, item: &str) -> usize {
+        let count = |engine: &Engine| {
+            let arrivals = engine.arrivals();
+            arrivals.iter().filter(|found| found.id == item).count()
+        };
+        self.engines.iter().map(count).sum()
+    }
+}
+
+/// Starts one more backend server.
+pub async fn server(instance: &str, events: u64, pace: Duration) -> Engine {
+    Engine::start(instance, SocketAddr::new(address(), 7200), events, pace)
+        .await
+        .expect("the server starts")
+}
+
+/// Runs a test on a `LocalSet`.
+pub fn run(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    tokio::task::LocalSet::new().block_on(&runtime, test);
+}
+
+/// Waits until a condition holds.
+pub async fn until(what: &str, mut holds: impl AsyncFnMut() -> bool) {
+    let end = tokio::time::Instant::now() + PATIENCE;
+    while !holds().await {
+        assert!(tokio::time::Instant::now() < end, "never: {what}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Reads a batch at `client` until `count` results are there. Returns them by position.
+pub async fn read(client: &Client, batch: &str, count: usize) -> Vec<Value> {
+    let mut results = Vec::new();
+    until("all results are read", async || {
+        if let Ok(answer) = client.results(batch, results.len()).await
+            && answer.status == 200
+        {
+            let page = answer.json();
+            results.extend(page["results"].as_array().cloned().unwrap_or_default());
+        }
+        results.len() >= count
+    })
+    .await;
+    results
+}
--- a/crates/policy/src/batch/seat.rs
+++ b/crates/policy/src/batch/seat.rs
@@ -14,6 +14,10 @@
 /// engine that crashed is back within seconds.
 const FIRST_REST: Duration = Duration::from_millis(500);
 
+/// Failures without an event between them after which an engine rests. One alone may be the
+/// item's or the connection's.
+const FAILURES: u32 = 2;
+
 /// The longest rest.
 const LONGEST_REST: Duration = Duration::from_secs(4);
 
@@ -83,8 +87,11 @@
         if now < self.rest_until {
             return;
         }
-        let rest = FIRST_REST * 2u32.saturating_pow(self.failures.min(8));
         self.failures += 1;
+        if self.failures < FAILURES {
+            return;
+        }
+        let rest = FIRST_REST * 2u32.saturating_pow((self.failures - FAILURES).min(8));
         self.rest_until = now.after(rest.min(LONGEST_REST));
     }
 
