--- /dev/null
+++ b/crates/policy/src/batch/dispatch.rs
@@ -0,0 +1,167 @@
+//! Starting, stopping and moving runs.
+
+use std::rc::Rc;
+
+use tamaracksail_model::batch::Draft;
+use tamaracksail_model::time::Instant;
+
+use super::action::Action;
+use super::ending;
+use super::pool::Need;
+use super::run::Run;
+use super::scheduler::Scheduler;
+use super::seat::{Seat, SeatKey};
+use super::work::{Stage, WorkKey};
+
+pub(super) fn dispatch(scheduler: &mut Scheduler, now: Instant) {
+    let median = scheduler.pool.median_pace();
+    let mut free: u32 = scheduler.pool.seats.values().map(Seat::free).sum();
+    let waiting: Vec<(u64, WorkKey)> = scheduler.queue.iter().copied().collect();
+    for (rank, key) in waiting {
+        if free == 0 {
+            return;
+        }
+        let work = &scheduler.works[key];
+        if scheduler.batches[work.batch].is_satisfied && !work.is_spare {
+            continue;
+        }
+        if scheduler.paused.get(&key).is_some_and(|until| now < *until) {
+            continue;
+        }
+        if let Some(seat) = scheduler
+            .pool
+            .choose(now, &need(scheduler, key), median, None)
+        {
+            scheduler.queue.remove(&(rank, key));
+            start(scheduler, now, key, seat);
+            free -= 1;
+        }
+    }
+}
+
+/// What an item needs of an engine, given the text that it has.
+pub(super) fn need(scheduler: &Scheduler, key: WorkKey) -> Need<'_> {
+    let work = &scheduler.works[key];
+    let batch = &scheduler.batches[work.batch];
+    let version = if batch.is_single_version {
+        work.text.versions.first().copied()
+    } else {
+        None
+    };
+    // Text of the newest version may still be used in the next step, which is where an item
+    // ends that this step does not wait for.
+    let newest = batch
+        .model
+        .as_ref()
+        .and_then(|model| scheduler.named.get(model));
+    let min_version = match (work.is_spare, newest) {
+        (true, Some(newest)) => batch.min_version.max(Some(*newest)),
+        _ => batch.min_version,
+    };
+    Need {
+        service: &work.service,
+        model: batch.model.as_deref(),
+        min_version,
+        version,
+    }
+}
+
+pub(super) fn start(scheduler: &mut Scheduler, now: Instant, key: WorkKey, seat: SeatKey) {
+    scheduler.next_run += 1;
+    let run = scheduler.next_run;
+    let work = &mut scheduler.works[key];
+    work.stage = Stage::Running(run);
+    let batch = &scheduler.batches[work.batch];
+    let chosen = &mut scheduler.pool.seats[seat];
+    chosen.running += 1;
+    let held = batch.model.as_deref().and_then(|m| chosen.version(m));
+    scheduler.paused.remove(&key);
+    scheduler.runs.insert(
+        run,
+        Run {
+            work: key,
+            seat,
+            progress: now,
+            events: 0,
+            version: held,
+        },
+    );
+    scheduler.actions.push(Action::Start {
+        run,
+        work: key,
+        seat,
+        item: Rc::clone(&work.item),
+        after: work.text.last,
+        version: if batch.is_single_version { held } else { None },
+    });
+}
+
+/// Ends a run and lets its item wait again.
+pub(super) fn take_back(scheduler: &mut Scheduler, now: Instant, run: u64, reason: &'static str) {
+    let Some(found) = scheduler.runs.get(&run).copied() else {
+        return;
+    };
+    stop(scheduler, run, reason);
+    if scheduler.is_ended(found.work) {
+        let id = scheduler.works[found.work].item.id.clone();
+        scheduler.lingering.remove(&id);
+        ending::forget(scheduler, now, found.work);
+    } else {
+        requeue(scheduler, now, found.work);
+    }
+}
+
+/// Starts a waiting item at an engine out of turn.
+pub(super) fn restart(scheduler: &mut Scheduler, now: Instant, key: WorkKey, seat: SeatKey) {
+    if let Some(rank) = scheduler.ranks.get(&key) {
+        scheduler.queue.remove(&(*rank, key));
+    }
+    start(scheduler, now, key, seat);
+}
+
+pub(super) fn stop(scheduler: &mut Scheduler, run: u64, reason: &'static str) {
+    if drop_run(scheduler, run).is_some() {
+        scheduler.actions.push(Action::Stop { run, reason });
+    }
+}
+
+pub(super) fn drop_run(scheduler: &mut Scheduler, run: u64) -> Option<Run> {
+    let found = scheduler.runs.remove(&run)?;
+    if let Some(seat) = scheduler.pool.seats.get_mut(found.seat) {
+        seat.running = seat.running.saturating_sub(1);
+    }
+    Some(found)
+}
+
+pub(super) fn vacate(scheduler: &mut Scheduler, now: Instant, seat: SeatKey) {
+    let runs: Vec<u64> = scheduler
+        .runs
+        .iter()
+        .filter(|(_, run)| run.seat == seat)
+        .map(|(number, _)| *number)
+        .collect();
+    for run in runs {
+        take_back(scheduler, now, run, "the engine is gone");
+    }
+    scheduler.pool.drop_seat(seat);
+}
+
+pub(super) fn requeue(scheduler: &mut Scheduler, _now: Instant, key: WorkKey) {
+    let work = &mut scheduler.works[key];
+    work.stage = Stage::Waiting;
+    let batch = &scheduler.batches[work.batch];
+    let text = &work.text;
+    if !text.fits(batch.min_version) || (batch.is_single_version && text.versions.len() > 1) {
+        work.text = Draft::default();
+    }
+    let rank = scheduler.ranks.get(&key).copied().unwrap_or(0);
+    scheduler.queue.insert((rank, key));
+}
+
+pub(super) fn complete(scheduler: &mut Scheduler, now: Instant, key: WorkKey) {
+    let work = &mut scheduler.works[key];
+    work.stage = Stage::Over;
+    let listing = work.completed();
+    let (batch, group) = (work.batch, work.group);
+    scheduler.batches[batch].add(now, group, listing);
+}
--- /dev/null
+++ b/crates/policy/src/batch/ending.rs
@@ -0,0 +1,173 @@
+//! Ends: of batches, of items that are given up, of scheduling here.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use tamaracksail_model::batch::Draft;
+use tamaracksail_model::time::Instant;
+
+use super::action::Action;
+use super::dispatch;
+use super::scheduler::{BatchKey, Scheduler};
+use super::work::{Stage, WorkKey};
+
+/// How long runs of an ended batch go on, for a later batch with the same items. A trainer asks
+/// again after a short training; a run that has begun may finish, but none begins.
+const LINGER: Duration = Duration::from_millis(2500);
+
+/// Stops and forgets an item of an ended batch, and keeps its text.
+pub(super) fn release(scheduler: &mut Scheduler, key: WorkKey, reason: &'static str) {
+    if let Some(Stage::Running(run)) = scheduler.works.get(key).map(|work| work.stage) {
+        dispatch::stop(scheduler, run, reason);
+    }
+}
+
+/// Ends a batch: nothing of it begins or is listed any more. Its text is kept for a later
+/// batch, and runs that such a batch could use go on for a while.
+pub(super) fn end(scheduler: &mut Scheduler, now: Instant, batch: BatchKey) {
+    let Some(pending) = scheduler.batches.get_mut(batch) else {
+        return;
+    };
+    pending.ended = Some(now);
+    pending.results.clear();
+    let whole: BTreeSet<usize> = (0..pending.groups.len())
+        .filter(|group| pending.groups[*group].open == 0)
+        .collect();
+    let newest = pending
+        .model
+        .as_ref()
+        .and_then(|model| scheduler.named.get(model))
+        .copied();
+    for key in std::mem::take(&mut pending.works) {
+        let Some(work) = scheduler.works.get(key) else {
+            continue;
+        };
+        if let Stage::Running(run) = work.stage {
+            let made_by = scheduler.runs.get(&run).and_then(|run| run.version);
+            if newest.is_some() && made_by >= newest && work.text.fits(newest) {
+                scheduler.lingering.insert(work.item.id.clone(), key);
+                continue;
+            }
+            dispatch::stop(scheduler, run, "the batch has ended");
+        }
+        if whole.contains(&scheduler.works[key].group) {
+            // A group that the trainer has whole does not come again.
+            scheduler.works[key].text = Draft::default();
+        }
+        forget(scheduler, now, key);
+    }
+}
+
+/// Forgets an item and keeps its text.
+pub(super) fn forget(scheduler: &mut Scheduler, now: Instant, key: WorkKey) {
+    if let Some(rank) = scheduler.ranks.remove(&key) {
+        scheduler.queue.remove(&(rank, key));
+    }
+    scheduler.paused.remove(&key);
+    if let Some(work) = scheduler.works.remove(key)
+        && work.text.last.is_some()
+    {
+        scheduler
+            .kept
+            .insert(work.item.id.clone(), (now, work.text));
+    }
+}
+
+/// Ends runs of ended batches for which no later batch came.
+pub(super) fn end_lingering(scheduler: &mut Scheduler, now: Instant) {
+    let works = &scheduler.works;
+    let batches = &scheduler.batches;
+    let is_late = |key: &WorkKey| {
+        let batch = works.get(*key).and_then(|work| batches.get(work.batch));
+        batch.is_none_or(|batch| batch.ended.is_some_and(|ended| now.since(ended) >= LINGER))
+    };
+    let late: Vec<(String, WorkKey)> = scheduler
+        .lingering
+        .iter()
+        .filter(|(_, key)| is_late(key))
+        .map(|(id, key)| (id.clone(), *key))
+        .collect();
+    for (id, key) in late {
+        scheduler.lingering.remove(&id);
+        release(scheduler, key, "no later batch has the item");
+        forget(scheduler, now, key);
+    }
+    scheduler
+        .batches
+        .retain(|_, batch| batch.ended.is_none_or(|ended| now.since(ended) < LINGER));
+}
+
+/// Text of ended batches, for a scheduler that takes over.
+pub(super) fn drafts(scheduler: &Scheduler) -> Vec<(String, Draft)> {
+    scheduler
+        .kept
+        .iter()
+        .map(|(item, (_, draft))| (item.clone(), draft.clone()))
+        .collect()
+}
+
+/// Takes in text that another scheduler had.
+pub(super) fn keep_draft(scheduler: &mut Scheduler, now: Instant, item: String, draft: Draft) {
+    let is_longer = scheduler
+        .kept
+        .get(&item)
+        .is_none_or(|(_, kept)| kept.last < draft.last);
+    if is_longer {
+        scheduler.kept.insert(item, (now, draft));
+    }
+}
+
+/// Ends all batches at once and keeps their text. Returns what is still to be done.
+pub(super) fn close(scheduler: &mut Scheduler, now: Instant) -> Vec<Action> {
+    let unwritten: BTreeSet<String> = scheduler
+        .batches
+        .values()
+        .flat_map(|batch| batch.results.iter().map(|result| result.item.clone()))
+        .collect();
+    let keys: Vec<WorkKey> = scheduler.works.keys().collect();
+    for key in keys {
+        let work = &mut scheduler.works[key];
+        if work.stage == Stage::Over && !unwritten.contains(&work.item.id) {
+            work.text = Draft::default();
+        }
+        release(scheduler, key, "scheduling ends here");
+        forget(scheduler, now, key);
+    }
+    scheduler.batches.clear();
+    scheduler.lingering.clear();
+    scheduler.queue.clear();
+    for seat in scheduler.pool.seats.values_mut() {
+        seat.loading = None;
+    }
+    std::mem::take(&mut scheduler.actions)
+}
+
+pub(super) fn expire(scheduler: &mut Scheduler, now: Instant) {
+    let late: Vec<WorkKey> = scheduler
+        .works
+        .iter()
+        .filter(|(key, work)| {
+            work.stage != Stage::Over
+                && !scheduler.is_ended(*key)
+                && now >= scheduler.batches[work.batch].expires
+        })
+        .map(|(key, _)| key)
+        .collect();
+    for key in late {
+        give_up(scheduler, now, key);
+    }
+}
+
+pub(super) fn give_up(scheduler: &mut Scheduler, now: Instant, key: WorkKey) {
+    if let Stage::Running(run) = scheduler.works[key].stage {
+        dispatch::stop(scheduler, run, "the item was given up");
+    }
+    if let Some(rank) = scheduler.ranks.get(&key) {
+        scheduler.queue.remove(&(*rank, key));
+    }
+    let work = &mut scheduler.works[key];
+    work.stage = Stage::Over;
+    let listing = work.aborted();
+    let (batch, group) = (work.batch, work.group);
+    scheduler.batches[batch].add(now, group, listing);
+}
--- /dev/null
+++ b/crates/policy/src/batch/intake.rs
@@ -0,0 +1,197 @@
+//! Taking batches in.
+
+use std::collections::BTreeSet;
+use std::rc::Rc;
+
+use tamaracksail_model::batch::Item;
+use tamaracksail_model::time::Instant;
+
+use super::pending::{Group, Pending, grouping, leftovers};
+use super::scheduler::{BatchKey, Scheduler};
+use super::work::{Stage, Work, WorkKey};
+use super::{dispatch, ending};
+
+/// A batch to take in.
+#[derive(Clone, Debug)]
+pub struct Intake {
+    /// The route's host name.
+    pub host: String,
+    /// The model, for training steps.
+    pub model: Option<String>,
+    /// The oldest version that may generate.
+    pub min_version: Option<u64>,
+    /// Whole groups that the trainer waits for; all if it does not say.
+    pub target_groups: Option<usize>,
+    /// The items.
+    pub items: Vec<Item>,
+    /// Ids of items whose results stand in the store already.
+    pub listed: BTreeSet<String>,
+    /// Whether each text must come from one version.
+    pub is_single_version: bool,
+    /// Failed answers after which an item is given up.
+    pub max_attempts: u32,
+    /// When items may be given up.
+    pub expires: Instant,
+}
+
+/// Takes in a batch. `route` names the service that runs a path.
+pub(super) fn submit(
+    scheduler: &mut Scheduler,
+    now: Instant,
+    intake: Intake,
+    route: impl Fn(&str, &str) -> Option<String>,
+) -> BatchKey {
+    let (names, group_of) = grouping(
+        intake
+            .items
+            .iter()
+            .map(|item| (item.id.as_str(), item.group.as_deref())),
+    );
+    let carried: BTreeSet<usize> = (0..names.len())
+        .filter(|group| scheduler.past_groups.contains_key(&names[*group]))
+        .collect();
+    let mut lengths = vec![0; names.len()];
+    for (item, group) in intake.items.iter().zip(&group_of) {
+        lengths[*group] = lengths[*group].max(item.hint.unwrap_or(item.tokens));
+    }
+    let target = intake.target_groups.unwrap_or(names.len());
+    let last = leftovers(&lengths, &carried, target);
+    for name in names {
+        scheduler.past_groups.insert(name, now);
+    }
+    let batch = scheduler.batches.insert(Pending {
+        host: intake.host,
+        model: intake.model,
+        min_version: intake.min_version,
+        target_groups: target,
+        groups: vec![Group::default(); lengths.len()],
+        works: Vec::new(),
+        is_single_version: intake.is_single_version,
+        max_attempts: intake.max_attempts,
+        expires: intake.expires,
+        results: Vec::new(),
+        results_since: now,
+        is_writing: false,
+        is_satisfied: false,
+        ended: None,
+    });
+    let mut order: Vec<(Item, usize)> = intake.items.into_iter().zip(group_of).collect();
+    order.sort_by_key(|(item, group)| {
+        let length = item.hint.unwrap_or(item.tokens);
+        (last.contains(group), std::cmp::Reverse(length))
+    });
+    for (item, group) in order {
+        if adopt(scheduler, batch, &item.id, group) {
+            continue;
+        }
+        let is_spare = last.contains(&group);
+        add_work(
+            scheduler,
+            now,
+            batch,
+            (item, group, is_spare),
+            &intake.listed,
+            &route,
+        );
+    }
+    batch
+}
+
+/// Takes over a run of an ended batch with the same item. False if there is none whose text
+/// may be used.
+pub(super) fn adopt(scheduler: &mut Scheduler, batch: BatchKey, id: &str, group: usize) -> bool {
+    let Some(key) = scheduler.lingering.remove(id) else {
+        return false;
+    };
+    let pending = &mut scheduler.batches[batch];
+    let Some(work) = scheduler.works.get_mut(key) else {
+        return false;
+    };
+    let is_allowed = work.text.fits(pending.min_version)
+        && !(pending.is_single_version && work.text.versions.len() > 1);
+    if !is_allowed {
+        ending::release(scheduler, key, "its text is too old for the next batch");
+        return false;
+    }
+    work.batch = batch;
+    work.group = group;
+    work.failures = 0;
+    work.is_spare = false;
+    pending.works.push(key);
+    pending.groups[group].open += 1;
+    scheduler.next_rank += 1;
+    scheduler.ranks.insert(key, scheduler.next_rank);
+    true
+}
+
+pub(super) fn add_work(
+    scheduler: &mut Scheduler,
+    now: Instant,
+    batch: BatchKey,
+    (item, group, is_spare): (Item, usize, bool),
+    listed: &BTreeSet<String>,
+    route: &impl Fn(&str, &str) -> Option<String>,
+) {
+    let pending = &mut scheduler.batches[batch];
+    let is_listed = listed.contains(&item.id);
+    let mut text = scheduler.kept.get(&item.id).map(|(_, text)| text.clone());
+    if let Some(found) = &text
+        && (!found.fits(pending.min_version)
+            || (pending.is_single_version && found.versions.len() > 1))
+    {
+        text = None;
+    }
+    let text = text.unwrap_or_default();
+    let service = route(&pending.host, &item.path);
+    let is_whole = text.is_whole;
+    let is_routed = service.is_some();
+    let work = scheduler.works.insert(Work {
+        item: Rc::new(item),
+        batch,
+        group,
+        text,
+        stage: Stage::Waiting,
+        failures: 0,
+        service: service.unwrap_or_default(),
+        is_spare,
+    });
+    pending.works.push(work);
+    if is_listed {
+        scheduler.works[work].stage = Stage::Over;
+        return;
+    }
+    pending.groups[group].open += 1;
+    if is_whole {
+        dispatch::complete(scheduler, now, work);
+    } else if is_routed {
+        scheduler.next_rank += 1;
+        scheduler.ranks.insert(work, scheduler.next_rank);
+        scheduler.queue.insert((scheduler.next_rank, work));
+    } else {
+        ending::give_up(scheduler, now, work);
+    }
+}
+
+/// Applies new routes: items whose path no longer leads to a service are given up.
+pub(super) fn reroute(
+    scheduler: &mut Scheduler,
+    now: Instant,
+    route: impl Fn(&str, &str) -> Option<String>,
+) {
+    let open: Vec<WorkKey> = scheduler
+        .works
+        .iter()
+        .filter(|(key, work)| work.stage != Stage::Over && !scheduler.is_ended(*key))
+        .map(|(key, _)| key)
+        .collect();
+    for key in open {
+        let work = &scheduler.works[key];
+        let Some(batch) = scheduler.batches.get(work.batch) else {
+            continue;
+        };
+        match route(&batch.host, &work.item.path) {
+            Some(service) => scheduler.works[key].service = service,
+            None => ending::give_up(scheduler, now, key),
+        }
+    }
+}
--- a/crates/policy/src/batch/mod.rs
+++ b/crates/policy/src/batch/mod.rs
@@ -4,9 +4,13 @@
 //! one process that holds the scheduling lease; what it lists is durable before callers see it.
 
 mod action;
+mod dispatch;
+mod ending;
 mod home;
+mod intake;
 mod pending;
 mod pool;
+mod reports;
 mod run;
 mod scheduler;
 mod seat;
@@ -15,6 +19,7 @@
 mod work;
 
 pub use action::{Action, Failure};
-pub use scheduler::{BatchKey, Intake, Scheduler};
+pub use intake::Intake;
+pub use scheduler::{BatchKey, Scheduler};
 pub use seat::{Seat, SeatKey};
 pub use work::WorkKey;
--- a/crates/policy/src/batch/pending.rs
+++ b/crates/policy/src/batch/pending.rs
@@ -74,11 +74,6 @@
         self.is_writing = true;
         Some(std::mem::take(&mut self.results))
     }
-
-    /// The items whose results stand in `listed`.
-    pub(crate) fn is_over(&self) -> bool {
-        self.groups.iter().all(|group| group.open == 0) && self.results.is_empty()
-    }
 }
 
 /// The names of the groups of `items`, in the order in which they appear, and each item's group.
--- a/crates/policy/src/batch/pool.rs
+++ b/crates/policy/src/batch/pool.rs
@@ -58,10 +58,6 @@
         self.seats.remove(key);
     }
 
-    pub(crate) fn instances(&self) -> Vec<String> {
-        self.by_instance.keys().cloned().collect()
-    }
-
     /// The milliseconds between two events at the median engine.
     pub(crate) fn median_pace(&self) -> Option<f64> {
         let mut paces: Vec<f64> = self.seats.values().filter_map(|seat| seat.pace).collect();
--- /dev/null
+++ b/crates/policy/src/batch/reports.rs
@@ -0,0 +1,132 @@
+//! What comes back from runs.
+
+use std::time::Duration;
+
+use tamaracksail_model::batch::Draft;
+use tamaracksail_model::time::Instant;
+
+use super::action::Failure;
+use super::scheduler::Scheduler;
+use super::{dispatch, ending};
+
+/// How long an item waits after an engine refused or failed it, so that a failing engine does
+/// not use up an item's attempts at once.
+const RETRY_PAUSE: Duration = Duration::from_millis(50);
+
+/// Notes the head of a run's answer. False if the run is to be closed.
+pub(super) fn answered(
+    scheduler: &mut Scheduler,
+    now: Instant,
+    run: u64,
+    version: Option<u64>,
+) -> bool {
+    let Some(found) = scheduler.runs.get_mut(&run) else {
+        return false;
+    };
+    found.progress = now;
+    found.version = version.or(found.version);
+    true
+}
+
+/// Adds an event to an item's text. False if the run is to be closed.
+pub(super) fn event(
+    scheduler: &mut Scheduler,
+    now: Instant,
+    run: u64,
+    id: u64,
+    data: &str,
+    version: Option<u64>,
+) -> bool {
+    let Some(found) = scheduler.runs.get_mut(&run) else {
+        return false;
+    };
+    let millis = now.since(found.progress).as_secs_f64() * 1000.0;
+    let is_first = found.events == 0;
+    found.progress = now;
+    found.events += 1;
+    found.version = version.or(found.version);
+    let (made_by, seat, key) = (found.version, found.seat, found.work);
+    let work = &mut scheduler.works[key];
+    let pending = &scheduler.batches[work.batch];
+    let follows = work.text.last.is_none_or(|last| id == last + 1);
+    let is_new_enough = match (made_by, pending.min_version) {
+        (Some(version), Some(min)) => version >= min,
+        _ => true,
+    };
+    if !follows || !is_new_enough {
+        if let (Some(model), Some(version), Some(seat)) =
+            (&pending.model, made_by, scheduler.pool.seats.get_mut(seat))
+        {
+            seat.entry.models.insert(model.clone(), version);
+        }
+        failed(scheduler, now, run, Failure::Broken);
+        return false;
+    }
+    work.text.push(id, data, made_by);
+    if let Some(seat) = scheduler.pool.seats.get_mut(seat) {
+        seat.succeed();
+        if !is_first {
+            seat.sample(millis);
+        }
+    }
+    true
+}
+
+/// Notes that a run's answer came to its proper end.
+pub(super) fn finished(scheduler: &mut Scheduler, now: Instant, run: u64) {
+    let Some(found) = dispatch::drop_run(scheduler, run) else {
+        return;
+    };
+    let is_ended = scheduler.is_ended(found.work);
+    let work = &mut scheduler.works[found.work];
+    if is_ended {
+        work.text.is_whole = work.text.last.is_some();
+        scheduler.lingering.remove(&work.item.id.clone());
+        ending::forget(scheduler, now, found.work);
+        return;
+    }
+    if work.text.last.is_none() {
+        dispatch::requeue(scheduler, now, found.work);
+        return;
+    }
+    let is_mixed = scheduler.batches[work.batch].is_single_version && work.text.versions.len() > 1;
+    if is_mixed {
+        work.text = Draft::default();
+        dispatch::requeue(scheduler, now, found.work);
+    } else {
+        work.text.is_whole = true;
+        dispatch::complete(scheduler, now, found.work);
+    }
+}
+
+/// Notes that a run ended before its text was whole.
+pub(super) fn failed(scheduler: &mut Scheduler, now: Instant, run: u64, failure: Failure) {
+    let Some(found) = dispatch::drop_run(scheduler, run) else {
+        return;
+    };
+    if let Some(seat) = scheduler.pool.seats.get_mut(found.seat)
+        && matches!(failure, Failure::Broken | Failure::Refused)
+    {
+        seat.fail(now);
+    }
+    if scheduler.is_ended(found.work) {
+        let id = scheduler.works[found.work].item.id.clone();
+        scheduler.lingering.remove(&id);
+        ending::forget(scheduler, now, found.work);
+        return;
+    }
+    let work = &mut scheduler.works[found.work];
+    let max_attempts = scheduler.batches[work.batch].max_attempts;
+    match failure {
+        Failure::Impossible => return ending::give_up(scheduler, now, found.work),
+        Failure::Failed => {
+            work.failures += 1;
+            if work.failures >= max_attempts {
+                return ending::give_up(scheduler, now, found.work);
+            }
+        }
+        Failure::Refused | Failure::Broken => {}
+    }
+    scheduler.paused.insert(found.work, now.after(RETRY_PAUSE));
+    dispatch::requeue(scheduler, now, found.work);
+}
--- a/crates/policy/src/batch/tail.rs
+++ b/crates/policy/src/batch/tail.rs
@@ -5,6 +5,7 @@
 
 use tamaracksail_model::time::Instant;
 
+use super::dispatch;
 use super::scheduler::Scheduler;
 
 /// Takes back items from engines that fell silent. The engine rests.
@@ -27,7 +28,7 @@
         if let Some(seat) = scheduler.pool.seats.get_mut(seat) {
             seat.fail(now);
         }
-        scheduler.take_back(now, number, "the engine is silent");
+        dispatch::take_back(scheduler, now, number, "the engine is silent");
     }
 }
 
@@ -48,13 +49,13 @@
         if !scheduler.may_move(run.work) {
             continue;
         }
-        let need = scheduler.need(run.work);
+        let need = dispatch::need(scheduler, run.work);
         let target = scheduler.pool.choose(now, &need, median, Some(run.seat));
         if let Some(seat) = target
             && !scheduler.pool.is_slow(seat, median)
         {
-            scheduler.take_back(now, number, "the engine is slow");
-            scheduler.restart(now, run.work, seat);
+            dispatch::take_back(scheduler, now, number, "the engine is slow");
+            dispatch::restart(scheduler, now, run.work, seat);
         }
     }
 }
--- a/crates/policy/src/batch/weights.rs
+++ b/crates/policy/src/batch/weights.rs
@@ -9,6 +9,7 @@
 use tamaracksail_model::time::Instant;
 
 use super::action::Action;
+use super::dispatch;
 use super::scheduler::Scheduler;
 use super::seat::{Loading, Seat, SeatKey};
 
@@ -105,12 +106,12 @@
     let median = scheduler.pool.median_pace();
     for number in runs {
         let work = scheduler.runs[&number].work;
-        let need = scheduler.need(work);
+        let need = dispatch::need(scheduler, work);
         let Some(seat) = scheduler.pool.choose(now, &need, median, Some(key)) else {
             return false;
         };
-        scheduler.take_back(now, number, "the engine loads weights");
-        scheduler.restart(now, work, seat);
+        dispatch::take_back(scheduler, now, number, "the engine loads weights");
+        dispatch::restart(scheduler, now, work, seat);
     }
     true
 }
