--- a/crates/gateway/tests/batches.rs
+++ b/crates/gateway/tests/batches.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use common::{Gateway, World, read, run, until};
+use tamaracksail_adapter_standins::Engine;
 use tamaracksail_adapter_standins::engine::Fault;
 use tamaracksail_adapter_standins::store::Fault as StoreFault;
 
@@ -97,7 +98,7 @@
         let resumed = world
             .engines
             .iter()
-            .flat_map(|engine| engine.arrivals())
+            .flat_map(Engine::arrivals)
             .filter(|arrival| arrival.after.is_some())
             .count();
         assert!(resumed >= 2, "{resumed}");
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -13,7 +13,7 @@
 use tamaracksail_adapter_standins::{Client, Engine, Store, settings};
 
 /// How long a condition may take before a test fails. Far beyond what any needs.
-const PATIENCE: Duration = Duration::from_secs(60);
+const PATIENCE: Duration = Duration::from_mins(1);
 
 /// A loopback address that no other test of this machine uses: the process id and a counter.
 pub fn address() -> IpAddr {
--- a/crates/gateway/tests/requests.rs
+++ b/crates/gateway/tests/requests.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use common::{Gateway, World, run, server};
+use tamaracksail_adapter_standins::Engine;
 use tamaracksail_adapter_standins::engine::Fault;
 use tamaracksail_adapter_standins::settings;
 
@@ -169,7 +170,7 @@
         let afters: Vec<Option<u64>> = world
             .engines
             .iter()
-            .flat_map(|engine| engine.arrivals())
+            .flat_map(Engine::arrivals)
             .map(|arrival| arrival.after)
             .collect();
         assert!(
--- /dev/null
+++ b/crates/policy/tests/common/engines.rs
@@ -0,0 +1,350 @@
+//! Engines and trainers under virtual time, around a real scheduler.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use tamaracksail_model::backend::{Entry, State};
+use tamaracksail_model::batch::{Ending, Item, Listing};
+use tamaracksail_model::time::Instant;
+use tamaracksail_policy::batch::{Action, BatchKey, Failure, Intake, Scheduler, SeatKey};
+
+/// One turn of the world.
+const TICK: Duration = Duration::from_millis(5);
+
+/// How long a write to the store takes.
+const WRITE: Duration = Duration::from_millis(15);
+
+/// How long one load of weights takes when two run at a time.
+const LOAD: Duration = Duration::from_millis(900);
+
+/// The model that all engines hold.
+pub const MODEL: &str = "drafts";
+
+/// One engine.
+#[derive(Clone, Debug)]
+pub struct Engine {
+    /// The time between two events of a run.
+    pub pace: Duration,
+    /// It answers nothing, and nobody is told.
+    pub is_silent: bool,
+    /// The version of its weights.
+    pub version: u64,
+    loading: Option<(Instant, u64, SeatKey)>,
+}
+
+#[derive(Clone, Debug)]
+struct Run {
+    engine: String,
+    item: String,
+    next: u64,
+    at: Instant,
+}
+
+/// The world.
+pub struct World {
+    pub now: Instant,
+    pub scheduler: Scheduler,
+    pub engines: BTreeMap<String, Engine>,
+    /// The events of each item's whole text.
+    pub lengths: BTreeMap<String, u64>,
+    /// Durable results by batch.
+    pub listed: BTreeMap<String, Vec<Listing>>,
+    /// Loads begun.
+    pub loads: usize,
+    /// Runs taken away from an engine, by reason.
+    pub stops: BTreeMap<&'static str, usize>,
+    /// The most loads at one time.
+    pub most_loading: usize,
+    names: BTreeMap<BatchKey, String>,
+    runs: BTreeMap<u64, Run>,
+    writes: Vec<(Instant, BatchKey, Vec<Listing>)>,
+    min_versions: BTreeMap<String, u64>,
+}
+
+impl World {
+    /// A world of `count` engines with `slots` slots.
+    pub fn new(count: usize, slots: u32, pace: Duration) -> Self {
+        let mut world = Self {
+            now: Instant::from_millis(1_000_000),
+            scheduler: Scheduler::default(),
+            engines: BTreeMap::new(),
+            lengths: BTreeMap::new(),
+            listed: BTreeMap::new(),
+            loads: 0,
+            stops: BTreeMap::new(),
+            most_loading: 0,
+            names: BTreeMap::new(),
+            runs: BTreeMap::new(),
+            writes: Vec::new(),
+            min_versions: BTreeMap::new(),
+        };
+        for number in 0..count {
+            let name = format!("e{number:02}");
+            let engine = Engine {
+                pace,
+                is_silent: false,
+                version: 1,
+                loading: None,
+            };
+            world.engines.insert(name.clone(), engine);
+            world.enter(&name, slots, State::Ready);
+        }
+        world
+    }
+
+    /// Enters an engine in the scheduler.
+    pub fn enter(&mut self, name: &str, slots: u32, state: State) {
+        let entry = Entry {
+            instance: name.to_owned(),
+            born: Some(1),
+            service: "pool".to_owned(),
+            address: ([127, 0, 0, 1], 1).into(),
+            domain: "here".to_owned(),
+            slots,
+            state,
+            models: BTreeMap::from([(MODEL.to_owned(), self.engines[name].version)]),
+        };
+        self.scheduler.engine(self.now, entry);
+    }
+
+    /// Submits a step: groups of items with their lengths. Hints are right.
+    pub fn submit(&mut self, id: &str, min_version: u64, target: usize, groups: &[(&str, &[u64])]) {
+        let mut items = Vec::new();
+        for (group, lengths) in groups {
+            for (number, length) in lengths.iter().enumerate() {
+                let item = format!("{group}.{number}");
+                self.lengths.insert(item.clone(), *length);
+                items.push(Item {
+                    id: item,
+                    path: "/batch/x".to_owned(),
+                    headers: Vec::new(),
+                    body: bytes::Bytes::new(),
+                    tokens: *length,
+                    hint: Some(*length),
+                    group: Some((*group).to_owned()),
+                });
+            }
+        }
+        let intake = Intake {
+            host: "app".to_owned(),
+            model: Some(MODEL.to_owned()),
+            min_version: Some(min_version),
+            target_groups: Some(target),
+            items,
+            listed: BTreeSet::new(),
+            is_single_version: false,
+            max_attempts: 3,
+            expires: self.now.after(Duration::from_mins(1)),
+        };
+        let route = |_: &str, _: &str| Some("pool".to_owned());
+        let batch = self.scheduler.submit(self.now, intake, route);
+        self.names.insert(batch, id.to_owned());
+        self.min_versions.insert(id.to_owned(), min_version);
+        self.listed.insert(id.to_owned(), Vec::new());
+    }
+
+    /// Ends a step, as its trainer does.
+    pub fn end(&mut self, id: &str) {
+        let key = self.names.iter().find(|(_, name)| *name == id);
+        let key = key.map(|(key, _)| *key).expect("the batch is open");
+        self.names.remove(&key);
+        self.scheduler.end(self.now, key);
+    }
+
+    /// Groups whose items are all listed.
+    pub fn whole_groups(&self, id: &str) -> usize {
+        let mut groups: BTreeMap<&str, usize> = BTreeMap::new();
+        for listing in &self.listed[id] {
+            let group = listing.item.split('.').next().unwrap_or_default();
+            *groups.entry(group).or_default() += 1;
+        }
+        let size = |group: &str| {
+            let of_group = |item: &&String| item.split('.').next() == Some(group);
+            self.lengths.keys().filter(of_group).count()
+        };
+        groups
+            .iter()
+            .filter(|(group, count)| **count == size(group))
+            .count()
+    }
+
+    /// Turns until `groups` groups of a step are whole. Returns how long it took.
+    pub fn until_whole(&mut self, id: &str, groups: usize) -> Duration {
+        let start = self.now;
+        while self.whole_groups(id) < groups {
+            self.turn();
+            assert!(
+                self.now.since(start) < Duration::from_mins(2),
+                "{id} is never whole: {:?}",
+                self.listed[id].len()
+            );
+        }
+        self.now.since(start)
+    }
+
+    /// Turns for a while.
+    pub fn pass(&mut self, time: Duration) {
+        let end = self.now.after(time);
+        while self.now < end {
+            self.turn();
+        }
+    }
+
+    /// One turn.
+    pub fn turn(&mut self) {
+        self.now = self.now.after(TICK);
+        self.finish_loads();
+        self.run_engines();
+        let (due, waiting) = std::mem::take(&mut self.writes)
+            .into_iter()
+            .partition(|(at, ..)| *at <= self.now);
+        self.writes = waiting;
+        let due: Vec<(Instant, BatchKey, Vec<Listing>)> = due;
+        for (_, batch, listings) in due {
+            if let Some(id) = self.names.get(&batch) {
+                for listing in &listings {
+                    self.check(id, listing);
+                }
+                self.listed.entry(id.clone()).or_default().extend(listings);
+            }
+            self.scheduler.listed(batch);
+        }
+        for action in self.scheduler.pump(self.now) {
+            self.perform(action);
+        }
+    }
+
+    fn check(&self, id: &str, listing: &Listing) {
+        let known = &self.listed[id];
+        assert!(
+            known.iter().all(|found| found.item != listing.item),
+            "{} is listed twice",
+            listing.item
+        );
+        if listing.ending == Ending::Aborted {
+            return;
+        }
+        let length = self.lengths[&listing.item];
+        let whole: Vec<String> = (1..=length).map(|n| n.to_string()).collect();
+        assert_eq!(listing.text, whole.join("\n"), "{}", listing.item);
+        let min = self.min_versions[id];
+        assert!(
+            listing.versions.iter().all(|version| *version >= min),
+            "{} of {id} has versions {:?}, {min} is the oldest allowed",
+            listing.item,
+            listing.versions
+        );
+    }
+
+    fn finish_loads(&mut self) {
+        for engine in self.engines.values_mut() {
+            if let Some((at, version, seat)) = engine.loading
+                && at <= self.now
+            {
+                engine.loading = None;
+                if engine.is_silent {
+                    self.scheduler.order_failed(self.now, seat);
+                } else {
+                    engine.version = version;
+                    self.scheduler.loaded(seat, MODEL, version);
+                }
+            }
+        }
+    }
+
+    fn run_engines(&mut self) {
+        let due: Vec<u64> = self
+            .runs
+            .iter()
+            .filter(|(_, run)| {
+                let engine = &self.engines[&run.engine];
+                run.at <= self.now && !engine.is_silent && engine.loading.is_none()
+            })
+            .map(|(number, _)| *number)
+            .collect();
+        for number in due {
+            let run = self.runs.get_mut(&number).expect("it was just there");
+            let engine = &self.engines[&run.engine];
+            if run.next > self.lengths[&run.item] {
+                self.runs.remove(&number);
+                self.scheduler.finished(self.now, number);
+                continue;
+            }
+            let data = run.next.to_string();
+            let version = Some(engine.version);
+            let is_wanted = self
+                .scheduler
+                .event(self.now, number, run.next, &data, version);
+            run.next += 1;
+            run.at = self.now.after(engine.pace);
+            if !is_wanted {
+                self.runs.remove(&number);
+            }
+        }
+    }
+
+    /// Breaks all runs of an engine, as a crash does.
+    pub fn crash(&mut self, name: &str) {
+        let broken: Vec<u64> = self
+            .runs
+            .iter()
+            .filter(|(_, run)| run.engine == name)
+            .map(|(number, _)| *number)
+            .collect();
+        for number in broken {
+            self.runs.remove(&number);
+            self.scheduler.failed(self.now, number, Failure::Broken);
+        }
+    }
+
+    fn perform(&mut self, action: Action) {
+        match action {
+            Action::Start {
+                run,
+                seat,
+                item,
+                after,
+                ..
+            } => {
+                let entry = self.scheduler.entry(seat).expect("the engine is known");
+                let engine = entry.instance.clone();
+                let is_elsewhere = self.runs.values().any(|other| other.item == item.id);
+                assert!(!is_elsewhere, "{} runs twice", item.id);
+                let pace = self.engines[&engine].pace;
+                let next = after.unwrap_or(0) + 1;
+                let at = self.now.after(pace);
+                let item = item.id.clone();
+                let started = Run {
+                    engine,
+                    item,
+                    next,
+                    at,
+                };
+                self.runs.insert(run, started);
+            }
+            Action::Stop { run, reason } => {
+                self.runs.remove(&run);
+                *self.stops.entry(reason).or_default() += 1;
+            }
+            Action::List { batch, listings } => {
+                self.writes.push((self.now.after(WRITE), batch, listings));
+            }
+            Action::Order { seat, version, .. } => {
+                let entry = self.scheduler.entry(seat).expect("the engine is known");
+                let name = entry.instance.clone();
+                if self.engines[&name].loading.is_some() {
+                    // An engine that left and came back while it loads refuses a second order.
+                    self.scheduler.order_failed(self.now, seat);
+                    return;
+                }
+                let loading = self.engines.values().filter(|e| e.loading.is_some());
+                let count = loading.count() + 1;
+                self.most_loading = self.most_loading.max(count);
+                self.loads += 1;
+                let factor = u32::try_from(count.div_ceil(2)).unwrap_or(1);
+                let engine = self.engines.get_mut(&name).expect("the engine is known");
+                engine.loading = Some((self.now.after(LOAD * factor), version, seat));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/scheduling.rs
@@ -0,0 +1,198 @@
+//! What trainers get from the scheduler, by load. All times are virtual.
+
+#[path = "common/engines.rs"]
+mod engines;
+
+use std::fmt::Write;
+use std::time::Duration;
+
+use engines::World;
+use proptest::prelude::*;
+use tamaracksail_model::backend::State;
+
+const PACE: Duration = Duration::from_millis(40);
+
+/// Groups of four items; one in four groups has an item that is five times as long.
+fn groups(step: usize, count: usize) -> Vec<(String, Vec<u64>)> {
+    (0..count)
+        .map(|group| {
+            let long = if group % 4 == 3 { 100 } else { 20 };
+            let name = format!("s{step}g{group}");
+            (name, vec![18, 20, 22 + (group as u64 % 5), long])
+        })
+        .collect()
+}
+
+fn borrow(groups: &[(String, Vec<u64>)]) -> Vec<(&str, &[u64])> {
+    groups
+        .iter()
+        .map(|(name, lengths)| (name.as_str(), lengths.as_slice()))
+        .collect()
+}
+
+/// Runs steps as a trainer does: each waits for nine tenths of its groups, then names the next
+/// version and asks for the next step, with the groups that were left.
+fn train(world: &mut World, steps: usize, count: usize) -> String {
+    let mut report = String::new();
+    let mut left: Vec<(String, Vec<u64>)> = Vec::new();
+    for step in 0..steps {
+        let mut asked = left.clone();
+        asked.extend(groups(step, count - left.len()));
+        let target = count * 9 / 10;
+        let id = format!("step-{step}");
+        let min_version = u64::try_from(step).unwrap_or(0).max(1) - u64::from(step > 1);
+        world.submit(&id, min_version.max(1), target, &borrow(&asked));
+        let took = world.until_whole(&id, target);
+        let listed = &world.listed[&id];
+        left = asked
+            .into_iter()
+            .filter(|(name, lengths)| {
+                let of_group = listed
+                    .iter()
+                    .filter(|l| l.item.split('.').next() == Some(name));
+                of_group.count() < lengths.len()
+            })
+            .collect();
+        writeln!(
+            report,
+            "step {step}: {} ms, {} groups left",
+            took.as_millis(),
+            left.len()
+        )
+        .expect("text grows");
+        world.end(&id);
+        world.pass(Duration::from_millis(500));
+        world
+            .scheduler
+            .version_named(engines::MODEL, step as u64 + 2);
+    }
+    writeln!(
+        report,
+        "loads: {}, at once: {}",
+        world.loads, world.most_loading
+    )
+    .expect("text grows");
+    for (reason, count) in &world.stops {
+        writeln!(report, "{count} runs stopped: {reason}").expect("text grows");
+    }
+    report
+}
+
+#[test]
+fn steps_of_one_trainer_on_calm_engines() {
+    let mut world = World::new(12, 12, PACE);
+    insta::assert_snapshot!(train(&mut world, 6, 40));
+}
+
+#[test]
+fn steps_with_two_slow_engines() {
+    let mut world = World::new(12, 12, PACE);
+    for name in ["e03", "e07"] {
+        world.engines.get_mut(name).expect("it is there").pace = PACE * 7 / 2;
+    }
+    insta::assert_snapshot!(train(&mut world, 6, 40));
+}
+
+#[test]
+fn steps_with_a_silent_engine() {
+    let mut world = World::new(12, 12, PACE);
+    world.engines.get_mut("e05").expect("it is there").is_silent = true;
+    insta::assert_snapshot!(train(&mut world, 6, 40));
+}
+
+#[test]
+fn an_engine_that_leaves_gets_nothing_new() {
+    let mut world = World::new(2, 4, PACE);
+    world.enter("e00", 4, State::Draining);
+    world.submit("s", 1, 2, &[("g0", &[10, 10]), ("g1", &[10, 10])]);
+    world.turn();
+    world.engines.get_mut("e00").expect("it is there").is_silent = true;
+    let took = world.until_whole("s", 2);
+    assert!(took < Duration::from_secs(2), "{took:?}");
+}
+
+#[test]
+fn text_of_a_crashed_engine_is_not_made_again() {
+    let mut world = World::new(2, 4, PACE);
+    world.submit("s", 1, 1, &[("g0", &[50])]);
+    world.pass(Duration::from_secs(1));
+    world.crash("e00");
+    world.crash("e01");
+    let took = world.until_whole("s", 1);
+    // Half was there; all of it would take two seconds.
+    assert!(took < Duration::from_millis(1500), "{took:?}");
+}
+
+#[test]
+fn an_item_that_no_engine_may_run_waits_for_its_version() {
+    let mut world = World::new(3, 4, PACE);
+    world.scheduler.version_named(engines::MODEL, 2);
+    world.submit("s", 2, 1, &[("g0", &[5, 5])]);
+    world.until_whole("s", 1);
+    assert!(world.loads >= 1);
+}
+
+#[derive(Clone, Debug)]
+enum Trouble {
+    Slow(usize),
+    Silent(usize),
+    Heard(usize),
+    Crash(usize),
+    Leave(usize),
+    Return(usize),
+    Name,
+    Pass(u64),
+}
+
+fn trouble() -> impl Strategy<Value = Trouble> {
+    prop_oneof![
+        (0..6usize).prop_map(Trouble::Slow),
+        (0..6usize).prop_map(Trouble::Silent),
+        (0..6usize).prop_map(Trouble::Heard),
+        (0..6usize).prop_map(Trouble::Crash),
+        (0..6usize).prop_map(Trouble::Leave),
+        (0..6usize).prop_map(Trouble::Return),
+        Just(Trouble::Name),
+        (10..900u64).prop_map(Trouble::Pass),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(1),
+        ..ProptestConfig::with_cases(48) })]
+
+    /// Whatever engines do, each item is listed once and whole, with allowed versions, and runs
+    /// at one engine at a time. The world checks it at every listing and start.
+    #[test]
+    fn every_item_is_listed_once_and_whole(troubles in prop::collection::vec(trouble(), 1..25)) {
+        let mut world = World::new(6, 4, PACE);
+        let mut version = 1;
+        let asked = groups(0, 10);
+        world.submit("s", 1, 10, &borrow(&asked));
+        for trouble in troubles {
+            let name = |number: usize| format!("e{number:02}");
+            match trouble {
+                Trouble::Slow(n) => world.engines.get_mut(&name(n)).unwrap().pace = PACE * 4,
+                Trouble::Silent(n) => world.engines.get_mut(&name(n)).unwrap().is_silent = true,
+                Trouble::Heard(n) => world.engines.get_mut(&name(n)).unwrap().is_silent = false,
+                Trouble::Crash(n) => world.crash(&name(n)),
+                Trouble::Leave(n) => world.scheduler.engine_gone(world.now, &name(n)),
+                Trouble::Return(n) => world.enter(&name(n), 4, State::Ready),
+                Trouble::Name => {
+                    version += 1;
+                    world.scheduler.version_named(engines::MODEL, version);
+                }
+                Trouble::Pass(millis) => world.pass(Duration::from_millis(millis)),
+            }
+            world.turn();
+        }
+        for number in 0..6 {
+            let name = format!("e{number:02}");
+            world.engines.get_mut(&name).unwrap().is_silent = false;
+            world.enter(&name, 4, State::Ready);
+        }
+        world.until_whole("s", 10);
+    }
+}
