Keep batches through a peer where the store turns a host away

Change: a gateway that cannot keep a batch or its end asks the holder of the lease, or the one to which it was left; a yielding holder names its successor.

--- a/crates/gateway/src/batches/accept.rs
+++ b/crates/gateway/src/batches/accept.rs
@@ -10,11 +10,13 @@
 use tamaracksail_adapter::{batch, ingress};
 use tamaracksail_model::route::Route;
 use tamaracksail_model::time::Instant;
+use tamaracksail_wire::peer::{Ask, Reply};
 
 use super::record::{self, Head, Part};
 use super::{keeper, takeover};
 use crate::connection::Body;
 use crate::gateway::{Gateway, now, unix_millis};
+use crate::peer::{self, Trouble};
 use crate::request::{refusal, status};
 
 /// When to come back while the store does not take batches.
@@ -26,6 +28,32 @@
 /// The share of the store's longest value that a part's text may fill: escapes make it longer.
 const PART_SHARE: usize = 2;
 
+/// What became of a submission.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// It is kept.
+    Kept,
+    /// It is not kept and will not be.
+    NotKept,
+    /// It may be kept.
+    Unclear,
+    /// It cannot be read.
+    Malformed,
+}
+
+/// A submission as its client sent it.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// The batch's id.
+    pub id: String,
+    /// The host name that the client asked for.
+    pub host: String,
+    /// The path.
+    pub path: String,
+    /// The body.
+    pub body: Bytes,
+}
+
 /// Answers a submission.
 pub async fn accept(
     gateway: &Rc<Gateway>,
@@ -39,20 +67,74 @@
         log::info!(path = head.uri.path(); "batch without an id refused");
         return status(StatusCode::BAD_REQUEST);
     }
-    let total = match batch::parse(&body) {
+    let request = Request {
+        id: id.to_owned(),
+        host: ingress::host(head).unwrap_or_default().to_owned(),
+        path: head.uri.path().to_owned(),
+        body,
+    };
+    let mut outcome = keep(gateway, &request, deadline).await;
+    if matches!(outcome, Outcome::NotKept | Outcome::Unclear) {
+        let relayed = relay(gateway, &request, deadline).await;
+        outcome = match (outcome, relayed) {
+            (_, Outcome::Kept) => Outcome::Kept,
+            (Outcome::NotKept, relayed) => relayed,
+            (outcome, _) => outcome,
+        };
+    }
+    log::info!(batch = id, route = route.name.as_str(), outcome:?; "batch answered");
+    match outcome {
+        Outcome::Kept => status(StatusCode::ACCEPTED),
+        Outcome::NotKept => refusal(STORE_AWAY),
+        Outcome::Unclear => status(StatusCode::GATEWAY_TIMEOUT),
+        Outcome::Malformed => status(StatusCode::BAD_REQUEST),
+    }
+}
+
+/// Lets a gateway that reaches the store keep a batch.
+async fn relay(gateway: &Gateway, request: &Request, deadline: Instant) -> Outcome {
+    let question = Ask::Keep {
+        batch: request.id.clone(),
+        host: request.host.clone(),
+        path: request.path.clone(),
+        body: request.body.clone(),
+        limit_ms: u64::try_from(deadline.since(now()).as_millis()).unwrap_or(0),
+    };
+    let mut outcome = Outcome::NotKept;
+    for peer in gateway.desk.peers(gateway) {
+        match peer::ask(gateway, peer, &question, deadline.since(now())).await {
+            Ok(Reply::Kept) => {
+                log::info!(batch = request.id.as_str(), peer:%; "batch kept by a peer");
+                return Outcome::Kept;
+            }
+            Ok(Reply::NotKept) | Err(Trouble::Dead(_)) => {}
+            Ok(_) => outcome = Outcome::Unclear,
+            Err(error) => {
+                log::info!(batch = request.id.as_str(), error:%; "batch not relayed");
+                outcome = Outcome::Unclear;
+            }
+        }
+    }
+    outcome
+}
+
+/// Keeps a batch in the store.
+pub async fn keep(gateway: &Rc<Gateway>, request: &Request, deadline: Instant) -> Outcome {
+    let id = request.id.as_str();
+    let total = match batch::parse(&request.body) {
         Ok(submission) => submission.items.len(),
         Err(error) => {
             log::info!(batch = id, error:%; "batch refused");
-            return status(StatusCode::BAD_REQUEST);
+            return Outcome::Malformed;
         }
     };
-    let Ok(text) = std::str::from_utf8(&body) else {
-        return status(StatusCode::BAD_REQUEST);
+    let Ok(text) = std::str::from_utf8(&request.body) else {
+        return Outcome::Malformed;
     };
     let parts = split(text, gateway.settings.borrow().value_bytes / PART_SHARE);
     let stored = Head {
-        host: ingress::host(head).unwrap_or_default().to_owned(),
-        path: head.uri.path().to_owned(),
+        host: request.host.clone(),
+        path: request.path.clone(),
         parts: parts.len(),
         total,
         submitted: unix_millis(),
@@ -67,33 +149,39 @@
         if let Err(error) = create(gateway, &kind, &name, &part, deadline).await {
             // Without its head a batch is not accepted, and no head was sent.
             log::warn!(batch = id, error:%, outcome = "not run"; "batch not kept");
-            return refusal(STORE_AWAY);
+            return Outcome::NotKept;
         }
     }
     match create(gateway, record::HEADS, id, &stored, deadline).await {
         Ok(created) => {
             let is_new = created == Created::Now;
-            log::info!(
-                batch = id, route = route.name.as_str(), items = total, is_new;
-                "batch accepted"
-            );
+            log::info!(batch = id, items = total, is_new; "batch accepted");
             // One that stood before may have ended; the scheduling gateway knows.
             if is_new {
-                takeover::take_in(gateway, id, &stored, &body, Vec::new(), 0);
+                takeover::take_in(gateway, id, &stored, &request.body, Vec::new(), 0);
             }
-            status(StatusCode::ACCEPTED)
+            Outcome::Kept
         }
         Err(Failure::NotKept(error)) => {
             log::warn!(batch = id, error:%, outcome = "not run"; "batch not kept");
-            refusal(STORE_AWAY)
+            Outcome::NotKept
         }
         Err(Failure::Unknown(error)) => {
             log::warn!(batch = id, error:%, outcome = "unknown"; "batch perhaps kept");
-            status(StatusCode::GATEWAY_TIMEOUT)
+            Outcome::Unclear
         }
     }
 }
 
+/// Keeps a batch for a peer.
+pub async fn keep_for_peer(gateway: &Rc<Gateway>, request: &Request, limit: Duration) -> Reply {
+    match keep(gateway, request, now().after(limit)).await {
+        Outcome::Kept => Reply::Kept,
+        Outcome::NotKept | Outcome::Malformed => Reply::NotKept,
+        Outcome::Unclear => Reply::Unclear,
+    }
+}
+
 /// An object that stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Created {
--- a/crates/gateway/src/batches/desk.rs
+++ b/crates/gateway/src/batches/desk.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -56,6 +57,8 @@
     pub(super) failing_since: Cell<Option<Instant>>,
     /// When the last order was given.
     pub(super) last_order: Cell<Option<Instant>>,
+    /// Where the peer answers to which the last holder known here left the lease.
+    pub(super) successor: Cell<Option<SocketAddr>>,
     /// Wakes those who ask whether the lease is held.
     pub(super) lease_changed: Notify,
     /// Wakes the turn.
@@ -85,6 +88,7 @@
             lease_call: Mutex::new(()),
             failing_since: Cell::new(None),
             last_order: Cell::new(None),
+            successor: Cell::new(None),
             lease_changed: Notify::new(),
             wake: Notify::new(),
         }
@@ -142,6 +146,24 @@
         }
     }
 
+    /// Other gateways that probably reach the store: the holder of the lease, and the one to which
+    /// it was left.
+    pub(super) fn peers(&self, gateway: &Gateway) -> Vec<SocketAddr> {
+        let holder = self
+            .lease
+            .borrow()
+            .record()
+            .and_then(|record| record.address);
+        let own = gateway.peer_address();
+        let mut peers: Vec<SocketAddr> = holder
+            .into_iter()
+            .chain(self.successor.get())
+            .filter(|peer| *peer != own)
+            .collect();
+        peers.dedup();
+        peers
+    }
+
     /// Text of unfinished items.
     pub fn drafts(&self) -> Vec<(String, Draft)> {
         self.scheduler.borrow().drafts()
--- a/crates/gateway/src/batches/keeper.rs
+++ b/crates/gateway/src/batches/keeper.rs
@@ -1,5 +1,6 @@
 //! Keeps the scheduling lease while there is work.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -24,7 +25,7 @@
 const OWN_LOOK: Duration = Duration::from_millis(250);
 
 /// After a failed call.
-const RETRY: Duration = Duration::from_millis(400);
+const RETRY: Duration = Duration::from_millis(600);
 
 /// How long a call about the lease may take. The store answers in milliseconds; a holder must
 /// know well before its span is over that it is cut off.
@@ -70,13 +71,14 @@
 }
 
 /// Stops scheduling for a peer that reaches the store, if this process does not.
-pub fn yield_lease(gateway: &Gateway, fence: u64) -> Reply {
+pub fn yield_lease(gateway: &Gateway, fence: u64, successor: SocketAddr) -> Reply {
     let desk = &gateway.desk;
     let is_held = desk.lease.borrow().fence(now()) == Some(fence);
     if is_held && desk.failing_since.get().is_none() {
         return Reply::Holding { is_cut: false };
     }
     if is_held {
+        desk.successor.set(Some(successor));
         desk.close("a peer reaches the store and this process does not");
         if let Some((_, record)) = desk.lease.borrow_mut().give_up() {
             log::info!(fence = record.fence; "lease left to a peer");
@@ -89,6 +91,7 @@
     let age = gateway.desk.last_order.get().map(|last| now().since(last));
     Reply::Released {
         order_age_ms: age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
+        successor: gateway.desk.successor.get(),
     }
 }
 
@@ -189,16 +192,24 @@
                 return Asked::Nothing;
             }
             let at = now();
-            match peer::ask(gateway, address, &Ask::Yield { fence }, PEER).await {
-                Ok(Reply::Released { order_age_ms }) => {
+            let question = Ask::Yield {
+                fence,
+                successor: gateway.peer_address(),
+            };
+            match peer::ask(gateway, address, &question, PEER).await {
+                Ok(Reply::Released { order_age_ms, .. }) => {
                     log::info!(fence, holder:% = address; "lease left by a holder that is cut off");
                     gone(order_age_ms, at)
                 }
                 _ => Asked::Nothing,
             }
         }
-        Ok(Reply::Released { order_age_ms }) => {
+        Ok(Reply::Released {
+            order_age_ms,
+            successor,
+        }) => {
             log::info!(fence, holder:% = address; "the holder has stopped");
+            gateway.desk.successor.set(successor);
             gone(order_age_ms, at)
         }
         Err(Trouble::Dead(_)) => {
--- a/crates/gateway/src/batches/mod.rs
+++ b/crates/gateway/src/batches/mod.rs
@@ -11,10 +11,10 @@
 mod running;
 mod takeover;
 
-pub use accept::accept;
+pub use accept::{Request, accept, keep_for_peer};
 pub use desk::Desk;
 pub use keeper::{holding, yield_lease};
-pub use read::{body, end, results, shared_results};
+pub use read::{body, end, end_for_peer, results, shared_results};
 
 use std::rc::Rc;
 
--- a/crates/gateway/src/batches/read.rs
+++ b/crates/gateway/src/batches/read.rs
@@ -30,6 +30,9 @@
 /// How much longer than the wait a peer may take to answer.
 const PEER: Duration = Duration::from_millis(400);
 
+/// How long a peer may take to keep the end of a batch.
+const RELAY: Duration = Duration::from_secs(1);
+
 /// Results from position `from` on, waiting up to `wait` for one.
 pub async fn results(
     gateway: &Rc<Gateway>,
@@ -65,23 +68,19 @@
     from: usize,
     wait: Duration,
 ) -> Option<(usize, Vec<Listing>)> {
-    let holder = gateway.desk.lease.borrow().record()?.address?;
-    if holder == gateway.peer_address() {
-        return None;
-    }
     let question = Ask::Results {
         batch: id.to_owned(),
         from,
         wait_ms: u64::try_from(wait.as_millis()).unwrap_or(0),
     };
-    match peer::ask(gateway, holder, &question, wait + PEER).await {
-        Ok(Reply::Results { total, results }) => Some((total, results)),
-        Ok(_) => None,
-        Err(error) => {
-            log::info!(batch = id, error:%; "results not had from the holder");
-            None
+    for peer in gateway.desk.peers(gateway) {
+        match peer::ask(gateway, peer, &question, wait + PEER).await {
+            Ok(Reply::Results { total, results }) => return Some((total, results)),
+            Ok(_) => {}
+            Err(error) => log::info!(batch = id, error:%; "results not had from a peer"),
         }
     }
+    None
 }
 
 fn unread(id: &str, error: &Error) -> Response<Body> {
@@ -268,19 +267,48 @@
 
 /// Ends a batch.
 pub async fn end(gateway: &Rc<Gateway>, id: &str) -> Response<Body> {
+    match keep_end(gateway, id).await {
+        Ok(()) => status(StatusCode::OK),
+        Err(error @ Error::Missing { .. }) => unread(id, &error),
+        Err(error) => {
+            let question = Ask::End {
+                batch: id.to_owned(),
+            };
+            for peer in gateway.desk.peers(gateway) {
+                if let Ok(Reply::Kept) = peer::ask(gateway, peer, &question, RELAY).await {
+                    log::info!(batch = id, peer:%; "batch end kept by a peer");
+                    gateway.desk.end(id);
+                    return status(StatusCode::OK);
+                }
+            }
+            unread(id, &error)
+        }
+    }
+}
+
+/// Keeps the end of a batch for a peer.
+pub async fn end_for_peer(gateway: &Rc<Gateway>, id: &str) -> Reply {
+    match keep_end(gateway, id).await {
+        Ok(()) => Reply::Kept,
+        Err(_) => Reply::NotKept,
+    }
+}
+
+async fn keep_end(gateway: &Rc<Gateway>, id: &str) -> Result<(), Error> {
     let progress = Progress { is_ended: true };
-    for _ in 0..END_TRIES {
+    let mut tries = 1;
+    loop {
         match gateway.store.put_status(record::HEADS, id, &progress).await {
             Ok(_) => {
                 log::info!(batch = id; "batch end kept");
                 gateway.desk.end(id);
-                return status(StatusCode::OK);
+                return Ok(());
             }
-            Err(error @ Error::Unknown { .. }) => {
+            Err(error @ Error::Unknown { .. }) if tries < END_TRIES => {
                 log::warn!(batch = id, error:%; "batch end perhaps kept");
+                tries += 1;
             }
-            Err(error) => return unread(id, &error),
+            Err(error) => return Err(error),
         }
     }
-    status(StatusCode::GATEWAY_TIMEOUT)
 }
--- a/crates/gateway/src/peer/server.rs
+++ b/crates/gateway/src/peer/server.rs
@@ -9,7 +9,7 @@
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tamaracksail_http::socket;
 use tamaracksail_wire::codec::MAX_BYTES;
@@ -18,6 +18,7 @@
 
 use super::PATH;
 use crate::batches;
+use crate::batches::Request;
 use crate::connection::Body;
 use crate::gateway::Gateway;
 use crate::request::{status, with_body};
@@ -64,7 +65,7 @@
     }
 }
 
-async fn answer(gateway: &Rc<Gateway>, request: Request<Incoming>) -> Response<Body> {
+async fn answer(gateway: &Rc<Gateway>, request: hyper::Request<Incoming>) -> Response<Body> {
     if request.uri().path() != PATH {
         return status(StatusCode::NOT_FOUND);
     }
@@ -80,7 +81,23 @@
     };
     let reply = match question {
         Ask::Holding { fence } => batches::holding(gateway, fence).await,
-        Ask::Yield { fence } => batches::yield_lease(gateway, fence),
+        Ask::Yield { fence, successor } => batches::yield_lease(gateway, fence, successor),
+        Ask::Keep {
+            batch,
+            host,
+            path,
+            body,
+            limit_ms,
+        } => {
+            let request = Request {
+                id: batch,
+                host,
+                path,
+                body,
+            };
+            batches::keep_for_peer(gateway, &request, Duration::from_millis(limit_ms)).await
+        }
+        Ask::End { batch } => batches::end_for_peer(gateway, &batch).await,
         Ask::Results {
             batch,
             from,
--- a/crates/gateway/tests/batches.rs
+++ b/crates/gateway/tests/batches.rs
@@ -2,6 +2,7 @@
 
 mod common;
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use common::{Gateway, World, read, run, until};
@@ -356,3 +357,36 @@
         check(&world, &read(&client, "b2", ITEMS.len()).await, &ITEMS);
     });
 }
+
+#[test]
+fn a_gateway_that_the_store_turns_away_serves_batches_through_a_peer() {
+    run(async {
+        let (world, gateways) = start(1, 100, PACE).await;
+        let door = SocketAddr::new(common::address(), 7100);
+        let door = world.store.door(door).await.expect("a second address");
+        let away = Gateway::start("front-away", &door);
+        away.ready().await;
+        // It schedules, until the store turns it away.
+        let client = away.client();
+        client.submit("b1", &ITEMS, 1).await.expect("an answer");
+        until("all items run", async || {
+            ITEMS.iter().all(|item| world.arrivals(item) > 0)
+        })
+        .await;
+        gateways[0]
+            .client()
+            .results("b1", 0)
+            .await
+            .expect("an answer");
+        door.set_fault(StoreFault::Busy);
+        away.logged("lease left to a peer").await;
+        gateways[0].logged("scheduling begins").await;
+        let answer = client.submit("b2", &["j0", "j1"], 1).await;
+        assert_eq!(answer.expect("an answer").status, 202);
+        check(&world, &read(&client, "b2", 2).await, &["j0", "j1"]);
+        check(&world, &read(&client, "b1", ITEMS.len()).await, &ITEMS);
+        let answer = client.end("b2").await.expect("an answer");
+        assert_eq!(answer.status, 200);
+        gateways[0].logged("batch ended").await;
+    });
+}
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -1,5 +1,8 @@
 //! What gateways ask each other.
 
+use std::net::SocketAddr;
+
+use bytes::Bytes;
 use tamaracksail_model::batch::{Draft, Listing};
 use tamaracksail_model::plain;
 
@@ -16,6 +19,26 @@
         Yield {
             /// The fencing number under which it holds.
             fence: u64,
+            /// Where the peer answers that will take the lease.
+            successor: SocketAddr,
+        },
+        /// Keeps a batch for a gateway that cannot reach the store.
+        Keep {
+            /// The batch.
+            batch: String,
+            /// The host name that the client asked for.
+            host: String,
+            /// The path of the submission.
+            path: String,
+            /// The submission as the client sent it.
+            body: Bytes,
+            /// How long the client waits, in milliseconds.
+            limit_ms: u64,
+        },
+        /// Ends a batch for a gateway that cannot reach the store.
+        End {
+            /// The batch.
+            batch: String,
         },
         /// Results of a batch that the peer schedules.
         Results {
@@ -43,7 +66,15 @@
         Released {
             /// How long ago it gave its last order, in milliseconds; none if it gave none.
             order_age_ms: Option<u64>,
+            /// Where the peer answers to which it left the lease.
+            successor: Option<SocketAddr>,
         },
+        /// The batch is kept, or its end is.
+        Kept,
+        /// The batch is not kept and will not be, or its end is not.
+        NotKept,
+        /// It may be kept.
+        Unclear,
         /// Results.
         Results {
             /// How many items the batch has.
