Count what gateways do, remove old batches, read changed settings

Cause: no counters on the metrics address; batches stayed in the store for ever; settings that changed without a signal were not read. Change: counters and histograms on /metrics; the scheduling gateway removes batches after their retention and bounds results in memory; settings are read again every five seconds.

--- a/crates/gateway/src/batches/accept.rs
+++ b/crates/gateway/src/batches/accept.rs
@@ -82,7 +82,14 @@
             (outcome, _) => outcome,
         };
     }
-    log::info!(batch = id, route = route.name.as_str(), outcome:?; "batch answered");
+    let label = match outcome {
+        Outcome::Kept => "accepted",
+        Outcome::NotKept => "refused",
+        Outcome::Unclear => "unclear",
+        Outcome::Malformed => "malformed",
+    };
+    gateway.metrics.batches.with_label_values(&[label]).inc();
+    log::info!(batch = id, route = route.name.as_str(), outcome = label; "batch answered");
     match outcome {
         Outcome::Kept => status(StatusCode::ACCEPTED),
         Outcome::NotKept => refusal(STORE_AWAY),
--- a/crates/gateway/src/batches/desk.rs
+++ b/crates/gateway/src/batches/desk.rs
@@ -9,7 +9,7 @@
 use tamaracksail_adapter::settings::Settings;
 use tamaracksail_adapter::store::Error;
 use tamaracksail_model::backend::Entry;
-use tamaracksail_model::batch::{Draft, Listing};
+use tamaracksail_model::batch::{Draft, Ending, Listing};
 use tamaracksail_model::table::{Table, draw_target};
 use tamaracksail_model::time::Instant;
 use tamaracksail_policy::batch::{Action, BatchKey, Scheduler};
@@ -47,6 +47,7 @@
     pub(super) registers: RefCell<BTreeMap<String, Register>>,
     pub(super) tasks: RefCell<BTreeMap<u64, AbortHandle>>,
     pub(super) names: RefCell<BTreeMap<BatchKey, String>>,
+    registered: Cell<u64>,
     /// Batches known to have ended while this process schedules.
     pub(super) ended: RefCell<BTreeSet<String>>,
     /// How many items batches have that were read, and whether they have ended.
@@ -83,6 +84,7 @@
             registers: RefCell::default(),
             tasks: RefCell::default(),
             names: RefCell::default(),
+            registered: Cell::new(0),
             ended: RefCell::default(),
             sizes: RefCell::default(),
             lease_call: Mutex::new(()),
@@ -164,6 +166,13 @@
         peers
     }
 
+    /// The number of the next register.
+    pub(super) fn next_register(&self) -> u64 {
+        let number = self.registered.get();
+        self.registered.set(number + 1);
+        number
+    }
+
     /// Text of unfinished items.
     pub fn drafts(&self) -> Vec<(String, Draft)> {
         self.scheduler.borrow().drafts()
@@ -350,11 +359,19 @@
             }
         }
     }
+    for result in &chunk.results {
+        let ending = match result.ending {
+            Ending::Completed => "completed",
+            Ending::Aborted => "aborted",
+        };
+        gateway.metrics.results.with_label_values(&[ending]).inc();
+    }
     log::info!(
         batch = id.as_str(), chunk = number, first, results = chunk.results.len();
         "results listed"
     );
     if let Some(register) = desk.registers.borrow_mut().get_mut(&id) {
+        register.bytes += chunk.results.iter().map(|r| r.text.len()).sum::<usize>();
         register.results.extend(chunk.results);
         register.next_chunk = number + 1;
         register.changed.notify_waiters();
--- a/crates/gateway/src/batches/keeper.rs
+++ b/crates/gateway/src/batches/keeper.rs
@@ -111,6 +111,10 @@
 async fn step(gateway: &Rc<Gateway>) -> Duration {
     let desk = &gateway.desk;
     let is_held = desk.lease.borrow().fence(now()).is_some();
+    gateway
+        .metrics
+        .scheduling
+        .set(i64::from(desk.is_open.get() && is_held));
     if desk.is_open.get() && !is_held {
         desk.close("the lease has lapsed");
     }
--- a/crates/gateway/src/batches/mod.rs
+++ b/crates/gateway/src/batches/mod.rs
@@ -9,6 +9,7 @@
 mod record;
 mod register;
 mod running;
+mod sweep;
 mod takeover;
 
 pub use accept::{Request, accept, keep_for_peer};
--- a/crates/gateway/src/batches/orders.rs
+++ b/crates/gateway/src/batches/orders.rs
@@ -42,10 +42,12 @@
     let server = entry.instance.as_str();
     match outcome {
         Ok(held) => {
+            gateway.metrics.orders.with_label_values(&["loaded"]).inc();
             log::info!(server, model = model.as_str(), version = held; "weights loaded");
             scheduler.loaded(seat, &model, held);
         }
         Err(problem) => {
+            gateway.metrics.orders.with_label_values(&["failed"]).inc();
             log::warn!(server, model = model.as_str(), version, problem; "weights not loaded");
             scheduler.order_failed(now(), seat);
         }
--- a/crates/gateway/src/batches/register.rs
+++ b/crates/gateway/src/batches/register.rs
@@ -19,6 +19,10 @@
     pub changed: Rc<Notify>,
     /// The batch while it is open.
     pub batch: Option<BatchKey>,
+    /// Registers count up.
+    pub number: u64,
+    /// The length of the texts and bodies.
+    pub bytes: usize,
     /// The body that the client sent, for bodies of items.
     pub items: Vec<(String, bytes::Bytes)>,
 }
--- a/crates/gateway/src/batches/running.rs
+++ b/crates/gateway/src/batches/running.rs
@@ -28,19 +28,32 @@
     after: Option<u64>,
     version: Option<u64>,
 ) {
+    let start = now();
     let outcome = attempt(&gateway, run, &entry, &item, after, version).await;
     let desk = &gateway.desk;
+    let metrics = &gateway.metrics;
     desk.tasks.borrow_mut().remove(&run);
     let mut scheduler = desk.scheduler.borrow_mut();
     match outcome {
         Ok(()) => {
+            metrics.runs.with_label_values(&["finished"]).inc();
+            metrics
+                .run_latency
+                .observe(now().since(start).as_secs_f64());
             log::info!(item = item.id.as_str(), run; "item finished");
             scheduler.finished(now(), run);
         }
         Err((failure, problem)) => {
+            let label = match failure {
+                Failure::Refused => "refused",
+                Failure::Failed => "failed",
+                Failure::Impossible => "impossible",
+                Failure::Broken => "broken",
+            };
+            metrics.runs.with_label_values(&[label]).inc();
             log::info!(
                 item = item.id.as_str(), run, server = entry.instance.as_str(),
-                failure:?, problem = problem.as_str(); "item not finished"
+                failure = label, problem = problem.as_str(); "item not finished"
             );
             scheduler.failed(now(), run, failure);
         }
--- a/crates/gateway/src/batches/takeover.rs
+++ b/crates/gateway/src/batches/takeover.rs
@@ -17,6 +17,7 @@
 use super::desk::service;
 use super::record::{self, Chunk, Head, Part, Progress};
 use super::register::Register;
+use super::sweep;
 use crate::gateway::{Gateway, now, unix_millis};
 use crate::peer;
 use crate::store::{self, News};
@@ -24,6 +25,9 @@
 /// The pause before a batch that could not be read is read again.
 const REREAD: Duration = Duration::from_millis(300);
 
+/// The share of the process's memory that results may fill, as a divisor.
+const MEMORY_SHARE: usize = 4;
+
 /// How long items of routes that do not say it may take.
 const PATIENCE: Duration = Duration::from_mins(1);
 
@@ -38,11 +42,13 @@
         take_drafts(gateway, before).await;
     }
     desk.is_open.set(true);
+    gateway.metrics.scheduling.set(1);
     log::info!("scheduling begins");
     let mut tasks = desk.tasks.borrow_mut();
     for (slot, task) in [
         actix_rt::spawn(follow_heads(Rc::clone(gateway))),
         actix_rt::spawn(follow_versions(Rc::clone(gateway))),
+        actix_rt::spawn(sweep::sweep(Rc::clone(gateway))),
     ]
     .into_iter()
     .enumerate()
@@ -238,11 +244,16 @@
     let batching = route.and_then(|route| route.batching.as_ref());
     let patience = batching.map_or(PATIENCE, |batching| batching.patience);
     let age = Duration::from_millis(unix_millis().saturating_sub(head.submitted));
-    let bodies = submission
+    let bodies: Vec<(String, Bytes)> = submission
         .items
         .iter()
         .map(|item| (item.id.clone(), item.body.clone()))
         .collect();
+    let bytes = bodies.iter().map(|(_, body)| body.len()).sum::<usize>()
+        + results
+            .iter()
+            .map(|result| result.text.len())
+            .sum::<usize>();
     let listed: BTreeSet<String> = results.iter().map(|result| result.item.clone()).collect();
     let intake = Intake {
         host: head.host.clone(),
@@ -270,8 +281,12 @@
         next_chunk: chunks,
         changed: Notify::new().into(),
         batch: Some(batch),
+        number: desk.next_register(),
+        bytes,
         items: bodies,
     };
     desk.registers.borrow_mut().insert(id.to_owned(), register);
+    let memory = usize::try_from(gateway.settings.borrow().memory).unwrap_or(usize::MAX);
+    sweep::trim(gateway, memory / MEMORY_SHARE);
     desk.turn_soon();
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -11,9 +11,9 @@
 use tamaracksail_model::table::Table;
 use tamaracksail_model::time::Instant;
 use tamaracksail_policy::fleet::Fleet;
-use tokio::sync::Notify;
 
 use crate::batches::Desk;
+use crate::metrics::Metrics;
 use crate::options::Options;
 
 /// The process. Shared by all tasks of its one thread.
@@ -31,8 +31,6 @@
     pub store: store::Client,
     /// The routes in force; none before the first are known.
     pub table: RefCell<Option<Rc<Table>>>,
-    /// Wakes when the routes change.
-    pub table_changed: Notify,
     /// Backend servers.
     pub fleet: RefCell<Fleet>,
     /// Whether the list of backend servers was read.
@@ -43,6 +41,8 @@
     pub active: Cell<usize>,
     /// Batches.
     pub desk: Desk,
+    /// What the process counts.
+    pub metrics: Metrics,
 }
 
 impl Gateway {
@@ -58,12 +58,12 @@
             store: store::Client::new(settings.store),
             settings: RefCell::new(settings),
             table: RefCell::new(None),
-            table_changed: Notify::new(),
             fleet: RefCell::new(Fleet::default()),
             knows_servers: Cell::new(false),
             stopping: Cell::new(None),
             active: Cell::new(0),
             desk,
+            metrics: Metrics::new(),
         }
     }
 
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -7,6 +7,7 @@
 mod batches;
 mod connection;
 mod gateway;
+mod metrics;
 mod options;
 mod peer;
 mod request;
--- a/crates/gateway/src/request/forward.rs
+++ b/crates/gateway/src/request/forward.rs
@@ -74,9 +74,18 @@
         may_have_run: false,
     };
     let response = forwarding.run().await;
+    let took = now().since(arrival);
+    let code = response.status().as_u16();
+    let kind = match route.kind {
+        Kind::Idempotent => "idempotent",
+        Kind::Once => "once",
+        Kind::Stream => "stream",
+        Kind::Batch => "batch",
+    };
+    gateway.metrics.answered(kind, code, took);
     log::info!(
-        request = id, route = route.name.as_str(), status = response.status().as_u16(),
-        millis = now().since(arrival).as_millis(); "answered"
+        request = id, route = route.name.as_str(), status = code, millis = took.as_millis();
+        "answered"
     );
     response
 }
@@ -95,7 +104,7 @@
             }
             let may_hedge = self.may_repeat() && tries.len() == 1 && now() < self.deadline;
             tokio::select! {
-                Some((key, outcome)) = tries.next() => match outcome {
+                Some((key, outcome)) = tries.next() => match self.count(outcome) {
                     Outcome::Whole(head, body) => {
                         let is_failure = head.status.is_server_error();
                         if is_failure && self.may_repeat() {
@@ -189,6 +198,16 @@
         }))
     }
 
+    fn count(&self, outcome: Outcome) -> Outcome {
+        let label = match &outcome {
+            Outcome::Whole(..) | Outcome::Long(..) => "answered",
+            Outcome::NotRun(_) => "not run",
+            Outcome::Failed(_) => "failed",
+        };
+        self.gateway.metrics.sends.with_label_values(&[label]).inc();
+        outcome
+    }
+
     fn note(&self, key: ServerKey, problem: &str) {
         let fleet = self.gateway.fleet.borrow();
         let server = fleet.entry(key).map_or("", |entry| &entry.instance);
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -15,7 +15,6 @@
 use hyper::{Method, Request, Response, StatusCode};
 use tamaracksail_adapter::ingress::{self, Call};
 use tamaracksail_model::route::Kind;
-use tamaracksail_process::metrics;
 
 use crate::batches;
 use crate::connection::Body;
@@ -57,10 +56,7 @@
         Call::Body { batch, item } => batches::body(gateway, &batch, &item).await,
         Call::End { batch } => batches::end(gateway, &batch).await,
         Call::Routed if head.uri.path() == METRICS_PATH && gateway.metrics_port.is_some() => {
-            with_body(
-                StatusCode::OK,
-                metrics::render(prometheus::default_registry()),
-            )
+            with_body(StatusCode::OK, gateway.metrics.render())
         }
         Call::Routed => routed(gateway, head, body).await,
     }
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -16,6 +16,9 @@
 /// Before SIGKILL, so that the process ends by itself.
 const BEFORE_KILL: Duration = Duration::from_millis(600);
 
+/// Between two readings of the settings. They change with deployments, minutes apart at the least.
+const REREAD: Duration = Duration::from_secs(5);
+
 /// Between two looks at what is still open.
 const LOOK: Duration = Duration::from_millis(50);
 
@@ -40,7 +43,7 @@
     }
 }
 
-/// Reads the settings again on SIGHUP.
+/// Reads the settings again on SIGHUP, and every [`REREAD`], since they may change unsignalled.
 async fn reload(gateway: Rc<Gateway>) {
     let mut hangups = match signal(SignalKind::hangup()) {
         Ok(hangups) => hangups,
@@ -49,12 +52,23 @@
             return;
         }
     };
-    while hangups.recv().await.is_some() {
+    loop {
+        let is_signalled = tokio::select! {
+            hangup = hangups.recv() => {
+                if hangup.is_none() {
+                    return;
+                }
+                true
+            }
+            () = tokio::time::sleep(REREAD) => false,
+        };
         match Settings::load() {
             Ok(settings) => {
                 let is_changed = *gateway.settings.borrow() != settings;
                 *gateway.settings.borrow_mut() = settings;
-                log::info!(is_changed; "settings read");
+                if is_signalled || is_changed {
+                    log::info!(is_changed, is_signalled; "settings read");
+                }
             }
             Err(error) => log::error!(error:%; "settings refused"),
         }
--- a/crates/gateway/src/version/routes.rs
+++ b/crates/gateway/src/version/routes.rs
@@ -39,7 +39,10 @@
         return;
     }
     *gateway.table.borrow_mut() = Some(Rc::new(table));
-    gateway.table_changed.notify_waiters();
+    gateway
+        .metrics
+        .routes_version
+        .set(i64::try_from(version).unwrap_or(i64::MAX));
     log::info!(version, before = in_force, revision = object.revision; "routes in force");
     gateway.desk.reroute(gateway);
 }
--- a/crates/gateway/tests/batches.rs
+++ b/crates/gateway/tests/batches.rs
@@ -390,3 +390,25 @@
         gateways[0].logged("batch ended").await;
     });
 }
+
+#[test]
+fn old_batches_are_removed_and_open_ones_stay() {
+    run(async {
+        let world = World::start(2, 5, PACE).await;
+        let gateway = Gateway::keeping("front-0", &world.store, 2);
+        gateway.ready().await;
+        let client = gateway.client();
+        client.submit("b1", &ITEMS, 1).await.expect("an answer");
+        client.submit("b2", &["j0"], 1).await.expect("an answer");
+        read(&client, "b1", ITEMS.len()).await;
+        client.end("b1").await.expect("an answer");
+        until("the ended batch is gone", async || {
+            world.store.names("batches") == ["b2"]
+        })
+        .await;
+        assert!(world.store.names("batch-b1").is_empty());
+        let answer = client.results("b1", 0).await.expect("an answer");
+        assert_eq!(answer.status, 404);
+        check(&world, &read(&client, "b2", 1).await, &["j0"]);
+    });
+}
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -41,10 +41,15 @@
 impl Gateway {
     /// Starts a gateway on `host` before the store.
     pub fn start(host: &str, store: &Store) -> Self {
+        Self::keeping(host, store, 120)
+    }
+
+    /// Starts a gateway that keeps results for `retention_s` seconds.
+    pub fn keeping(host: &str, store: &Store, retention_s: u64) -> Self {
         let ip = address();
         let folder = std::env::temp_dir().join(format!("tamaracksail-{ip}"));
         std::fs::create_dir_all(&folder).expect("a folder for settings");
-        let text = settings::file(host, ip, store.address);
+        let text = settings::file(host, ip, store.address, retention_s);
         std::fs::write(folder.join("settings"), text).expect("a settings file");
         let lines = Arc::default();
         let child = spawn(&folder, &lines);
