--- a/crates/gateway/tests/batches.rs
+++ b/crates/gateway/tests/batches.rs
@@ -9,6 +9,7 @@
 use tamaracksail_adapter_standins::Engine;
 use tamaracksail_adapter_standins::engine::Fault;
 use tamaracksail_adapter_standins::store::Fault as StoreFault;
+use tamaracksail_model::batch::{Ending, Listing};
 
 const PACE: Duration = Duration::from_millis(5);
 const ITEMS: [&str; 6] = ["i0", "i1", "i2", "i3", "i4", "i5"];
@@ -26,14 +27,13 @@
 }
 
 /// Checks that the results are of these items, once each, and whole.
-fn check(world: &World, results: &[serde_json::Value], items: &[&str]) {
-    let mut found: Vec<&str> = results.iter().filter_map(|r| r["id"].as_str()).collect();
+fn check(world: &World, results: &[Listing], items: &[&str]) {
+    let mut found: Vec<&str> = results.iter().map(|r| r.item.as_str()).collect();
     found.sort_unstable();
     assert_eq!(found, items);
     for result in results {
-        let id = result["id"].as_str().unwrap_or_default();
-        assert_eq!(result["state"], "completed", "{id}");
-        assert_eq!(result["text"], world.engines[0].text(id));
+        assert_eq!(result.ending, Ending::Completed, "{}", result.item);
+        assert_eq!(result.text, world.engines[0].text(&result.item));
     }
 }
 
@@ -48,11 +48,7 @@
         }
         let results = read(&client, "b1", ITEMS.len()).await;
         check(&world, &results, &ITEMS);
-        assert!(
-            results
-                .iter()
-                .all(|r| r["versions"] == serde_json::json!([1]))
-        );
+        assert!(results.iter().all(|r| r.versions == [1]));
         // Every gateway tells the same.
         assert_eq!(
             read(&gateways[1].client(), "b1", ITEMS.len()).await,
@@ -116,12 +112,12 @@
         world.engines[0].push_faults(&[Fault::Impossible]);
         client.submit("b1", &["i0"], 1).await.expect("an answer");
         let results = read(&client, "b1", 1).await;
-        assert_eq!(results[0]["state"], "aborted");
+        assert_eq!(results[0].ending, Ending::Aborted);
         world.engines[0].push_faults(&[Fault::Fails, Fault::Fails, Fault::Fails]);
         world.engines[1].push_faults(&[Fault::Fails, Fault::Fails, Fault::Fails]);
         client.submit("b2", &["i1"], 1).await.expect("an answer");
         let results = read(&client, "b2", 1).await;
-        assert_eq!(results[0]["state"], "aborted");
+        assert_eq!(results[0].ending, Ending::Aborted);
         assert_eq!(world.arrivals("i1"), 3);
     });
 }
@@ -307,19 +303,14 @@
         client.submit("b1", &ITEMS, 1).await.expect("an answer");
         read(&client, "b1", ITEMS.len()).await;
         client.end("b1").await.expect("an answer");
-        let named = serde_json::json!({"model": "drafts", "version": 2});
-        world.store.put("versions", "drafts", named);
+        world.store.name_version("drafts", 2);
         client
             .submit("b2", &["j0", "j1"], 2)
             .await
             .expect("an answer");
         let results = read(&client, "b2", 2).await;
         check(&world, &results, &["j0", "j1"]);
-        assert!(
-            results
-                .iter()
-                .all(|r| r["versions"] == serde_json::json!([2]))
-        );
+        assert!(results.iter().all(|r| r.versions == [2]));
         until("all engines hold it", async || {
             world.engines.iter().all(|engine| engine.version() == 2)
         })
@@ -335,11 +326,9 @@
 fn a_request_to_empty_a_host_is_completed() {
     run(async {
         let (world, _gateways) = start(2, 5, PACE).await;
-        let asked = serde_json::json!({"duration-s": 10});
-        world.store.put("retirements", "store-1", asked);
+        world.store.ask_to_empty("store-1");
         until("the request is completed", async || {
-            world.store.status("retirements", "store-1")
-                == Some(serde_json::json!({"state": "completed"}))
+            world.store.is_emptied("store-1")
         })
         .await;
     });
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -11,6 +11,7 @@
 
 use serde_json::{Value, json};
 use tamaracksail_adapter_standins::{Client, Engine, Store, settings};
+use tamaracksail_model::batch::Listing;
 
 /// How long a condition may take before a test fails. Far beyond what any needs.
 const PATIENCE: Duration = Duration::from_mins(1);
@@ -172,7 +173,7 @@
         let store = Store::start(SocketAddr::new(address(), 7100))
             .await
             .expect("the store starts");
-        store.put("config", "main", settings::routes(1));
+        store.put_routes(settings::routes(1));
         let mut started = Vec::new();
         for number in 0..engines {
             let engine = server(&format!("engine-{number}"), events, pace).await;
@@ -224,14 +225,13 @@
 }
 
 /// Reads a batch at `client` until `count` results are there. Returns them by position.
-pub async fn read(client: &Client, batch: &str, count: usize) -> Vec<Value> {
+pub async fn read(client: &Client, batch: &str, count: usize) -> Vec<Listing> {
     let mut results = Vec::new();
     until("all results are read", async || {
         if let Ok(answer) = client.results(batch, results.len()).await
             && answer.status == 200
         {
-            let page = answer.json();
-            results.extend(page["results"].as_array().cloned().unwrap_or_default());
+            results.extend(answer.results());
         }
         results.len() >= count
     })
--- a/crates/gateway/tests/requests.rs
+++ b/crates/gateway/tests/requests.rs
@@ -133,15 +133,12 @@
 fn new_routes_come_into_force_and_malformed_ones_do_not() {
     run(async {
         let (world, gateway) = start().await;
-        world
-            .store
-            .put("config", "main", serde_json::json!({"version": 9}));
+        world.store.put_routes(serde_json::json!({"version": 9}));
         gateway.logged("routes refused").await;
         let answer = gateway.client().request("a", "/plain/x", "").await;
         assert_eq!(answer.expect("an answer").status, 200);
-        let mut routes = settings::routes(10);
-        routes["routes"][0]["path-prefix"] = "/moved/".into();
-        world.store.put("config", "main", routes);
+        let routes = settings::moved_routes(10, "/moved/");
+        world.store.put_routes(routes);
         common::until("the new routes are in force", async || {
             let answer = gateway.client().request("b", "/moved/x", "").await;
             answer.expect("an answer").status == 200
