Read ended batches and bodies from the scheduling gateway's memory

Change: the scheduling gateway takes an ended batch back into memory on the first read and answers its peers; changes of servers gather for half the time for which requests may still reach a server.

--- a/crates/gateway/src/batches/keeper.rs
+++ b/crates/gateway/src/batches/keeper.rs
@@ -24,8 +24,8 @@
 /// Between two looks at the own lease.
 const OWN_LOOK: Duration = Duration::from_millis(250);
 
-/// After a failed call.
-const RETRY: Duration = Duration::from_millis(600);
+/// After a failed call. Every gateway with work asks, and refused calls are paid for too.
+const RETRY: Duration = Duration::from_secs(1);
 
 /// How long a call about the lease may take. The store answers in milliseconds; a holder must
 /// know well before its span is over that it is cut off.
--- a/crates/gateway/src/batches/mod.rs
+++ b/crates/gateway/src/batches/mod.rs
@@ -15,7 +15,7 @@
 pub use accept::{Request, accept, keep_for_peer};
 pub use desk::Desk;
 pub use keeper::{holding, yield_lease};
-pub use read::{body, end, end_for_peer, results, shared_results};
+pub use read::{body, end, end_for_peer, results, shared_body, shared_results};
 
 use std::rc::Rc;
 
--- a/crates/gateway/src/batches/read.rs
+++ b/crates/gateway/src/batches/read.rs
@@ -10,8 +10,8 @@
 use tamaracksail_model::batch::Listing;
 use tamaracksail_wire::peer::{Ask, Reply};
 
-use super::keeper;
 use super::record::{self, Chunk, Head, Part, Progress};
+use super::{keeper, takeover};
 use crate::connection::Body;
 use crate::gateway::{Gateway, now};
 use crate::peer;
@@ -41,7 +41,7 @@
     wait: Duration,
 ) -> Response<Body> {
     keeper::want(gateway);
-    if let Some((total, results)) = from_memory(gateway, id, from, wait).await {
+    if let Some((total, results)) = held(gateway, id, from, wait).await {
         return page(total, from, results.iter());
     }
     if let Some((total, results)) = from_peer(gateway, id, from, wait).await {
@@ -55,12 +55,41 @@
 
 /// Results for a peer.
 pub async fn shared_results(gateway: &Rc<Gateway>, id: &str, from: usize, wait: Duration) -> Reply {
-    match from_memory(gateway, id, from, wait).await {
+    match held(gateway, id, from, wait).await {
         Some((total, results)) => Reply::Results { total, results },
         None => Reply::Unknown,
     }
 }
 
+/// The results from memory; those of an ended batch are brought there first.
+async fn held(
+    gateway: &Gateway,
+    id: &str,
+    from: usize,
+    wait: Duration,
+) -> Option<(usize, Vec<Listing>)> {
+    if !recalled(gateway, id).await {
+        return None;
+    }
+    from_memory(gateway, id, from, wait).await
+}
+
+/// Whether this process schedules and has a batch at hand.
+async fn recalled(gateway: &Gateway, id: &str) -> bool {
+    let desk = &gateway.desk;
+    let is_current = desk.is_open.get() && desk.lease.borrow().fence(now()).is_some();
+    if !is_current || desk.registers.borrow().contains_key(id) {
+        return is_current;
+    }
+    match takeover::recall(gateway, id).await {
+        Ok(is_recalled) => is_recalled,
+        Err(error) => {
+            log::info!(batch = id, error:%; "batch not recalled");
+            false
+        }
+    }
+}
+
 /// The results as the scheduling gateway has them.
 async fn from_peer(
     gateway: &Gateway,
@@ -220,20 +249,49 @@
 /// The body of an item.
 pub async fn body(gateway: &Rc<Gateway>, id: &str, item: &str) -> Response<Body> {
     keeper::want(gateway);
-    if let Some(register) = gateway.desk.registers.borrow().get(id) {
-        let found = register.items.iter().find(|(name, _)| name == item);
-        return found.map_or_else(
-            || status(StatusCode::NOT_FOUND),
-            |(_, body)| with_body(StatusCode::OK, body.clone()),
-        );
+    let mut found = held_body(gateway, id, item).await;
+    if found.is_none() {
+        let question = Ask::Item {
+            batch: id.to_owned(),
+            item: item.to_owned(),
+        };
+        for peer in gateway.desk.peers(gateway) {
+            if let Ok(Reply::Item { body }) = peer::ask(gateway, peer, &question, RELAY).await {
+                found = Some(body);
+                break;
+            }
+        }
     }
-    match stored_body(gateway, id, item).await {
+    let body = match found {
+        Some(body) => Ok(body),
+        None => stored_body(gateway, id, item).await,
+    };
+    match body {
         Ok(Some(body)) => with_body(StatusCode::OK, body),
         Ok(None) => status(StatusCode::NOT_FOUND),
         Err(error) => unread(id, &error),
     }
 }
 
+/// The body of an item for a peer.
+pub async fn shared_body(gateway: &Rc<Gateway>, id: &str, item: &str) -> Reply {
+    match held_body(gateway, id, item).await {
+        Some(body) => Reply::Item { body },
+        None => Reply::Unknown,
+    }
+}
+
+/// The body of an item from memory; none if the batch is not there.
+async fn held_body(gateway: &Gateway, id: &str, item: &str) -> Option<Option<Bytes>> {
+    if !recalled(gateway, id).await {
+        return None;
+    }
+    let registers = gateway.desk.registers.borrow();
+    let register = registers.get(id)?;
+    let found = register.items.iter().find(|(name, _)| name == item);
+    Some(found.map(|(_, body)| body.clone()))
+}
+
 async fn stored_body(gateway: &Gateway, id: &str, item: &str) -> Result<Option<Bytes>, Error> {
     let head = gateway.store.get(record::HEADS, id).await?;
     let parts = match head.spec::<Head>() {
--- a/crates/gateway/src/batches/takeover.rs
+++ b/crates/gateway/src/batches/takeover.rs
@@ -10,7 +10,7 @@
 use tamaracksail_adapter::store::{Error, Object};
 use tamaracksail_adapter::{batch, names};
 use tamaracksail_model::batch::Listing;
-use tamaracksail_policy::batch::Intake;
+use tamaracksail_policy::batch::{BatchKey, Intake};
 use tamaracksail_wire::peer::{Ask, Reply};
 use tokio::sync::Notify;
 
@@ -156,6 +156,66 @@
     }
 }
 
+/// Takes an ended batch into memory, so that reads at any gateway cost the store nothing. False
+/// if it is open, and so on its way here already.
+///
+/// # Errors
+/// If it cannot be read; [`Error::Missing`] if there is no such batch.
+pub async fn recall(gateway: &Gateway, id: &str) -> Result<bool, Error> {
+    let object = gateway.store.get(record::HEADS, id).await?;
+    let progress = object.status::<Progress>().unwrap_or_default();
+    if !progress.is_some_and(|progress| progress.is_ended) {
+        return Ok(false);
+    }
+    let head = match object.spec::<Head>() {
+        Ok(head) => head,
+        Err(error) => {
+            log::error!(batch = id, error:%; "batch cannot be read");
+            return Ok(false);
+        }
+    };
+    let (body, results, chunks) = read(gateway, id, &head).await?;
+    let items = match batch::parse(&body) {
+        Ok(submission) => submission.items,
+        Err(error) => {
+            log::error!(batch = id, error:%; "batch cannot be read");
+            return Ok(false);
+        }
+    };
+    let bodies = items.into_iter().map(|item| (item.id, item.body)).collect();
+    register(gateway, id, None, (head.total, results, chunks), bodies);
+    Ok(true)
+}
+
+/// Puts a batch into memory.
+fn register(
+    gateway: &Gateway,
+    id: &str,
+    batch: Option<BatchKey>,
+    (total, results, next_chunk): (usize, Vec<Listing>, usize),
+    items: Vec<(String, Bytes)>,
+) {
+    let desk = &gateway.desk;
+    let bytes = items.iter().map(|(_, body)| body.len()).sum::<usize>()
+        + results
+            .iter()
+            .map(|result| result.text.len())
+            .sum::<usize>();
+    let register = Register {
+        total,
+        results,
+        next_chunk,
+        changed: Notify::new().into(),
+        batch,
+        number: desk.next_register(),
+        bytes,
+        items,
+    };
+    desk.registers.borrow_mut().insert(id.to_owned(), register);
+    let memory = usize::try_from(gateway.settings.borrow().memory).unwrap_or(usize::MAX);
+    sweep::trim(gateway, memory / MEMORY_SHARE);
+}
+
 async fn read(
     gateway: &Gateway,
     id: &str,
@@ -249,11 +309,6 @@
         .iter()
         .map(|item| (item.id.clone(), item.body.clone()))
         .collect();
-    let bytes = bodies.iter().map(|(_, body)| body.len()).sum::<usize>()
-        + results
-            .iter()
-            .map(|result| result.text.len())
-            .sum::<usize>();
     let listed: BTreeSet<String> = results.iter().map(|result| result.item.clone()).collect();
     let intake = Intake {
         host: head.host.clone(),
@@ -275,18 +330,12 @@
         .borrow_mut()
         .submit(now(), intake, |host, path| service(&table, host, path));
     desk.names.borrow_mut().insert(batch, id.to_owned());
-    let register = Register {
-        total: head.total,
-        results,
-        next_chunk: chunks,
-        changed: Notify::new().into(),
-        batch: Some(batch),
-        number: desk.next_register(),
-        bytes,
-        items: bodies,
-    };
-    desk.registers.borrow_mut().insert(id.to_owned(), register);
-    let memory = usize::try_from(gateway.settings.borrow().memory).unwrap_or(usize::MAX);
-    sweep::trim(gateway, memory / MEMORY_SHARE);
+    register(
+        gateway,
+        id,
+        Some(batch),
+        (head.total, results, chunks),
+        bodies,
+    );
     desk.turn_soon();
 }
--- a/crates/gateway/src/peer/server.rs
+++ b/crates/gateway/src/peer/server.rs
@@ -103,6 +103,7 @@
             from,
             wait_ms,
         } => batches::shared_results(gateway, &batch, from, Duration::from_millis(wait_ms)).await,
+        Ask::Item { batch, item } => batches::shared_body(gateway, &batch, &item).await,
         Ask::Drafts => Reply::Drafts {
             drafts: gateway.desk.drafts(),
         },
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -12,7 +12,7 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 
 /// The longest pause. After an outage entries must be here again within two seconds.
-const LONGEST_PAUSE: Duration = Duration::from_millis(800);
+const LONGEST_PAUSE: Duration = Duration::from_millis(1200);
 
 /// News of a kind.
 #[derive(Debug)]
--- a/crates/gateway/src/version/servers.rs
+++ b/crates/gateway/src/version/servers.rs
@@ -19,17 +19,19 @@
 /// How long the store counts as disturbed after a call failed.
 const DISTURBED: Duration = Duration::from_secs(3);
 
-/// How long changes gather. A server that leaves must get no more requests within about two
-/// seconds; loads of weights change entries all the time.
-const GATHER: Duration = Duration::from_millis(700);
+/// The share of the time for which requests may still reach a server that leaves, in which
+/// changes gather: loads of weights change entries all the time, and each watch is paid for. The
+/// rest is for the watch itself and for requests on their way.
+const GATHER_SHARE: f64 = 0.5;
 
 /// Follows the entries of backend servers.
 pub async fn follow(gateway: Rc<Gateway>) {
     let client = gateway.store.clone();
+    let gather = gateway.settings.borrow().leave.mul_f64(GATHER_SHARE);
     // When the store was last known to be away.
     let lost = Cell::new(None);
     let lapsed: Rc<RefCell<BTreeSet<String>>> = Rc::default();
-    store::follow(client, names::SERVERS, GATHER, |news| match news {
+    store::follow(client, names::SERVERS, gather, |news| match news {
         News::All(objects) => {
             let mut listed = BTreeSet::new();
             for object in objects {
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -49,6 +49,13 @@
             /// How long the answer may wait for a result, in milliseconds.
             wait_ms: u64,
         },
+        /// The body of an item of a batch that the peer schedules or has at hand.
+        Item {
+            /// The batch.
+            batch: String,
+            /// The item.
+            item: String,
+        },
         /// Text of unfinished items, from a peer that has stopped scheduling.
         Drafts,
     }
@@ -82,6 +89,11 @@
             /// The results.
             results: Vec<Listing>,
         },
+        /// The body of an item; none if the batch has no such item.
+        Item {
+            /// The body.
+            body: Option<Bytes>,
+        },
         /// The peer does not schedule that batch.
         Unknown,
         /// Text of unfinished items.
