Hand over results on their way, and show a cut within half a second

Change: drafts include results that are not durable; failed writes of results count as a sign of a cut; a holder says so after half a second of failures, so that one lost answer moves nothing.

--- a/crates/gateway/src/batches/desk.rs
+++ b/crates/gateway/src/batches/desk.rs
@@ -19,7 +19,7 @@
 
 use super::record::{self, Chunk};
 use super::register::Register;
-use super::{orders, running};
+use super::{keeper, orders, running};
 use crate::gateway::{Gateway, now, peer_address};
 
 /// How often the scheduler looks at the time while batches are open: a fraction of the silence
@@ -332,7 +332,8 @@
             return;
         }
         let outcome = if is_held {
-            gateway.store.create(&kind, &name, &chunk).await.map(|_| ())
+            let call = gateway.store.create(&kind, &name, &chunk);
+            keeper::limit(call).await.map(|_| ())
         } else {
             Err(Error::NotDone {
                 call: name.clone(),
@@ -340,8 +341,12 @@
             })
         };
         match outcome {
-            Ok(()) => break,
+            Ok(()) => {
+                keeper::contact(&gateway, true);
+                break;
+            }
             Err(Error::Conflict { .. }) => {
+                keeper::contact(&gateway, true);
                 // An earlier try of ours, or a scheduler that has taken over.
                 let ours =
                     gateway.store.get(&kind, &name).await.is_ok_and(|object| {
@@ -357,6 +362,7 @@
             }
             Err(error) => {
                 is_unknown |= matches!(error, Error::Unknown { .. });
+                keeper::contact(&gateway, false);
                 log::warn!(batch = id.as_str(), chunk = number, error:%; "results not written");
                 tokio::time::sleep(REWRITE).await;
             }
--- a/crates/gateway/src/batches/keeper.rs
+++ b/crates/gateway/src/batches/keeper.rs
@@ -29,11 +29,15 @@
 
 /// How long a call about the lease may take. The store answers in milliseconds; a holder must
 /// know well before its span is over that it is cut off.
-const CALL: Duration = Duration::from_secs(1);
+const CALL: Duration = Duration::from_millis(700);
 
 /// How long a holder lets the question wait whether it still holds.
 const HOLDING: Duration = Duration::from_secs(1);
 
+/// How long calls to the store must fail before a holder says that it is cut off: longer than a
+/// lost answer and its repetition take.
+const CUT: Duration = Duration::from_millis(500);
+
 /// How long a peer may take beyond that.
 const PEER: Duration = Duration::from_millis(600);
 
@@ -74,11 +78,13 @@
         if !is_held {
             return released(gateway);
         }
-        let is_cut = desk.failing_since.get().is_some();
-        let left = deadline.since(now());
-        if is_cut || left.is_zero() {
+        let cut_at = desk.failing_since.get().map(|since| since.after(CUT));
+        let is_cut = cut_at.is_some_and(|cut_at| now() >= cut_at);
+        let end = cut_at.map_or(deadline, |cut_at| cut_at.min(deadline));
+        if is_cut || now() >= deadline {
             return Reply::Holding { is_cut };
         }
+        let left = end.since(now());
         // Whichever comes first; the loop looks again.
         drop(tokio::time::timeout(left, desk.lease_changed.notified()).await);
     }
@@ -88,6 +94,7 @@
 pub fn yield_lease(gateway: &Gateway, fence: u64, successor: SocketAddr) -> Reply {
     let desk = &gateway.desk;
     let is_held = desk.lease.borrow().fence(now()) == Some(fence);
+    // Calls may have succeeded again since the peer heard that they fail.
     if is_held && desk.failing_since.get().is_none() {
         return Reply::Holding { is_cut: false };
     }
@@ -325,18 +332,18 @@
     }
 }
 
-/// Bounds a call about the lease.
-async fn limit(call: impl Future<Output = Result<Object, Error>>) -> Result<Object, Error> {
+/// Bounds a call by the scheduling gateway.
+pub async fn limit(call: impl Future<Output = Result<Object, Error>>) -> Result<Object, Error> {
     tokio::time::timeout(CALL, call).await.unwrap_or_else(|_| {
         Err(Error::Unknown {
-            call: record::LEASES.to_owned(),
+            call: "of the scheduling gateway".to_owned(),
             problem: "no answer in time".to_owned(),
         })
     })
 }
 
-/// Notes whether the store answers.
-fn contact(gateway: &Gateway, is_answered: bool) {
+/// Notes whether the store answers this process as it schedules.
+pub fn contact(gateway: &Gateway, is_answered: bool) {
     let desk = &gateway.desk;
     let since = desk.failing_since.get();
     desk.failing_since.set(match (is_answered, since) {
--- a/crates/gateway/tests/batches.rs
+++ b/crates/gateway/tests/batches.rs
@@ -395,6 +395,7 @@
             world.store.names("batches") == ["b2"]
         })
         .await;
+        gateway.logged("batch removed").await;
         assert!(world.store.names("batch-b1").is_empty());
         let answer = client.results("b1", 0).await.expect("an answer");
         assert_eq!(answer.status, 404);
--- a/crates/policy/src/batch/ending.rs
+++ b/crates/policy/src/batch/ending.rs
@@ -122,7 +122,10 @@
     let unwritten: BTreeSet<String> = scheduler
         .batches
         .values()
-        .flat_map(|batch| batch.results.iter().map(|result| result.item.clone()))
+        .flat_map(|batch| {
+            let waiting = batch.results.iter().map(|result| &result.item);
+            waiting.chain(&batch.writing).cloned()
+        })
         .collect();
     let keys: Vec<WorkKey> = scheduler.works.keys().collect();
     for key in keys {
--- a/crates/policy/src/batch/intake.rs
+++ b/crates/policy/src/batch/intake.rs
@@ -72,6 +72,7 @@
         results: Vec::new(),
         results_since: now,
         is_writing: false,
+        writing: BTreeSet::new(),
         is_satisfied: false,
         ended: None,
     });
--- a/crates/policy/src/batch/pending.rs
+++ b/crates/policy/src/batch/pending.rs
@@ -38,6 +38,8 @@
     /// When the oldest of them came.
     pub(crate) results_since: Instant,
     pub(crate) is_writing: bool,
+    /// Items whose results are being written.
+    pub(crate) writing: BTreeSet<String>,
     /// Whether the trainer has what it waits for.
     pub(crate) is_satisfied: bool,
     /// When its client ended it.
@@ -72,6 +74,11 @@
         }
         self.is_satisfied |= completes;
         self.is_writing = true;
+        self.writing = self
+            .results
+            .iter()
+            .map(|result| result.item.clone())
+            .collect();
         Some(std::mem::take(&mut self.results))
     }
 }
--- a/crates/policy/src/batch/scheduler.rs
+++ b/crates/policy/src/batch/scheduler.rs
@@ -143,10 +143,11 @@
         reports::failed(self, now, run, failure);
     }
 
-    /// Notes that results of a batch are durable, or that they are not and must be written again.
+    /// Notes that the results of a batch last taken for writing are durable.
     pub fn listed(&mut self, batch: BatchKey) {
         if let Some(pending) = self.batches.get_mut(batch) {
             pending.is_writing = false;
+            pending.writing.clear();
         }
     }
 
--- a/crates/policy/tests/common/engines.rs
+++ b/crates/policy/tests/common/engines.rs
@@ -143,6 +143,11 @@
         self.listed.insert(id.to_owned(), Vec::new());
     }
 
+    /// Whether results are on their way to the store.
+    pub fn is_writing(&self) -> bool {
+        !self.writes.is_empty()
+    }
+
     /// Ends a step, as its trainer does.
     pub fn end(&mut self, id: &str) {
         let key = self.names.iter().find(|(_, name)| *name == id);
--- a/crates/policy/tests/scheduling.rs
+++ b/crates/policy/tests/scheduling.rs
@@ -196,3 +196,21 @@
         world.until_whole("s", 10);
     }
 }
+
+#[test]
+fn text_whose_result_is_not_durable_is_handed_over() {
+    let mut world = World::new(2, 4, PACE);
+    world.submit("s", 1, 3, &[("g0", &[5]), ("g1", &[5]), ("g2", &[50])]);
+    // Two items are finished; their results are on their way to the store.
+    while world.scheduler.drafts().is_empty() && !world.is_writing() {
+        world.turn();
+    }
+    world.scheduler.close(world.now);
+    let mut drafts = world.scheduler.drafts();
+    drafts.sort_by(|left, right| left.0.cmp(&right.0));
+    let found: Vec<(&str, bool)> = drafts
+        .iter()
+        .map(|(item, draft)| (item.as_str(), draft.is_whole))
+        .collect();
+    assert_eq!(found, [("g0.0", true), ("g1.0", true), ("g2.0", false)]);
+}
