Know the holder's last renewal, and seal only what another may have scheduled

Then a gateway sealed a batch that it was accepting itself and took the seal for another scheduler's results. Change: a holder tells its peers the revision of each renewal; batches accepted after a takeover are not sealed, a seal found in the way is stepped over, and a read-back that fails is repeated.

--- a/crates/gateway/src/batches/desk.rs
+++ b/crates/gateway/src/batches/desk.rs
@@ -312,7 +312,7 @@
         .borrow()
         .get(&id)
         .map(|register| (register.next_chunk, register.results.len()));
-    let Some((number, first)) = place else {
+    let Some((mut number, first)) = place else {
         return;
     };
     let chunk = Chunk {
@@ -320,7 +320,7 @@
         results: listings,
     };
     let kind = record::kind(&id);
-    let name = record::chunk(number);
+    let mut name = record::chunk(number);
     let mut is_unknown = false;
     loop {
         let is_held = desk.lease.borrow().fence(now()).is_some();
@@ -347,18 +347,32 @@
             }
             Err(Error::Conflict { .. }) => {
                 keeper::contact(&gateway, true);
+                is_unknown = true;
                 // An earlier try of ours, or a scheduler that has taken over.
-                let ours =
-                    gateway.store.get(&kind, &name).await.is_ok_and(|object| {
-                        object.spec::<Chunk>().is_ok_and(|found| found == chunk)
-                    });
-                if ours {
-                    break;
+                match gateway.store.get(&kind, &name).await {
+                    Ok(object) if object.spec::<Chunk>().is_ok_and(|found| found == chunk) => break,
+                    Ok(object) if object.spec::<Chunk>().is_ok_and(|c| c.results.is_empty()) => {
+                        // A seal fixes no position.
+                        number += 1;
+                        name = record::chunk(number);
+                    }
+                    Ok(_) => {
+                        log::warn!(
+                            batch = id.as_str(), chunk = number;
+                            "results of another scheduler"
+                        );
+                        desk.lease.borrow_mut().doubt();
+                        desk.close("another process lists results");
+                        return;
+                    }
+                    Err(error) => {
+                        log::warn!(
+                            batch = id.as_str(), chunk = number, error:%;
+                            "results not read back"
+                        );
+                        tokio::time::sleep(REWRITE).await;
+                    }
                 }
-                log::warn!(batch = id.as_str(), chunk = number; "results of another scheduler");
-                desk.lease.borrow_mut().doubt();
-                desk.close("another process lists results");
-                return;
             }
             Err(error) => {
                 is_unknown |= matches!(error, Error::Unknown { .. });
--- a/crates/gateway/src/batches/keeper.rs
+++ b/crates/gateway/src/batches/keeper.rs
@@ -73,6 +73,7 @@
         }
     }
     let deadline = now().after(HOLDING);
+    let first = desk.lease.borrow().revision();
     loop {
         let is_held = desk.lease.borrow().fence(now()) == Some(fence);
         if !is_held {
@@ -81,8 +82,10 @@
         let cut_at = desk.failing_since.get().map(|since| since.after(CUT));
         let is_cut = cut_at.is_some_and(|cut_at| now() >= cut_at);
         let end = cut_at.map_or(deadline, |cut_at| cut_at.min(deadline));
-        if is_cut || now() >= deadline {
-            return Reply::Holding { is_cut };
+        let revision = desk.lease.borrow().revision();
+        // A renewal is told at once, so that peers need not wait for another after a loss.
+        if is_cut || now() >= deadline || revision != first {
+            return Reply::Holding { is_cut, revision };
         }
         let left = end.since(now());
         // Whichever comes first; the loop looks again.
@@ -96,7 +99,10 @@
     let is_held = desk.lease.borrow().fence(now()) == Some(fence);
     // Calls may have succeeded again since the peer heard that they fail.
     if is_held && desk.failing_since.get().is_none() {
-        return Reply::Holding { is_cut: false };
+        return Reply::Holding {
+            is_cut: false,
+            revision: desk.lease.borrow().revision(),
+        };
     }
     if is_held {
         leave(
@@ -161,8 +167,8 @@
     let mut next = desk.lease.borrow().step(now(), false);
     if let Step::Ask(_) = next {
         match ask(gateway).await {
-            Asked::Holds => {
-                desk.lease.borrow_mut().confirmed(now());
+            Asked::Holds(revision) => {
+                desk.lease.borrow_mut().confirmed(now(), revision);
                 return Duration::ZERO;
             }
             Asked::Gone(fence, last_order) => match read(gateway).await {
@@ -217,8 +223,8 @@
 
 /// What the holder says.
 enum Asked {
-    /// It holds.
-    Holds,
+    /// It holds, and renewed last with this revision.
+    Holds(u64),
     /// It has stopped under this fencing number; its last order was no later than this.
     Gone(u64, Instant),
     /// It does not answer.
@@ -242,8 +248,11 @@
         is_strong: is_strong(gateway),
     };
     match peer::ask(gateway, address, &question, HOLDING + PEER).await {
-        Ok(Reply::Holding { is_cut: false }) => Asked::Holds,
-        Ok(Reply::Holding { is_cut: true }) => {
+        Ok(Reply::Holding {
+            is_cut: false,
+            revision,
+        }) => Asked::Holds(revision),
+        Ok(Reply::Holding { is_cut: true, .. }) => {
             if let Err(error) = read(gateway).await {
                 log::info!(error:%; "the store answers neither the holder nor this process");
                 return Asked::Nothing;
@@ -311,6 +320,7 @@
             let mut lease = desk.lease.borrow_mut();
             lease.wrote(asked, now(), object.revision, wanted);
             drop(lease);
+            desk.lease_changed.notify_waiters();
             if !was_held {
                 log::info!(fence, revision = object.revision; "lease taken");
             }
--- a/crates/gateway/src/batches/takeover.rs
+++ b/crates/gateway/src/batches/takeover.rs
@@ -108,15 +108,27 @@
 async fn follow_heads(gateway: Rc<Gateway>) {
     let client = gateway.store.clone();
     store::follow(client, record::HEADS, Duration::ZERO, |news| match news {
-        News::All(objects) => objects.iter().for_each(|object| head(&gateway, object)),
-        News::Changed(object) => head(&gateway, object),
+        // An earlier scheduler may have written results of what stands already.
+        News::All(objects) => objects
+            .iter()
+            .for_each(|object| head(&gateway, object, Earlier::Possible)),
+        News::Changed(object) => head(&gateway, object, Earlier::None),
         News::Removed(object) => gateway.desk.end(&object.name),
         News::Lost => {}
     })
     .await;
 }
 
-fn head(gateway: &Rc<Gateway>, object: &Object) {
+/// Whether another process may have scheduled a batch before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Earlier {
+    /// Results of it may still be on their way to the store.
+    Possible,
+    /// The batch was accepted after this process took the lease.
+    None,
+}
+
+fn head(gateway: &Rc<Gateway>, object: &Object, earlier: Earlier) {
     let id = object.name.clone();
     let progress = object.status::<Progress>().unwrap_or_default();
     if progress.is_some_and(|progress| progress.is_ended) {
@@ -128,14 +140,14 @@
     }
     match object.spec::<Head>() {
         Ok(head) => {
-            actix_rt::spawn(load(Rc::clone(gateway), id, head));
+            actix_rt::spawn(load(Rc::clone(gateway), id, head, earlier));
         }
         Err(error) => log::error!(batch = id.as_str(), error:%; "batch passed over"),
     }
 }
 
 /// Reads a batch from the store and takes it in.
-async fn load(gateway: Rc<Gateway>, id: String, head: Head) {
+async fn load(gateway: Rc<Gateway>, id: String, head: Head, earlier: Earlier) {
     let is_wanted = || {
         let desk = &gateway.desk;
         desk.is_open.get()
@@ -143,7 +155,7 @@
             && !desk.ended.borrow().contains(&id)
     };
     while is_wanted() {
-        match read(&gateway, &id, &head).await {
+        match read(&gateway, &id, &head, earlier).await {
             Ok((body, results, chunks)) => {
                 take_in(&gateway, &id, &head, &body, results, chunks);
                 return;
@@ -174,7 +186,7 @@
             return Ok(false);
         }
     };
-    let (body, results, chunks) = read(gateway, id, &head).await?;
+    let (body, results, chunks) = read(gateway, id, &head, Earlier::Possible).await?;
     let items = match batch::parse(&body) {
         Ok(submission) => submission.items,
         Err(error) => {
@@ -220,6 +232,7 @@
     gateway: &Gateway,
     id: &str,
     head: &Head,
+    earlier: Earlier,
 ) -> Result<(Bytes, Vec<Listing>, usize), Error> {
     let kind = record::kind(id);
     let (objects, _) = store::list(&gateway.store, &kind).await?;
@@ -241,7 +254,9 @@
         }
     }
     log::info!(batch = id, parts = head.parts, chunks, results = results.len(); "batch read");
-    let chunks = seal(gateway, id, &kind, &mut results, chunks).await?;
+    if earlier == Earlier::Possible {
+        chunks = seal(gateway, id, &kind, &mut results, chunks).await?;
+    }
     Ok((body.into(), results, chunks))
 }
 
--- a/crates/policy/src/lease.rs
+++ b/crates/policy/src/lease.rs
@@ -186,11 +186,16 @@
         }
     }
 
-    /// Notes that the holder has said that it still holds.
-    pub fn confirmed(&mut self, now: Instant) {
-        if let Some((_, since)) = &mut self.seen {
-            *since = now;
-        }
+    /// Notes that the holder has said that it still holds, and the revision of its last renewal.
+    pub fn confirmed(&mut self, now: Instant, revision: u64) {
+        let newest = self.seen.map_or(revision, |(seen, _)| seen.max(revision));
+        self.seen = Some((newest, now));
+    }
+
+    /// The revision seen last.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.seen.map_or(0, |(revision, _)| revision)
     }
 
     /// Notes a sign that another process has taken the lease: it counts as lost until it was
--- a/crates/policy/tests/lease.rs
+++ b/crates/policy/tests/lease.rs
@@ -144,3 +144,16 @@
     assert_eq!(lease.fence(at(20_000)), None);
     assert_eq!(lease.order_fence(at(20_000)), None);
 }
+
+#[test]
+fn a_renewal_that_the_holder_told_of_is_not_waited_for_again() {
+    let (_, record) = holder();
+    let mut other = lease(2);
+    other.saw(at(100), 1, record);
+    other.confirmed(at(3000), 4);
+    assert_eq!(other.step(at(7600), true), Step::Rest);
+    let Step::Replace(revision, taken) = other.step(at(7800), true) else {
+        panic!("the lease has lapsed");
+    };
+    assert_eq!((revision, taken.fence), (4, 1));
+}
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -72,6 +72,8 @@
         Holding {
             /// Whether it cannot reach the store.
             is_cut: bool,
+            /// The revision of its last renewal.
+            revision: u64,
         },
         /// The peer does not hold the lease and will not act under the fencing number again.
         Released {
