--- a/crates/gateway/src/batches/takeover.rs
+++ b/crates/gateway/src/batches/takeover.rs
@@ -79,6 +79,7 @@
     let client = gateway.store.clone();
     store::follow(
         client,
+        gateway.pulse.clone(),
         names::VERSION_KIND,
         Duration::ZERO,
         |news| match news {
@@ -107,15 +108,21 @@
 
 async fn follow_heads(gateway: Rc<Gateway>) {
     let client = gateway.store.clone();
-    store::follow(client, record::HEADS, Duration::ZERO, |news| match news {
-        // An earlier scheduler may have written results of what stands already.
-        News::All(objects) => objects
-            .iter()
-            .for_each(|object| head(&gateway, object, Earlier::Possible)),
-        News::Changed(object) => head(&gateway, object, Earlier::None),
-        News::Removed(object) => gateway.desk.end(&object.name),
-        News::Lost => {}
-    })
+    store::follow(
+        client,
+        gateway.pulse.clone(),
+        record::HEADS,
+        Duration::ZERO,
+        |news| match news {
+            // An earlier scheduler may have written results of what stands already.
+            News::All(objects) => objects
+                .iter()
+                .for_each(|object| head(&gateway, object, Earlier::Possible)),
+            News::Changed(object) => head(&gateway, object, Earlier::None),
+            News::Removed(object) => gateway.desk.end(&object.name),
+            News::Lost => {}
+        },
+    )
     .await;
 }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -15,6 +15,7 @@
 use crate::batches::Desk;
 use crate::metrics::Metrics;
 use crate::options::Options;
+use crate::store::Pulse;
 
 /// The process. Shared by all tasks of its one thread.
 #[derive(Debug)]
@@ -29,6 +30,8 @@
     pub http: http::Client,
     /// The platform's store.
     pub store: store::Client,
+    /// Whether the store answers.
+    pub pulse: Pulse,
     /// The routes in force; none before the first are known.
     pub table: RefCell<Option<Rc<Table>>>,
     /// Backend servers.
@@ -56,6 +59,7 @@
             metrics_port: options.metrics_port,
             http: http::Client::default(),
             store: store::Client::new(settings.store),
+            pulse: Pulse::default(),
             settings: RefCell::new(settings),
             table: RefCell::new(None),
             fleet: RefCell::new(Fleet::default()),
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -1,8 +1,10 @@
 //! Following a kind of objects in the platform's store.
 
+use std::rc::Rc;
 use std::time::Duration;
 
-use tamaracksail_adapter::store::{Client, Error, Object};
+use tamaracksail_adapter::store::{Changes, Client, Error, Object};
+use tokio::sync::Notify;
 
 /// How long a watch waits for a change. The platform's longest. Every watch is paid for; the
 /// kernel's probes find a connection that fell silent much sooner.
@@ -14,6 +16,47 @@
 /// The longest pause. After an outage entries must be here again within two seconds.
 const LONGEST_PAUSE: Duration = Duration::from_millis(1200);
 
+/// Between two looks whether the store answers. A store that falls silent keeps connections alive
+/// and swallows the watches that wait there, so the kernel's probes do not show it.
+const LOOK: Duration = Duration::from_secs(1);
+
+/// How long a look may take.
+const LOOK_ANSWER: Duration = Duration::from_millis(800);
+
+/// The kind of the small object that is looked at.
+const LOOK_KIND: &str = "leases";
+
+/// Its name.
+const LOOK_NAME: &str = "scheduling";
+
+/// Whether the store answers this process. Clones share it.
+#[derive(Clone, Debug, Default)]
+pub struct Pulse {
+    returned: Rc<Notify>,
+}
+
+impl Pulse {
+    /// Looks for ever. Whoever waits for the store asks anew when it answers again.
+    pub async fn beat(self, client: Client) {
+        let mut is_lost = false;
+        loop {
+            tokio::time::sleep(LOOK).await;
+            let look = client.get_stale(LOOK_KIND, LOOK_NAME);
+            let is_answered = matches!(
+                tokio::time::timeout(LOOK_ANSWER, look).await,
+                Ok(Ok(_) | Err(Error::Missing { .. }))
+            );
+            if is_answered && is_lost {
+                log::info!("store answers again, watches begin anew");
+                self.returned.notify_waiters();
+            } else if !is_answered && !is_lost {
+                log::warn!("store does not answer");
+            }
+            is_lost = !is_answered;
+        }
+    }
+}
+
 /// News of a kind.
 #[derive(Debug)]
 pub enum News<'a> {
@@ -30,7 +73,13 @@
 /// Reports all objects of `kind`, then each change, for ever.
 /// After a change the next watch begins `gather` later, so that changes in quick succession cost
 /// one call.
-pub async fn follow(client: Client, kind: &str, gather: Duration, mut report: impl FnMut(News)) {
+pub async fn follow(
+    client: Client,
+    pulse: Pulse,
+    kind: &str,
+    gather: Duration,
+    mut report: impl FnMut(News),
+) {
     let mut pause = FIRST_PAUSE;
     let mut is_lost = false;
     let mut revision = None;
@@ -43,7 +92,7 @@
                 }
                 Err(error) => Err(error),
             },
-            Some(at) => match client.watch(kind, at, WAIT).await {
+            Some(at) => match watch(&client, &pulse, kind, at).await {
                 Ok(changes) => {
                     for change in &changes.events {
                         report(if change.is_removed {
@@ -86,6 +135,14 @@
     }
 }
 
+/// Watches until a change, or until the store answers again after a silence.
+async fn watch(client: &Client, pulse: &Pulse, kind: &str, at: u64) -> Result<Changes, Error> {
+    tokio::select! {
+        changes = client.watch(kind, at, WAIT) => changes,
+        () = pulse.returned.notified() => client.watch(kind, at, Duration::ZERO).await,
+    }
+}
+
 /// Lists all objects of a kind, with the revision from which to watch on.
 ///
 /// # Errors
--- a/crates/gateway/src/version/retirements.rs
+++ b/crates/gateway/src/version/retirements.rs
@@ -23,6 +23,7 @@
     let client = gateway.store.clone();
     store::follow(
         client,
+        gateway.pulse.clone(),
         names::RETIREMENTS,
         Duration::ZERO,
         |news| match news {
--- a/crates/gateway/src/version/routes.rs
+++ b/crates/gateway/src/version/routes.rs
@@ -12,12 +12,18 @@
 /// Follows the routes.
 pub async fn follow(gateway: Rc<Gateway>) {
     let client = gateway.store.clone();
-    store::follow(client, names::CONFIG, Duration::ZERO, |news| match news {
-        News::All(objects) => objects.iter().for_each(|object| apply(&gateway, object)),
-        News::Changed(object) => apply(&gateway, object),
-        // Routes in force stay in force.
-        News::Removed(_) | News::Lost => {}
-    })
+    store::follow(
+        client,
+        gateway.pulse.clone(),
+        names::CONFIG,
+        Duration::ZERO,
+        |news| match news {
+            News::All(objects) => objects.iter().for_each(|object| apply(&gateway, object)),
+            News::Changed(object) => apply(&gateway, object),
+            // Routes in force stay in force.
+            News::Removed(_) | News::Lost => {}
+        },
+    )
     .await;
 }
 
--- a/crates/gateway/src/version/servers.rs
+++ b/crates/gateway/src/version/servers.rs
@@ -31,37 +31,43 @@
     // When the store was last known to be away.
     let lost = Cell::new(None);
     let lapsed: Rc<RefCell<BTreeSet<String>>> = Rc::default();
-    store::follow(client, names::SERVERS, gather, |news| match news {
-        News::All(objects) => {
-            let mut listed = BTreeSet::new();
-            for object in objects {
-                listed.insert(object.name.clone());
+    store::follow(
+        client,
+        gateway.pulse.clone(),
+        names::SERVERS,
+        gather,
+        |news| match news {
+            News::All(objects) => {
+                let mut listed = BTreeSet::new();
+                for object in objects {
+                    listed.insert(object.name.clone());
+                    lapsed.borrow_mut().remove(&object.name);
+                    apply(&gateway, object);
+                }
+                let known: Vec<String> = gateway.fleet.borrow().instances().cloned().collect();
+                for instance in known.into_iter().filter(|known| !listed.contains(known)) {
+                    drop_later(&gateway, &lapsed, instance, LAPSE_GRACE);
+                }
+                gateway.knows_servers.set(true);
+            }
+            News::Changed(object) => {
                 lapsed.borrow_mut().remove(&object.name);
                 apply(&gateway, object);
             }
-            let known: Vec<String> = gateway.fleet.borrow().instances().cloned().collect();
-            for instance in known.into_iter().filter(|known| !listed.contains(known)) {
-                drop_later(&gateway, &lapsed, instance, LAPSE_GRACE);
+            News::Removed(object) => {
+                let at = now();
+                let is_disturbed = lost
+                    .get()
+                    .is_some_and(|lost| at.since(lost) < DISTURBED + LAPSE_GRACE);
+                if is_disturbed {
+                    drop_later(&gateway, &lapsed, object.name.clone(), LAPSE_GRACE);
+                } else {
+                    remove(&gateway, &object.name);
+                }
             }
-            gateway.knows_servers.set(true);
-        }
-        News::Changed(object) => {
-            lapsed.borrow_mut().remove(&object.name);
-            apply(&gateway, object);
-        }
-        News::Removed(object) => {
-            let at = now();
-            let is_disturbed = lost
-                .get()
-                .is_some_and(|lost| at.since(lost) < DISTURBED + LAPSE_GRACE);
-            if is_disturbed {
-                drop_later(&gateway, &lapsed, object.name.clone(), LAPSE_GRACE);
-            } else {
-                remove(&gateway, &object.name);
-            }
-        }
-        News::Lost => lost.set(Some(now())),
-    })
+            News::Lost => lost.set(Some(now())),
+        },
+    )
     .await;
 }
 
--- a/crates/gateway/tests/requests.rs
+++ b/crates/gateway/tests/requests.rs
@@ -8,6 +8,7 @@
 use tamaracksail_adapter_standins::Engine;
 use tamaracksail_adapter_standins::engine::Fault;
 use tamaracksail_adapter_standins::settings;
+use tamaracksail_adapter_standins::store::Fault as StoreFault;
 
 const PACE: Duration = Duration::from_millis(2);
 
@@ -41,9 +42,7 @@
         let (world, gateway) = start().await;
         let answer = gateway.client().request("a1", "/elsewhere/", "").await;
         assert_eq!(answer.expect("an answer").status, 404);
-        world
-            .store
-            .set_fault(tamaracksail_adapter_standins::store::Fault::Busy);
+        world.store.set_fault(StoreFault::Busy);
         let blind = Gateway::start("front-2", &world.store);
         blind.logged("listening").await;
         let answer = blind.client().request("a2", "/plain/", "").await;
@@ -220,3 +219,27 @@
         assert_eq!(answer.expect("an answer").status, 200);
     });
 }
+
+#[test]
+fn routes_that_change_after_a_silence_of_the_store_come_into_force() {
+    run(async {
+        let (world, gateway) = start().await;
+        world.store.set_fault(StoreFault::Silent);
+        gateway.logged("store does not answer").await;
+        world.store.set_fault(StoreFault::None);
+        gateway
+            .logged("store answers again, watches begin anew")
+            .await;
+        world
+            .store
+            .put_routes(settings::moved_routes(10, "/moved/"));
+        common::until("the new routes are in force", async || {
+            let answer = gateway.client().request("b", "/moved/x", "").await;
+            answer.expect("an answer").status == 200
+        })
+        .await;
+        // The watch that the silence swallowed did not have to give up first.
+        let lost = gateway.lines("store lost");
+        assert!(lost.iter().all(|line| line["kind"] != "config"), "{lost:?}");
+    });
+}
