--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -166,4 +166,9 @@
 [ "$status" -ge 2 ] && report ok "status: generation 2 in force at both entries" ||
     report FAIL "status: $("$bin/tamaracksailctl" status)"
 
+# The same role on the users' platform: a gateway before stand-ins of its own.
+while read -r verdict text; do
+    report "$verdict" "gateway: $text"
+done < <("$bin/gateway-demo" "$bin/tamaracksail-gateway" || echo "FAIL a line above did not hold")
+
 exit $failed
