Load weights only on engines that a step can use

Change: no more engines of a model follow its versions than its largest step fills one and a half times, and two.

--- a/crates/policy/src/batch/intake.rs
+++ b/crates/policy/src/batch/intake.rs
@@ -54,6 +54,10 @@
     for (item, group) in intake.items.iter().zip(&group_of) {
         lengths[*group] = lengths[*group].max(item.hint.unwrap_or(item.tokens));
     }
+    if let Some(model) = &intake.model {
+        let largest = scheduler.step_items.entry(model.clone()).or_default();
+        *largest = intake.items.len().max(*largest);
+    }
     let target = intake.target_groups.unwrap_or(names.len());
     let last = leftovers(&lengths, &carried, target);
     for name in names {
--- a/crates/policy/src/batch/scheduler.rs
+++ b/crates/policy/src/batch/scheduler.rs
@@ -39,6 +39,8 @@
     pub(super) paused: BTreeMap<WorkKey, Instant>,
     /// The newest version that each trainer has named.
     pub(super) named: BTreeMap<String, u64>,
+    /// How many items the largest step of each model had.
+    pub(super) step_items: BTreeMap<String, usize>,
     /// Text of ended batches, by item.
     pub(super) kept: BTreeMap<String, (Instant, Draft)>,
     pub(super) past_groups: BTreeMap<String, Instant>,
--- a/crates/policy/src/batch/weights.rs
+++ b/crates/policy/src/batch/weights.rs
@@ -16,6 +16,10 @@
 /// One in this many engines loads at a time. More at once slow each other down.
 const LOADING_SHARE: usize = 5;
 
+/// Engines kept at the newest version beyond those that a step's items fill one and a half times:
+/// room for one that is lost and one that is slow.
+const SPARE: usize = 2;
+
 /// Orders loads for engines that are behind the version named.
 pub(super) fn load(scheduler: &mut Scheduler, now: Instant) {
     let seats = &scheduler.pool.seats;
@@ -44,10 +48,15 @@
     }
     behind.sort();
     let needed = needed(scheduler);
+    let mut fresh = fresh(scheduler);
     for (held, _, key, model, version) in behind {
         if loading >= most {
             return;
         }
+        let count = fresh.entry(model.clone()).or_default();
+        if *count >= enough(scheduler, &model, key) {
+            continue;
+        }
         let is_useless = needed.get(&model).is_some_and(|min| held < *min);
         let is_empty = scheduler.pool.seats[key].running == 0;
         let is_waited_for = scheduler.is_waited_for(Some(&model));
@@ -58,6 +67,7 @@
             continue;
         }
         loading += 1;
+        *fresh.entry(model.clone()).or_default() += 1;
         scheduler.pool.seats[key].loading = Some(Loading {
             model: model.clone(),
         });
@@ -69,6 +79,31 @@
     }
 }
 
+/// How many engines of each model hold the version named, or load it.
+fn fresh(scheduler: &Scheduler) -> BTreeMap<String, usize> {
+    let mut fresh = BTreeMap::new();
+    for seat in scheduler.pool.seats.values() {
+        let Some(home) = &seat.home else {
+            continue;
+        };
+        let named = scheduler.named.get(home).copied();
+        let is_loading = seat.loading.as_ref().is_some_and(|l| &l.model == home);
+        if is_loading || (named.is_some() && seat.version(home) >= named) {
+            *fresh.entry(home.clone()).or_default() += 1;
+        }
+    }
+    fresh
+}
+
+/// How many engines like `key` a model's steps can use. All, as long as no step was seen.
+fn enough(scheduler: &Scheduler, model: &str, key: SeatKey) -> usize {
+    let Some(items) = scheduler.step_items.get(model) else {
+        return usize::MAX;
+    };
+    let slots = scheduler.pool.seats[key].entry.slots.max(1) as usize;
+    (items * 3 / 2).div_ceil(slots) + SPARE
+}
+
 /// The oldest version that the newest open step of each model allows.
 fn needed(scheduler: &Scheduler) -> BTreeMap<String, u64> {
     let mut needed = BTreeMap::new();
--- a/crates/policy/tests/scheduling.rs
+++ b/crates/policy/tests/scheduling.rs
@@ -214,3 +214,18 @@
         .collect();
     assert_eq!(found, [("g0.0", true), ("g1.0", true), ("g2.0", false)]);
 }
+
+#[test]
+fn only_engines_that_a_step_can_use_load_weights() {
+    let mut world = World::new(60, 4, PACE);
+    let groups: Vec<(String, Vec<u64>)> = (0..4).map(|g| (format!("g{g}"), vec![5, 5])).collect();
+    world.submit("s", 1, 4, &borrow(&groups));
+    world.until_whole("s", 4);
+    world.end("s");
+    world.scheduler.version_named(engines::MODEL, 2);
+    world.submit("t", 2, 1, &[("h0", &[5, 5])]);
+    world.until_whole("t", 1);
+    world.pass(Duration::from_secs(20));
+    // Eight items, one and a half times, on engines of four slots, and two to spare.
+    assert_eq!(world.loads, 5);
+}
