--- a/crates/gateway/src/batches/orders.rs
+++ b/crates/gateway/src/batches/orders.rs
@@ -7,7 +7,7 @@
 use http_body_util::Full;
 use hyper::{Method, Request, StatusCode};
 use tamaracksail_adapter::backend::Stamp;
-use tamaracksail_adapter::engine::{Mode, ORDER_PATH, Order, REPORT_PATH, Report};
+use tamaracksail_adapter::engine::{ORDER_PATH, Order, REPORT_PATH, Report};
 use tamaracksail_model::backend::Entry;
 use tamaracksail_policy::batch::SeatKey;
 
@@ -70,7 +70,7 @@
                 return Err("orders may not be given now".to_owned());
             };
             let holder = gateway.settings.borrow().host.clone();
-            let order = Order::new(model.to_owned(), version, Mode::Wait, holder, fence)
+            let order = Order::new(model.to_owned(), version, holder, fence)
                 .expecting(Some(before.accepted));
             log::info!(
                 server = entry.instance.as_str(), model, version, fence,
--- a/crates/gateway/tests/requests.rs
+++ b/crates/gateway/tests/requests.rs
@@ -243,3 +243,21 @@
         assert!(lost.iter().all(|line| line["kind"] != "config"), "{lost:?}");
     });
 }
+
+#[test]
+fn routes_come_into_force_though_the_store_forgot_its_history() {
+    run(async {
+        let (world, gateway) = start().await;
+        world.store.put_routes(settings::moved_routes(5, "/other/"));
+        world.store.forget_history();
+        gateway.logged("store history gone, reading all").await;
+        world
+            .store
+            .put_routes(settings::moved_routes(10, "/moved/"));
+        common::until("the new routes are in force", async || {
+            let answer = gateway.client().request("b", "/moved/x", "").await;
+            answer.expect("an answer").status == 200
+        })
+        .await;
+    });
+}
