--- a/crates/gateway/tests/requests.rs
+++ b/crates/gateway/tests/requests.rs
@@ -19,6 +19,15 @@
     (world, gateway)
 }
 
+/// Waits until routes that lead `/moved/` are in force.
+async fn moved(gateway: &Gateway) {
+    common::until("the new routes are in force", async || {
+        let answer = gateway.client().request("b", "/moved/x", "").await;
+        answer.expect("an answer").status == 200
+    })
+    .await;
+}
+
 #[test]
 fn a_request_reaches_its_server_unchanged() {
     run(async {
@@ -138,11 +147,7 @@
         assert_eq!(answer.expect("an answer").status, 200);
         let routes = settings::moved_routes(10, "/moved/");
         world.store.put_routes(routes);
-        common::until("the new routes are in force", async || {
-            let answer = gateway.client().request("b", "/moved/x", "").await;
-            answer.expect("an answer").status == 200
-        })
-        .await;
+        moved(&gateway).await;
         let answer = gateway.client().request("c", "/plain/x", "").await;
         assert_eq!(answer.expect("an answer").status, 404);
     });
@@ -233,11 +238,7 @@
         world
             .store
             .put_routes(settings::moved_routes(10, "/moved/"));
-        common::until("the new routes are in force", async || {
-            let answer = gateway.client().request("b", "/moved/x", "").await;
-            answer.expect("an answer").status == 200
-        })
-        .await;
+        moved(&gateway).await;
         // The watch that the silence swallowed did not have to give up first.
         let lost = gateway.lines("store lost");
         assert!(lost.iter().all(|line| line["kind"] != "config"), "{lost:?}");
@@ -254,10 +255,6 @@
         world
             .store
             .put_routes(settings::moved_routes(10, "/moved/"));
-        common::until("the new routes are in force", async || {
-            let answer = gateway.client().request("b", "/moved/x", "").await;
-            answer.expect("an answer").status == 200
-        })
-        .await;
+        moved(&gateway).await;
     });
 }
