State a process's own age where it has given no order

Cause: read from the code: a holder that had restarted told its peers that it had given no order, so the next holder gave orders at once, perhaps within three seconds of the life before. Change: it states how long it has lived.

--- a/crates/gateway/src/batches/desk.rs
+++ b/crates/gateway/src/batches/desk.rs
@@ -58,8 +58,8 @@
     pub(super) lease_call: Mutex<()>,
     /// Since when the store does not answer the lease's calls.
     pub(super) failing_since: Cell<Option<Instant>>,
-    /// When the last order was given.
-    pub(super) last_order: Cell<Option<Instant>>,
+    /// When the last order was given, or this process began.
+    pub(super) last_order: Cell<Instant>,
     /// Where the peer answers to which the last holder known here left the lease.
     pub(super) successor: Cell<Option<SocketAddr>>,
     /// Wakes those who ask whether the lease is held.
@@ -92,7 +92,7 @@
             sizes: RefCell::default(),
             lease_call: Mutex::new(()),
             failing_since: Cell::new(None),
-            last_order: Cell::new(None),
+            last_order: Cell::new(now()),
             successor: Cell::new(None),
             lease_changed: Notify::new(),
             wake: Notify::new(),
--- a/crates/gateway/src/batches/keeper.rs
+++ b/crates/gateway/src/batches/keeper.rs
@@ -130,9 +130,9 @@
 }
 
 fn released(gateway: &Gateway) -> Reply {
-    let age = gateway.desk.last_order.get().map(|last| now().since(last));
+    let age = now().since(gateway.desk.last_order.get());
     Reply::Released {
-        order_age_ms: age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
+        order_age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
         successor: gateway.desk.successor.get(),
     }
 }
@@ -236,9 +236,8 @@
     let Some((fence, Some(address))) = record.map(|record| (record.fence, record.address)) else {
         return Asked::Nothing;
     };
-    let gone = |age: Option<u64>, at: Instant| {
-        let age = age.map_or(Duration::MAX, Duration::from_millis);
-        let micros = u64::try_from(age.as_micros()).unwrap_or(u64::MAX);
+    let gone = |age_ms: u64, at: Instant| {
+        let micros = age_ms.saturating_mul(1000);
         Asked::Gone(fence, Instant(at.0.saturating_sub(micros)))
     };
     let at = now();
--- a/crates/gateway/src/batches/orders.rs
+++ b/crates/gateway/src/batches/orders.rs
@@ -76,7 +76,7 @@
                 server = entry.instance.as_str(), model, version, fence,
                 expected = before.accepted; "order given"
             );
-            gateway.desk.last_order.set(Some(now()));
+            gateway.desk.last_order.set(now());
             match give(gateway, entry, &order).await {
                 Ok(StatusCode::ACCEPTED | StatusCode::OK | StatusCode::CONFLICT) => {}
                 Ok(code) => return Err(format!("order answered {code}")),
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -77,8 +77,9 @@
         },
         /// The peer does not hold the lease and will not act under the fencing number again.
         Released {
-            /// How long ago it gave its last order, in milliseconds; none if it gave none.
-            order_age_ms: Option<u64>,
+            /// How long ago it gave its last order, in milliseconds. A process that gave none
+            /// states its own age, since the life before it may have.
+            order_age_ms: u64,
             /// Where the peer answers to which it left the lease.
             successor: Option<SocketAddr>,
         },
