--- a/crates/gateway/src/batches/read.rs
+++ b/crates/gateway/src/batches/read.rs
@@ -191,6 +191,13 @@
     let deadline = now().after(wait);
     loop {
         let (found, revision) = chunks(gateway, &kind).await?;
+        if found.is_empty() {
+            // A remembered batch may have been removed since.
+            gateway.desk.sizes.borrow_mut().remove(id);
+            if size(gateway, id).await?.is_none() {
+                return Ok(refusal(STORE_AWAY));
+            }
+        }
         let results: Vec<&Listing> = found.iter().flat_map(|chunk| &chunk.results).collect();
         let left = deadline.since(now());
         if results.len() > from || is_ended || results.len() >= total || left.is_zero() {
--- a/crates/gateway/tests/batches.rs
+++ b/crates/gateway/tests/batches.rs
@@ -390,6 +390,11 @@
         client.submit("b1", &ITEMS, 1).await.expect("an answer");
         client.submit("b2", &["j0"], 1).await.expect("an answer");
         read(&client, "b1", ITEMS.len()).await;
+        // A gateway that knows no peer yet remembers the batch's size from the store.
+        let other = Gateway::start("front-1", &world.store);
+        other.ready().await;
+        let answer = other.client().results("b1", 0).await.expect("an answer");
+        assert_eq!(answer.results().len(), ITEMS.len());
         client.end("b1").await.expect("an answer");
         until("the ended batch is gone", async || {
             world.store.names("batches") == ["b2"]
@@ -397,8 +402,10 @@
         .await;
         gateway.logged("batch removed").await;
         assert!(world.store.names("batch-b1").is_empty());
-        let answer = client.results("b1", 0).await.expect("an answer");
-        assert_eq!(answer.status, 404);
+        for gateway in [&gateway, &other] {
+            let answer = gateway.client().results("b1", 0).await;
+            assert_eq!(answer.expect("an answer").status, 404);
+        }
         check(&world, &read(&client, "b2", 1).await, &["j0"]);
     });
 }
