Take a lapsed lease under a new fencing number

The logs of a play that broke nothing show how: a frozen holder woke after its span, told a peer that it no longer held, and renewed under number 2 at 27.94 s; the peer took number 3 at 27.95 s; both held for 1.3 s. Change: a lease that has lapsed is taken under a new number, and a number that was said to be released is forsworn, also for a renewal on its way.

--- a/crates/gateway/src/batches/keeper.rs
+++ b/crates/gateway/src/batches/keeper.rs
@@ -77,7 +77,7 @@
     loop {
         let is_held = desk.lease.borrow().fence(now()) == Some(fence);
         if !is_held {
-            return released(gateway);
+            return released(gateway, fence);
         }
         let cut_at = desk.failing_since.get().map(|since| since.after(CUT));
         let is_cut = cut_at.is_some_and(|cut_at| now() >= cut_at);
@@ -111,7 +111,7 @@
             "a peer reaches the store and this process does not",
         );
     }
-    released(gateway)
+    released(gateway, fence)
 }
 
 /// Stops scheduling and leaves the lease to a peer, which takes it without waiting.
@@ -129,7 +129,9 @@
     gateway.settings.borrow().cores >= STRONG
 }
 
-fn released(gateway: &Gateway) -> Reply {
+/// Says that this process does not hold the lease under a fencing number, and keeps to it.
+fn released(gateway: &Gateway, fence: u64) -> Reply {
+    gateway.desk.lease.borrow_mut().forswear(fence);
     let age = now().since(gateway.desk.last_order.get());
     Reply::Released {
         order_age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
--- a/crates/policy/src/lease.rs
+++ b/crates/policy/src/lease.rs
@@ -236,7 +236,8 @@
                 Step::Read
             };
         };
-        if let Some(held) = self.held {
+        // One that has lapsed may have been promised to another: it is taken anew, not renewed.
+        if let Some(held) = self.held.filter(|held| now < held.until) {
             let is_due = now.after(self.span * (RENEWALS - 1) / RENEWALS) >= held.until;
             return if is_due {
                 Step::Replace(revision, self.next(held.fence, record.writes))
@@ -257,6 +258,13 @@
         }
     }
 
+    /// Promises not to act under a fencing number that is not held. A renewal on its way brings
+    /// nothing back.
+    pub fn forswear(&mut self, fence: u64) {
+        self.given_up = Some(fence);
+        self.held = self.held.filter(|held| held.fence != fence);
+    }
+
     /// Gives the lease up. Returns the record that says so, with the revision at which the object
     /// stands; none if it was not held.
     #[must_use]
--- a/crates/policy/tests/lease.rs
+++ b/crates/policy/tests/lease.rs
@@ -157,3 +157,22 @@
     };
     assert_eq!((revision, taken.fence), (4, 1));
 }
+
+#[test]
+fn a_lease_that_has_lapsed_is_taken_under_a_new_number() {
+    let (lease, _) = holder();
+    // The holder was suspended and wakes.
+    let taken = wanted(lease.step(at(5000), false));
+    assert_eq!(taken.fence, 1);
+}
+
+#[test]
+fn a_number_that_was_forsworn_is_not_used_again() {
+    let (mut lease, _) = holder();
+    let renewal = wanted(lease.step(at(3900), false));
+    // The span is over, a peer asks and is told so, and the renewal's answer comes after that.
+    lease.forswear(0);
+    lease.wrote(at(3900), at(4100), 2, renewal);
+    assert_eq!(lease.fence(at(4200)), None);
+    assert_eq!(wanted(lease.step(at(4200), true)).fence, 1);
+}
