Say once which text a batch may use, and forget items that are not taken over

Cause: read over: the rule for usable text stood three times; an item of an ended batch whose text was too old for the next one was stopped and never forgotten; two functions took arguments that they did not use. Change: Draft::is_usable; the item is forgotten; the arguments are gone.

--- a/crates/gateway/src/batches/desk.rs
+++ b/crates/gateway/src/batches/desk.rs
@@ -100,13 +100,13 @@
     }
 
     /// Takes in what a backend server says of itself.
-    pub fn engine(&self, _gateway: &Rc<Gateway>, entry: Entry) {
+    pub fn engine(&self, entry: Entry) {
         self.scheduler.borrow_mut().engine(now(), entry);
         self.wake.notify_one();
     }
 
     /// Forgets a backend server.
-    pub fn engine_gone(&self, _gateway: &Rc<Gateway>, instance: &str) {
+    pub fn engine_gone(&self, instance: &str) {
         self.scheduler.borrow_mut().engine_gone(now(), instance);
         self.wake.notify_one();
     }
--- a/crates/model/src/batch.rs
+++ b/crates/model/src/batch.rs
@@ -89,6 +89,13 @@
         }
     }
 
+    /// Whether a batch may use it, which allows versions from `min_version` on and perhaps only
+    /// one of them.
+    #[must_use]
+    pub fn is_usable(&self, min_version: Option<u64>, is_single_version: bool) -> bool {
+        self.fits(min_version) && !(is_single_version && self.versions.len() > 1)
+    }
+
     /// Adds an event.
     pub fn push(&mut self, id: u64, data: &str, version: Option<u64>) {
         if self.last.is_some() {
--- a/crates/policy/src/batch/dispatch.rs
+++ b/crates/policy/src/batch/dispatch.rs
@@ -107,7 +107,7 @@
         scheduler.lingering.remove(&id);
         ending::forget(scheduler, now, found.work);
     } else {
-        requeue(scheduler, now, found.work);
+        requeue(scheduler, found.work);
     }
 }
 
@@ -146,12 +146,14 @@
     scheduler.pool.drop_seat(seat);
 }
 
-pub(super) fn requeue(scheduler: &mut Scheduler, _now: Instant, key: WorkKey) {
+pub(super) fn requeue(scheduler: &mut Scheduler, key: WorkKey) {
     let work = &mut scheduler.works[key];
     work.stage = Stage::Waiting;
     let batch = &scheduler.batches[work.batch];
-    let text = &work.text;
-    if !text.fits(batch.min_version) || (batch.is_single_version && text.versions.len() > 1) {
+    if !work
+        .text
+        .is_usable(batch.min_version, batch.is_single_version)
+    {
         work.text = Draft::default();
     }
     let rank = scheduler.ranks.get(&key).copied().unwrap_or(0);
--- a/crates/policy/src/batch/ending.rs
+++ b/crates/policy/src/batch/ending.rs
@@ -15,7 +15,7 @@
 /// again after a short training; a run that has begun may finish, but none begins.
 const LINGER: Duration = Duration::from_millis(2500);
 
-/// Stops and forgets an item of an ended batch, and keeps its text.
+/// Stops the run of an item, if it runs.
 pub(super) fn release(scheduler: &mut Scheduler, key: WorkKey, reason: &'static str) {
     if let Some(Stage::Running(run)) = scheduler.works.get(key).map(|work| work.stage) {
         dispatch::stop(scheduler, run, reason);
--- a/crates/policy/src/batch/intake.rs
+++ b/crates/policy/src/batch/intake.rs
@@ -86,7 +86,7 @@
         (last.contains(group), std::cmp::Reverse(length))
     });
     for (item, group) in order {
-        if adopt(scheduler, batch, &item.id, group) {
+        if adopt(scheduler, now, batch, &item.id, group) {
             continue;
         }
         let is_spare = last.contains(&group);
@@ -104,7 +104,13 @@
 
 /// Takes over a run of an ended batch with the same item. False if there is none whose text
 /// may be used.
-pub(super) fn adopt(scheduler: &mut Scheduler, batch: BatchKey, id: &str, group: usize) -> bool {
+pub(super) fn adopt(
+    scheduler: &mut Scheduler,
+    now: Instant,
+    batch: BatchKey,
+    id: &str,
+    group: usize,
+) -> bool {
     let Some(key) = scheduler.lingering.remove(id) else {
         return false;
     };
@@ -112,10 +118,12 @@
     let Some(work) = scheduler.works.get_mut(key) else {
         return false;
     };
-    let is_allowed = work.text.fits(pending.min_version)
-        && !(pending.is_single_version && work.text.versions.len() > 1);
+    let is_allowed = work
+        .text
+        .is_usable(pending.min_version, pending.is_single_version);
     if !is_allowed {
         ending::release(scheduler, key, "its text is too old for the next batch");
+        ending::forget(scheduler, now, key);
         return false;
     }
     work.batch = batch;
@@ -141,8 +149,7 @@
     let is_listed = listed.contains(&item.id);
     let mut text = scheduler.kept.get(&item.id).map(|(_, text)| text.clone());
     if let Some(found) = &text
-        && (!found.fits(pending.min_version)
-            || (pending.is_single_version && found.versions.len() > 1))
+        && !found.is_usable(pending.min_version, pending.is_single_version)
     {
         text = None;
     }
--- a/crates/policy/src/batch/reports.rs
+++ b/crates/policy/src/batch/reports.rs
@@ -86,13 +86,13 @@
         return;
     }
     if work.text.last.is_none() {
-        dispatch::requeue(scheduler, now, found.work);
+        dispatch::requeue(scheduler, found.work);
         return;
     }
     let is_mixed = scheduler.batches[work.batch].is_single_version && work.text.versions.len() > 1;
     if is_mixed {
         work.text = Draft::default();
-        dispatch::requeue(scheduler, now, found.work);
+        dispatch::requeue(scheduler, found.work);
     } else {
         work.text.is_whole = true;
         dispatch::complete(scheduler, now, found.work);
@@ -128,5 +128,5 @@
         Failure::Refused | Failure::Broken => {}
     }
     scheduler.paused.insert(found.work, now.after(RETRY_PAUSE));
-    dispatch::requeue(scheduler, now, found.work);
+    dispatch::requeue(scheduler, found.work);
 }
