Keep text of unfinished items in the store, and lose less time when scheduling moves

Text older than about a second is now saved once a second in a ring of 16 objects and put together by the next holder. Pieces name the fencing number and the life of the text, so that two runs are never joined. - A new holder that might not give orders yet tried all the same; engines were emptied for loads that did not come and then rested as failed. - A gateway that found the holder's address in the lease waited a second before it asked there. - A weak host counted its wait for stronger ones from an earlier vacancy, took the lease at once and handed it on 1 s later.

--- a/crates/gateway/src/batches/desk.rs
+++ b/crates/gateway/src/batches/desk.rs
@@ -13,6 +13,7 @@
 use tamaracksail_model::table::{Table, draw_target};
 use tamaracksail_model::time::Instant;
 use tamaracksail_policy::batch::{Action, BatchKey, Scheduler};
+use tamaracksail_policy::deference::Deference;
 use tamaracksail_policy::lease::{Candidate, Lease};
 use tokio::sync::{Mutex, Notify};
 use tokio::task::AbortHandle;
@@ -40,8 +41,7 @@
     pub(super) lease: RefCell<Lease>,
     /// Until when this process wants to hold the lease.
     pub(super) wanted: Cell<Instant>,
-    /// Since when it could take the lease.
-    pub(super) takeable_since: Cell<Option<Instant>>,
+    pub(super) deference: RefCell<Deference>,
     /// Wakes the keeper of the lease.
     pub(super) wake_keeper: Notify,
     /// Whether the lease is held and everything was taken over.
@@ -81,7 +81,7 @@
             scheduler: RefCell::default(),
             lease: RefCell::new(Lease::new(span, settings.lease, own)),
             wanted: Cell::new(Instant(0)),
-            takeable_since: Cell::new(None),
+            deference: RefCell::default(),
             wake_keeper: Notify::new(),
             is_open: Cell::new(false),
             registers: RefCell::default(),
@@ -121,6 +121,12 @@
         }
     }
 
+    /// The fencing number, while orders may be given.
+    pub(super) fn order_fence(&self) -> Option<u64> {
+        let fence = self.lease.borrow().order_fence(now());
+        fence.filter(|_| self.failing_since.get().is_none())
+    }
+
     /// The host name under which a run's batch was submitted.
     pub(super) fn host_of(&self, run: u64) -> Option<String> {
         self.scheduler.borrow().host(run).map(str::to_owned)
@@ -181,6 +187,11 @@
         self.scheduler.borrow().drafts()
     }
 
+    /// Groups that later batches may bring again.
+    pub fn past_groups(&self) -> Vec<String> {
+        self.scheduler.borrow().past_groups()
+    }
+
     /// Stops all that runs and forgets all batches.
     pub(super) fn close(&self, reason: &str) {
         if !self.is_open.replace(false) {
@@ -246,7 +257,8 @@
             desk.close("the lease is not held");
             continue;
         }
-        let actions = desk.scheduler.borrow_mut().pump(now());
+        let may_order = desk.order_fence().is_some();
+        let actions = desk.scheduler.borrow_mut().pump(now(), may_order);
         for action in actions {
             perform(&gateway, action);
         }
--- a/crates/gateway/src/batches/keeper.rs
+++ b/crates/gateway/src/batches/keeper.rs
@@ -45,9 +45,6 @@
 /// takes 0.014 cores on average, and several times that where a step begins.
 const STRONG: f64 = 0.15;
 
-/// How long a host with less lets others go first.
-const YIELDING: Duration = Duration::from_millis(500);
-
 /// Notes that batches are at work here, so that some process must schedule.
 pub fn want(gateway: &Gateway) {
     if gateway.stopping.get().is_some() {
@@ -166,47 +163,26 @@
     if !is_wanted || gateway.stopping.get().is_some() {
         return LOOK;
     }
-    let mut next = desk.lease.borrow().step(now(), false);
-    if let Step::Ask(_) = next {
-        match ask(gateway).await {
-            Asked::Holds(revision) => {
-                desk.lease.borrow_mut().confirmed(now(), revision);
-                return Duration::ZERO;
-            }
-            Asked::Gone(fence, last_order) => match read(gateway).await {
-                Ok(()) => {
-                    desk.lease.borrow_mut().released(fence, last_order);
-                    next = desk.lease.borrow().step(now(), true);
-                }
-                Err(error) => {
-                    log::warn!(error:%; "lease not read");
-                    return RETRY;
-                }
-            },
-            Asked::Nothing => next = Step::Read,
+    let next = match next(gateway).await {
+        Ok(Some(next)) => next,
+        Ok(None) => {
+            desk.deference.borrow_mut().held();
+            return Duration::ZERO;
         }
-    }
-    if next == Step::Read {
-        match read(gateway).await {
-            Ok(()) => next = desk.lease.borrow().step(now(), true),
-            Err(error) => {
-                log::warn!(error:%; "lease not read");
-                return RETRY;
-            }
+        Err(error) => {
+            log::warn!(error:%; "lease not read");
+            return RETRY;
         }
-    }
+    };
     let is_taking = desk.lease.borrow().fence(now()).is_none()
         && matches!(next, Step::Create(_) | Step::Replace(..));
-    let since = if is_taking {
-        desk.takeable_since.get().unwrap_or(now())
-    } else {
-        now()
-    };
-    desk.takeable_since.set(is_taking.then_some(since));
-    let waited = now().since(since);
-    if is_taking && !is_strong(gateway) && waited < YIELDING {
-        return YIELDING.saturating_sub(waited);
+    if is_taking {
+        let wait = desk.deference.borrow_mut().takeable(now());
+        if !is_strong(gateway) && !wait.is_zero() {
+            return wait;
+        }
     }
+    desk.deference.borrow_mut().held();
     write(gateway, next).await;
     if desk.lease.borrow().fence(now()).is_none() {
         desk.close("the lease was lost");
@@ -223,6 +199,39 @@
     OWN_LOOK
 }
 
+/// What to do about the lease, after the holder was asked and the object read as far as needed.
+/// None if the holder has just said that it holds.
+async fn next(gateway: &Gateway) -> Result<Option<Step>, Error> {
+    let lease = &gateway.desk.lease;
+    let mut step = lease.borrow().step(now(), false);
+    let mut is_fresh = false;
+    if step == Step::Read {
+        read(gateway).await?;
+        is_fresh = true;
+        step = lease.borrow().step(now(), true);
+        if step == Step::Rest {
+            // The holder that was just found can be asked at once.
+            step = lease.borrow().step(now(), false);
+        }
+    }
+    if let Step::Ask(_) = step {
+        match ask(gateway).await {
+            Asked::Holds(revision) => {
+                lease.borrow_mut().confirmed(now(), revision);
+                return Ok(None);
+            }
+            Asked::Gone(fence, last_order) => {
+                read(gateway).await?;
+                lease.borrow_mut().released(fence, last_order);
+            }
+            Asked::Nothing if is_fresh => {}
+            Asked::Nothing => read(gateway).await?,
+        }
+        step = lease.borrow().step(now(), true);
+    }
+    Ok(Some(step))
+}
+
 /// What the holder says.
 enum Asked {
     /// It holds, and renewed last with this revision.
--- a/crates/gateway/src/batches/mod.rs
+++ b/crates/gateway/src/batches/mod.rs
@@ -11,6 +11,7 @@
 mod running;
 mod sweep;
 mod takeover;
+mod texts;
 
 pub use accept::{Request, accept, keep_for_peer};
 pub use desk::Desk;
--- a/crates/gateway/src/batches/orders.rs
+++ b/crates/gateway/src/batches/orders.rs
@@ -64,9 +64,7 @@
             return Ok(before.version(model).unwrap_or(version));
         }
         if !before.is_busy {
-            let may_order = gateway.desk.failing_since.get().is_none();
-            let fence = gateway.desk.lease.borrow().order_fence(now());
-            let Some(fence) = fence.filter(|_| may_order) else {
+            let Some(fence) = gateway.desk.order_fence() else {
                 return Err("orders may not be given now".to_owned());
             };
             let holder = gateway.settings.borrow().host.clone();
--- a/crates/gateway/src/batches/record.rs
+++ b/crates/gateway/src/batches/record.rs
@@ -3,6 +3,7 @@
 //! - `batches/ID`: a [`Head`]. Its creation accepts the batch, so it comes after all parts. Its
 //!   status is a [`Progress`].
 //! - `batch-ID/part.N`: a [`Part`] of the body as the client sent it.
+//! - `text/save.N`: a [checkpoint](tamaracksail_model::checkpoint::Checkpoint) of text that no result holds yet. The names form a ring.
 //! - `batch-ID/results.N`: a [`Chunk`] of results. Its creation fixes their positions.
 
 use tamaracksail_model::batch::Listing;
@@ -17,6 +18,9 @@
 /// The name of the scheduling lease.
 pub const LEASE: &str = "scheduling";
 
+/// The kind of saved text.
+pub const TEXT: &str = "text";
+
 /// Before the number of a part.
 const PART: &str = "part.";
 
@@ -80,6 +84,11 @@
     format!("{RESULTS}{number:05}")
 }
 
+/// The name of a save.
+pub fn save(number: u64) -> String {
+    format!("save.{:02}", number % tamaracksail_policy::batch::SAVES)
+}
+
 /// The name after which the chunks from `number` on are listed.
 pub fn before_chunk(number: usize) -> String {
     if number == 0 {
--- a/crates/gateway/src/batches/takeover.rs
+++ b/crates/gateway/src/batches/takeover.rs
@@ -11,15 +11,13 @@
 use tamaracksail_adapter::{batch, names};
 use tamaracksail_model::batch::Listing;
 use tamaracksail_policy::batch::{BatchKey, Intake};
-use tamaracksail_wire::peer::{Ask, Reply};
 use tokio::sync::Notify;
 
 use super::desk::service;
 use super::record::{self, Chunk, Head, Part, Progress};
 use super::register::Register;
-use super::sweep;
+use super::{sweep, texts};
 use crate::gateway::{Gateway, now, unix_millis};
-use crate::peer;
 use crate::store::{self, News};
 
 /// The pause before a batch that could not be read is read again.
@@ -31,15 +29,14 @@
 /// How long items of routes that do not say it may take.
 const PATIENCE: Duration = Duration::from_mins(1);
 
-/// How long the holder before may take to hand over the text of unfinished items.
-const DRAFTS: Duration = Duration::from_millis(700);
-
 /// Opens the desk: from now on this process schedules. `before` is the holder before, if it is
 /// another process.
 pub async fn open(gateway: &Rc<Gateway>, before: Option<SocketAddr>) {
     let desk = &gateway.desk;
-    if let Some(before) = before {
-        take_drafts(gateway, before).await;
+    texts::take_over(gateway, before).await;
+    if desk.lease.borrow().fence(now()).is_none() {
+        log::info!(reason = "the lease is not held any more"; "scheduling does not begin");
+        return;
     }
     desk.is_open.set(true);
     gateway.metrics.scheduling.set(1);
@@ -49,6 +46,7 @@
         actix_rt::spawn(follow_heads(Rc::clone(gateway))),
         actix_rt::spawn(follow_versions(Rc::clone(gateway))),
         actix_rt::spawn(sweep::sweep(Rc::clone(gateway))),
+        actix_rt::spawn(texts::save(Rc::clone(gateway))),
     ]
     .into_iter()
     .enumerate()
@@ -60,21 +58,6 @@
     desk.turn_soon();
 }
 
-/// Asks the holder before for the text of unfinished items, so that they need not begin anew.
-async fn take_drafts(gateway: &Gateway, before: SocketAddr) {
-    match peer::ask(gateway, before, &Ask::Drafts, DRAFTS).await {
-        Ok(Reply::Drafts { drafts }) => {
-            log::info!(from:% = before, drafts = drafts.len(); "text taken over");
-            let mut scheduler = gateway.desk.scheduler.borrow_mut();
-            for (item, draft) in drafts {
-                scheduler.keep_draft(now(), item, draft);
-            }
-        }
-        Ok(_) => {}
-        Err(error) => log::info!(error:%; "no text taken over"),
-    }
-}
-
 async fn follow_versions(gateway: Rc<Gateway>) {
     let client = gateway.store.clone();
     store::follow(
--- /dev/null
+++ b/crates/gateway/src/batches/texts.rs
@@ -0,0 +1,123 @@
+//! Saves text of unfinished items in the store, and reads it back after the loss of the process
+//! that made it.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_util::future::join_all;
+use tamaracksail_adapter::store::Error;
+use tamaracksail_model::batch::Draft;
+use tamaracksail_model::checkpoint::Checkpoint;
+use tamaracksail_policy::batch::{SAVES, join};
+use tamaracksail_wire::peer::{Ask, Reply};
+
+use super::{keeper, record};
+use crate::gateway::{Gateway, now};
+use crate::peer;
+
+/// Between two saves. What is made meanwhile is lost with the process; each save is a paid call.
+const SAVE: Duration = Duration::from_secs(1);
+
+/// The share of the store's longest value that saved text may fill: escapes make it longer, and
+/// each piece has a head.
+const SHARE: usize = 3;
+
+/// How long the holder before may take to hand over the text of unfinished items.
+const HAND_OVER: Duration = Duration::from_millis(700);
+
+/// How long reading saved text may take before scheduling begins without it.
+const READ: Duration = Duration::from_millis(1500);
+
+/// Saves for as long as this process schedules.
+pub async fn save(gateway: Rc<Gateway>) {
+    loop {
+        tokio::time::sleep(SAVE).await;
+        let Some(fence) = gateway.desk.lease.borrow().fence(now()) else {
+            continue;
+        };
+        let most = gateway.settings.borrow().value_bytes / SHARE;
+        let (number, checkpoint) = {
+            let mut scheduler = gateway.desk.scheduler.borrow_mut();
+            (scheduler.saves(), scheduler.checkpoint(fence, most))
+        };
+        let Some(checkpoint) = checkpoint else {
+            continue;
+        };
+        let name = record::save(number);
+        let call = gateway.store.put(record::TEXT, &name, &checkpoint);
+        if let Err(error) = keeper::limit(call).await {
+            log::info!(save = number, error:%; "text not saved");
+            gateway.desk.scheduler.borrow_mut().checkpoint_lost();
+        }
+    }
+}
+
+/// Takes over the text of unfinished items: from the holder before, if it is another process that
+/// still runs, else from the store.
+pub async fn take_over(gateway: &Gateway, before: Option<SocketAddr>) {
+    let (drafts, groups) = match from_peer(gateway, before).await {
+        Some(found) => found,
+        None => match tokio::time::timeout(READ, from_store(gateway)).await {
+            Ok(Ok(found)) => found,
+            Ok(Err(error)) => {
+                log::warn!(error:%; "saved text not read");
+                return;
+            }
+            Err(_) => {
+                log::warn!(limit_ms = READ.as_millis(); "saved text not read in time");
+                return;
+            }
+        },
+    };
+    log::info!(drafts = drafts.len(), groups = groups.len(); "text taken over");
+    let mut scheduler = gateway.desk.scheduler.borrow_mut();
+    for (item, draft) in drafts {
+        scheduler.keep_draft(now(), item, draft);
+    }
+    scheduler.keep_groups(now(), groups);
+}
+
+type Found = (Vec<(String, Draft)>, Vec<String>);
+
+/// What the holder before hands over. A process that began anew has nothing.
+async fn from_peer(gateway: &Gateway, before: Option<SocketAddr>) -> Option<Found> {
+    let before = before?;
+    match peer::ask(gateway, before, &Ask::Drafts, HAND_OVER).await {
+        Ok(Reply::Drafts { drafts, groups }) if !drafts.is_empty() => Some((drafts, groups)),
+        Ok(_) => None,
+        Err(error) => {
+            log::info!(error:%; "no text from the holder before");
+            None
+        }
+    }
+}
+
+async fn from_store(gateway: &Gateway) -> Result<Found, Error> {
+    // One connection each: a long list on a single one takes a round trip for every few pieces.
+    let reads = (0..SAVES).map(|number| async move {
+        let name = record::save(number);
+        gateway.store.get(record::TEXT, &name).await
+    });
+    let mut checkpoints = Vec::new();
+    for read in join_all(reads).await {
+        let object = match read {
+            Err(Error::Missing { .. }) => continue,
+            other => other?,
+        };
+        match object.spec::<Checkpoint>() {
+            Ok(checkpoint) => checkpoints.push(checkpoint),
+            Err(error) => {
+                log::error!(name = object.name.as_str(), error:%; "saved text cannot be read");
+            }
+        }
+    }
+    let newest = checkpoints.iter().map(|found| found.fence).max();
+    let groups: BTreeSet<String> = checkpoints
+        .iter()
+        .filter(|found| Some(found.fence) == newest)
+        .flat_map(|found| found.groups.iter().cloned())
+        .collect();
+    Ok((join(checkpoints), groups.into_iter().collect()))
+}
--- a/crates/gateway/src/peer/server.rs
+++ b/crates/gateway/src/peer/server.rs
@@ -110,6 +110,7 @@
         Ask::Item { batch, item } => batches::shared_body(gateway, &batch, &item).await,
         Ask::Drafts => Reply::Drafts {
             drafts: gateway.desk.drafts(),
+            groups: gateway.desk.past_groups(),
         },
     };
     with_body(StatusCode::OK, tamaracksail_wire::encode(&reply))
--- a/crates/gateway/tests/batches.rs
+++ b/crates/gateway/tests/batches.rs
@@ -409,3 +409,26 @@
         check(&world, &read(&client, "b2", 1).await, &["j0"]);
     });
 }
+
+#[test]
+fn long_items_go_on_at_another_gateway_after_the_scheduling_one_was_killed() {
+    run(async {
+        let (world, mut gateways) = start(2, 300, Duration::from_millis(20)).await;
+        let client = gateways[1].client();
+        let answer = gateways[0].client().submit("b1", &["i0"], 1).await;
+        assert_eq!(answer.expect("an answer").status, 202);
+        until("text was saved", async || {
+            world.store.names("text").len() > 1 && world.arrivals("i0") > 0
+        })
+        .await;
+        gateways[0].kill();
+        let results = read(&client, "b1", 1).await;
+        check(&world, &results, &["i0"]);
+        let arrivals = world.engines.iter().flat_map(Engine::arrivals);
+        let last = arrivals.max_by_key(|arrival| arrival.after);
+        let after = last.and_then(|arrival| arrival.after);
+        assert!(after >= Some(24), "{after:?}");
+        let line = gateways[1].logged("text taken over").await;
+        assert_eq!(line["drafts"], 1);
+    });
+}
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod batch;
 pub mod change;
 pub mod check;
+pub mod checkpoint;
 pub mod config;
 pub mod host;
 pub mod id;
--- a/crates/policy/src/batch/dispatch.rs
+++ b/crates/policy/src/batch/dispatch.rs
@@ -2,7 +2,6 @@
 
 use std::rc::Rc;
 
-use tamaracksail_model::batch::Draft;
 use tamaracksail_model::time::Instant;
 
 use super::action::Action;
@@ -154,7 +153,7 @@
         .text
         .is_usable(batch.min_version, batch.is_single_version)
     {
-        work.text = Draft::default();
+        work.discard_text();
     }
     let rank = scheduler.ranks.get(&key).copied().unwrap_or(0);
     scheduler.queue.insert((rank, key));
--- a/crates/policy/src/batch/ending.rs
+++ b/crates/policy/src/batch/ending.rs
@@ -52,7 +52,7 @@
         }
         if whole.contains(&scheduler.works[key].group) {
             // A group that the trainer has whole does not come again.
-            scheduler.works[key].text = Draft::default();
+            scheduler.works[key].discard_text();
         }
         forget(scheduler, now, key);
     }
@@ -131,7 +131,7 @@
     for key in keys {
         let work = &mut scheduler.works[key];
         if work.stage == Stage::Over && !unwritten.contains(&work.item.id) {
-            work.text = Draft::default();
+            work.discard_text();
         }
         release(scheduler, key, "scheduling ends here");
         forget(scheduler, now, key);
--- a/crates/policy/src/batch/intake.rs
+++ b/crates/policy/src/batch/intake.rs
@@ -60,15 +60,24 @@
     }
     let target = intake.target_groups.unwrap_or(names.len());
     let last = leftovers(&lengths, &carried, target);
-    for name in names {
-        scheduler.past_groups.insert(name, now);
+    for name in &names {
+        scheduler.past_groups.insert(name.clone(), now);
     }
+    let groups = names
+        .into_iter()
+        .enumerate()
+        .map(|(group, name)| Group {
+            name,
+            open: 0,
+            is_carried: carried.contains(&group),
+        })
+        .collect();
     let batch = scheduler.batches.insert(Pending {
         host: intake.host,
         model: intake.model,
         min_version: intake.min_version,
         target_groups: target,
-        groups: vec![Group::default(); lengths.len()],
+        groups,
         works: Vec::new(),
         is_single_version: intake.is_single_version,
         max_attempts: intake.max_attempts,
@@ -162,6 +171,7 @@
         batch,
         group,
         text,
+        saved: None,
         stage: Stage::Waiting,
         failures: 0,
         service: service.unwrap_or_default(),
--- a/crates/policy/src/batch/mod.rs
+++ b/crates/policy/src/batch/mod.rs
@@ -12,6 +12,7 @@
 mod pool;
 mod reports;
 mod run;
+mod saving;
 mod scheduler;
 mod seat;
 mod tail;
@@ -20,6 +21,7 @@
 
 pub use action::{Action, Failure};
 pub use intake::Intake;
+pub use saving::{SAVES, join};
 pub use scheduler::{BatchKey, Scheduler};
 pub use seat::{Seat, SeatKey};
 pub use work::WorkKey;
--- a/crates/policy/src/batch/pending.rs
+++ b/crates/policy/src/batch/pending.rs
@@ -15,8 +15,12 @@
 /// A group of items that share a prompt.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Group {
+    /// Its name, which stays the same when a later batch brings it again.
+    pub(crate) name: String,
     /// Items without a result.
     pub(crate) open: usize,
+    /// Whether an earlier batch left it, so that the trainer waits for it whatever else is whole.
+    pub(crate) is_carried: bool,
 }
 
 /// A batch that is not over.
@@ -47,9 +51,12 @@
 }
 
 impl Pending {
-    /// Groups without an open item.
-    pub(crate) fn whole_groups(&self) -> usize {
-        self.groups.iter().filter(|group| group.open == 0).count()
+    /// Whether the trainer has what it waits for: enough groups without an open item, and all
+    /// carried ones among them.
+    fn is_enough(&self) -> bool {
+        let whole = self.groups.iter().filter(|group| group.open == 0).count();
+        let is_left = |group: &Group| group.is_carried && group.open > 0;
+        whole >= self.target_groups && !self.groups.iter().any(is_left)
     }
 
     /// Adds a result of an item of `group`.
@@ -68,7 +75,7 @@
         if self.is_writing || self.results.is_empty() || self.ended.is_some() {
             return None;
         }
-        let completes = !self.is_satisfied && self.whole_groups() >= self.target_groups;
+        let completes = !self.is_satisfied && self.is_enough();
         if !completes && now.since(self.results_since) < GATHER {
             return None;
         }
--- a/crates/policy/src/batch/reports.rs
+++ b/crates/policy/src/batch/reports.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use tamaracksail_model::batch::Draft;
 use tamaracksail_model::time::Instant;
 
 use super::action::Failure;
@@ -91,7 +90,7 @@
     }
     let is_mixed = scheduler.batches[work.batch].is_single_version && work.text.versions.len() > 1;
     if is_mixed {
-        work.text = Draft::default();
+        work.discard_text();
         dispatch::requeue(scheduler, found.work);
     } else {
         work.text.is_whole = true;
--- /dev/null
+++ b/crates/policy/src/batch/saving.rs
@@ -0,0 +1,153 @@
+//! Which text of unfinished items is saved, and how it is put together again.
+//!
+//! It answers the loss of the scheduling process: an item of seven seconds that begins anew
+//! misses a step that is due each four. Only text that took a second or more to make is worth a
+//! place; what is younger is made again.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use tamaracksail_model::batch::Draft;
+use tamaracksail_model::checkpoint::{Checkpoint, Piece};
+use tamaracksail_model::time::Instant;
+
+use super::scheduler::Scheduler;
+use super::work::{Stage, WorkKey};
+
+/// The events before which an item's text is not saved. They come some 50 ms apart.
+const YOUNGEST: u64 = 24;
+
+/// Saves for which the pieces of one text are kept, as they lie in a ring. A text that is older is
+/// saved whole again.
+pub const SAVES: u64 = 16;
+
+/// What of an item's text was saved.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Saved {
+    life: u64,
+    /// The number of the save that began this life.
+    since: u64,
+    last: u64,
+    bytes: usize,
+}
+
+/// Takes text that was not saved yet, up to about `most` bytes, the longest texts first.
+pub(super) fn take(scheduler: &mut Scheduler, fence: u64, most: usize) -> Option<Checkpoint> {
+    let mut grown: Vec<(u64, WorkKey)> = scheduler
+        .works
+        .iter()
+        .filter(|(_, work)| work.stage != Stage::Over)
+        .filter_map(|(key, work)| {
+            let last = work.text.last.filter(|last| *last >= YOUNGEST)?;
+            let is_saved = work.saved.is_some_and(|saved| saved.last >= last);
+            (!is_saved).then_some((last, key))
+        })
+        .collect();
+    grown.sort_by_key(|(last, key)| (std::cmp::Reverse(*last), *key));
+    let number = scheduler.saves;
+    let mut pieces = Vec::new();
+    let mut bytes = 0;
+    for (last, key) in grown {
+        let work = &mut scheduler.works[key];
+        let before = work.saved.filter(|saved| number - saved.since < SAVES - 1);
+        let from = before.map_or(0, |saved| saved.bytes);
+        let data = &work.text.data[from..];
+        let data = data.strip_prefix('\n').filter(|_| from > 0).unwrap_or(data);
+        if bytes + data.len() > most {
+            continue;
+        }
+        bytes += data.len();
+        let life = before.map_or_else(
+            || {
+                scheduler.next_life += 1;
+                scheduler.next_life
+            },
+            |saved| saved.life,
+        );
+        pieces.push(Piece {
+            item: work.item.id.clone(),
+            life,
+            after: before.map(|saved| saved.last),
+            last,
+            data: data.to_owned(),
+            versions: work.text.versions.clone(),
+        });
+        work.saved = Some(Saved {
+            life,
+            since: before.map_or(number, |saved| saved.since),
+            last,
+            bytes: work.text.data.len(),
+        });
+    }
+    if pieces.is_empty() {
+        return None;
+    }
+    scheduler.saves += 1;
+    Some(Checkpoint {
+        fence,
+        pieces,
+        groups: groups(scheduler),
+    })
+}
+
+/// Notes that a save was lost: every text is saved whole again.
+pub(super) fn lost(scheduler: &mut Scheduler) {
+    for work in scheduler.works.values_mut() {
+        work.saved = None;
+    }
+}
+
+/// Groups that a later batch may bring again, or that an open one has brought.
+pub(super) fn groups(scheduler: &Scheduler) -> Vec<String> {
+    let open: BTreeSet<&String> = scheduler
+        .batches
+        .values()
+        .filter(|batch| batch.ended.is_none())
+        .flat_map(|batch| &batch.groups)
+        .filter(|group| !group.is_carried)
+        .map(|group| &group.name)
+        .collect();
+    let is_past = |name: &&String| !open.contains(name);
+    scheduler
+        .past_groups
+        .keys()
+        .filter(is_past)
+        .cloned()
+        .collect()
+}
+
+/// Takes in groups that an earlier scheduler saw.
+pub(super) fn keep_groups(scheduler: &mut Scheduler, now: Instant, groups: Vec<String>) {
+    for name in groups {
+        scheduler.past_groups.insert(name, now);
+    }
+}
+
+/// Puts texts together from their pieces: of each item the longest that is there from its first
+/// event on without a gap.
+#[must_use]
+pub fn join(checkpoints: Vec<Checkpoint>) -> Vec<(String, Draft)> {
+    let mut lives: BTreeMap<(String, u64, u64), BTreeMap<Option<u64>, Piece>> = BTreeMap::new();
+    for checkpoint in checkpoints {
+        for piece in checkpoint.pieces {
+            let life = (piece.item.clone(), checkpoint.fence, piece.life);
+            lives.entry(life).or_default().insert(piece.after, piece);
+        }
+    }
+    let mut drafts: BTreeMap<String, Draft> = BTreeMap::new();
+    for ((item, ..), mut pieces) in lives {
+        let mut draft = Draft::default();
+        while let Some(piece) = pieces.remove(&draft.last) {
+            if draft.last.is_some() {
+                draft.data.push('\n');
+            }
+            draft.data.push_str(&piece.data);
+            draft.last = Some(piece.last);
+            draft.versions = piece.versions;
+        }
+        let known = drafts.get(&item).and_then(|known| known.last);
+        if draft.last > known {
+            drafts.insert(item, draft);
+        }
+    }
+    drafts.into_iter().collect()
+}
--- a/crates/policy/src/batch/scheduler.rs
+++ b/crates/policy/src/batch/scheduler.rs
@@ -6,6 +6,7 @@
 use slotmap::SlotMap;
 use tamaracksail_model::backend::Entry;
 use tamaracksail_model::batch::Draft;
+use tamaracksail_model::checkpoint::Checkpoint;
 use tamaracksail_model::time::Instant;
 
 use super::action::{Action, Failure};
@@ -15,7 +16,7 @@
 use super::run::Run;
 use super::seat::SeatKey;
 use super::work::{Work, WorkKey};
-use super::{dispatch, ending, home, reports, tail, weights};
+use super::{dispatch, ending, home, reports, saving, tail, weights};
 
 /// How long text of an ended batch is kept for a later batch with the same items. Trainers ask
 /// again within a step or two.
@@ -49,6 +50,10 @@
     pub(super) actions: Vec<Action>,
     pub(super) next_run: u64,
     pub(super) next_rank: u64,
+    /// How many saves there were.
+    pub(super) saves: u64,
+    /// The last number given to a saved text.
+    pub(super) next_life: u64,
 }
 
 impl Scheduler {
@@ -164,6 +169,34 @@
         ending::keep_draft(self, now, item, draft);
     }
 
+    /// Groups that a later batch may bring again, for a scheduler that takes over.
+    #[must_use]
+    pub fn past_groups(&self) -> Vec<String> {
+        saving::groups(self)
+    }
+
+    /// Takes in groups that another scheduler had.
+    pub fn keep_groups(&mut self, now: Instant, groups: Vec<String>) {
+        saving::keep_groups(self, now, groups);
+    }
+
+    /// Text of unfinished items that was not saved yet, up to about `most` bytes; none if there
+    /// is nothing to save. The save is the one with the number [`Self::saves`] before the call.
+    pub fn checkpoint(&mut self, fence: u64, most: usize) -> Option<Checkpoint> {
+        saving::take(self, fence, most)
+    }
+
+    /// How many saves there were.
+    #[must_use]
+    pub fn saves(&self) -> u64 {
+        self.saves
+    }
+
+    /// Notes that a save was lost.
+    pub fn checkpoint_lost(&mut self) {
+        saving::lost(self);
+    }
+
     /// Ends all batches at once and keeps their text. Returns what is still to be done.
     pub fn close(&mut self, now: Instant) -> Vec<Action> {
         ending::close(self, now)
@@ -191,8 +224,8 @@
         }
     }
 
-    /// Decides what is to be done now.
-    pub fn pump(&mut self, now: Instant) -> Vec<Action> {
+    /// Decides what is to be done now. `may_order` says whether orders to engines may be given.
+    pub fn pump(&mut self, now: Instant, may_order: bool) -> Vec<Action> {
         self.kept
             .retain(|_, (since, _)| now.since(*since) < KEEP_TEXT);
         self.past_groups
@@ -200,7 +233,9 @@
         ending::end_lingering(self, now);
         ending::expire(self, now);
         tail::move_stuck(self, now);
-        weights::load(self, now);
+        if may_order {
+            weights::load(self, now);
+        }
         dispatch::dispatch(self, now);
         tail::move_slow(self, now);
         for (key, pending) in &mut self.batches {
--- a/crates/policy/src/batch/work.rs
+++ b/crates/policy/src/batch/work.rs
@@ -4,6 +4,7 @@
 
 use tamaracksail_model::batch::{Draft, Ending, Item, Listing};
 
+use super::saving::Saved;
 use super::scheduler::BatchKey;
 
 slotmap::new_key_type! {
@@ -30,6 +31,8 @@
     /// The group's number within the batch.
     pub(crate) group: usize,
     pub(crate) text: Draft,
+    /// What of the text was saved.
+    pub(crate) saved: Option<Saved>,
     pub(crate) stage: Stage,
     /// Answers that count as failed attempts.
     pub(crate) failures: u32,
@@ -40,6 +43,12 @@
 }
 
 impl Work {
+    /// Lets the item begin anew.
+    pub(crate) fn discard_text(&mut self) {
+        self.text = Draft::default();
+        self.saved = None;
+    }
+
     /// The result of a whole text.
     pub(crate) fn completed(&self) -> Listing {
         Listing {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod agent;
 pub mod batch;
 pub mod connection;
+pub mod deference;
 pub mod entry;
 pub mod fleet;
 pub mod lease;
--- a/crates/policy/tests/common/engines.rs
+++ b/crates/policy/tests/common/engines.rs
@@ -5,8 +5,11 @@
 
 use tamaracksail_model::backend::{Entry, State};
 use tamaracksail_model::batch::{Ending, Item, Listing};
+use tamaracksail_model::checkpoint::Checkpoint;
 use tamaracksail_model::time::Instant;
-use tamaracksail_policy::batch::{Action, BatchKey, Failure, Intake, Scheduler, SeatKey};
+use tamaracksail_policy::batch::{
+    Action, BatchKey, Failure, Intake, SAVES, Scheduler, SeatKey, join,
+};
 
 /// One turn of the world.
 const TICK: Duration = Duration::from_millis(5);
@@ -55,10 +58,17 @@
     pub stops: BTreeMap<&'static str, usize>,
     /// The most loads at one time.
     pub most_loading: usize,
+    /// Whether orders may be given.
+    pub may_order: bool,
     names: BTreeMap<BatchKey, String>,
     runs: BTreeMap<u64, Run>,
     writes: Vec<(Instant, BatchKey, Vec<Listing>)>,
-    min_versions: BTreeMap<String, u64>,
+    intakes: BTreeMap<String, Intake>,
+    /// The version that made each event, by item.
+    made: BTreeMap<String, BTreeMap<u64, u64>>,
+    /// Saved text by its place in the ring.
+    saved: BTreeMap<u64, Checkpoint>,
+    fence: u64,
 }
 
 impl World {
@@ -73,10 +83,14 @@
             loads: 0,
             stops: BTreeMap::new(),
             most_loading: 0,
+            may_order: true,
             names: BTreeMap::new(),
             runs: BTreeMap::new(),
             writes: Vec::new(),
-            min_versions: BTreeMap::new(),
+            intakes: BTreeMap::new(),
+            made: BTreeMap::new(),
+            saved: BTreeMap::new(),
+            fence: 1,
         };
         for number in 0..count {
             let name = format!("e{number:02}");
@@ -136,11 +150,51 @@
             max_attempts: 3,
             expires: self.now.after(Duration::from_mins(1)),
         };
+        self.intakes.insert(id.to_owned(), intake);
+        self.listed.insert(id.to_owned(), Vec::new());
+        self.take_in(id);
+    }
+
+    fn take_in(&mut self, id: &str) {
+        let mut intake = self.intakes[id].clone();
+        intake.listed = self.listed[id].iter().map(|l| l.item.clone()).collect();
         let route = |_: &str, _: &str| Some("pool".to_owned());
         let batch = self.scheduler.submit(self.now, intake, route);
         self.names.insert(batch, id.to_owned());
-        self.min_versions.insert(id.to_owned(), min_version);
-        self.listed.insert(id.to_owned(), Vec::new());
+    }
+
+    /// Saves text of unfinished items.
+    pub fn save(&mut self) {
+        let number = self.scheduler.saves();
+        if let Some(checkpoint) = self.scheduler.checkpoint(self.fence, usize::MAX) {
+            self.saved.insert(number % SAVES, checkpoint);
+        }
+    }
+
+    /// Loses the scheduler. Another takes over the open batches with the text that was saved.
+    pub fn take_over(&mut self, versions: u64) {
+        self.fence += 1;
+        self.scheduler = Scheduler::default();
+        self.runs.clear();
+        self.writes.clear();
+        let names: Vec<String> = self.engines.keys().cloned().collect();
+        for name in names {
+            self.enter(&name, 4, State::Ready);
+            self.engines.get_mut(&name).expect("it is there").loading = None;
+        }
+        self.scheduler.version_named(MODEL, versions);
+        let saved: Vec<Checkpoint> = self.saved.values().cloned().collect();
+        let newest = saved.iter().map(|found| found.fence).max();
+        for found in saved.iter().filter(|found| Some(found.fence) == newest) {
+            self.scheduler.keep_groups(self.now, found.groups.clone());
+        }
+        for (item, draft) in join(saved) {
+            self.scheduler.keep_draft(self.now, item, draft);
+        }
+        let open: Vec<String> = std::mem::take(&mut self.names).into_values().collect();
+        for id in open {
+            self.take_in(&id);
+        }
     }
 
     /// Whether results are on their way to the store.
@@ -214,7 +268,7 @@
             }
             self.scheduler.listed(batch);
         }
-        for action in self.scheduler.pump(self.now) {
+        for action in self.scheduler.pump(self.now, self.may_order) {
             self.perform(action);
         }
     }
@@ -232,13 +286,16 @@
         let length = self.lengths[&listing.item];
         let whole: Vec<String> = (1..=length).map(|n| n.to_string()).collect();
         assert_eq!(listing.text, whole.join("\n"), "{}", listing.item);
-        let min = self.min_versions[id];
+        let min = self.intakes[id].min_version.unwrap_or(0);
         assert!(
             listing.versions.iter().all(|version| *version >= min),
             "{} of {id} has versions {:?}, {min} is the oldest allowed",
             listing.item,
             listing.versions
         );
+        let made: BTreeSet<u64> = self.made[&listing.item].values().copied().collect();
+        let made: Vec<u64> = made.into_iter().collect();
+        assert_eq!(listing.versions, made, "{}", listing.item);
     }
 
     fn finish_loads(&mut self) {
@@ -280,6 +337,9 @@
             let is_wanted = self
                 .scheduler
                 .event(self.now, number, run.next, &data, version);
+            let made = self.made.entry(run.item.clone()).or_default();
+            drop(made.split_off(&run.next));
+            made.insert(run.next, engine.version);
             run.next += 1;
             run.at = self.now.after(engine.pace);
             if !is_wanted {
--- a/crates/policy/tests/scheduling.rs
+++ b/crates/policy/tests/scheduling.rs
@@ -1,6 +1,7 @@
 //! What trainers get from the scheduler, by load. All times are virtual.
 
 #[path = "common/engines.rs"]
+#[allow(dead_code, reason = "each test file uses a part")]
 mod engines;
 
 use std::fmt::Write;
@@ -229,3 +230,35 @@
     // Eight items, one and a half times, on engines of four slots, and two to spare.
     assert_eq!(world.loads, 5);
 }
+
+#[test]
+fn a_carried_group_is_served_after_enough_others_are_whole() {
+    let mut world = World::new(2, 4, PACE);
+    world.submit("s", 1, 1, &[("g0", &[100]), ("g1", &[5])]);
+    world.until_whole("s", 1);
+    world.end("s");
+    // The group that was left out comes again, and the trainer waits for it whatever else is whole.
+    world.submit("t", 1, 1, &[("g0", &[100]), ("h0", &[5])]);
+    world.until_whole("t", 1);
+    for name in ["e00", "e01"] {
+        world.crash(name);
+    }
+    let took = world.until_whole("t", 2);
+    // The rest of its events at 40 ms each.
+    assert!(took < Duration::from_secs(4), "{took:?}");
+}
+
+#[test]
+fn engines_stay_in_use_while_orders_may_not_be_given() {
+    let mut world = World::new(4, 4, PACE);
+    world.may_order = false;
+    world.scheduler.version_named(engines::MODEL, 2);
+    world.submit("s", 1, 2, &[("g0", &[60, 60]), ("g1", &[60, 60])]);
+    world.pass(Duration::from_secs(1));
+    // Nothing is moved for loads that cannot begin.
+    assert_eq!((world.loads, world.stops.len()), (0, 0));
+    world.may_order = true;
+    world.until_whole("s", 2);
+    world.pass(Duration::from_secs(5));
+    assert!(world.loads > 0);
+}
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -107,6 +107,8 @@
         Drafts {
             /// The text, by item.
             drafts: Vec<(String, Draft)>,
+            /// Groups that later batches may bring again.
+            groups: Vec<String>,
         },
     }
 }
