Enforce the limits on request heads

Cause: the routes state how long a head may be and take, and the gateway read neither. Change: the HTTP library's buffer is bounded by the stated length (431), and a connection whose head began to arrive longer ago than allowed is closed. An idle connection is not held to that limit: the library's own timer counts idle time too, so the gateway watches the socket. Test: a_head_that_is_too_long_or_too_slow_ends_its_connection_and_an_idle_one_stays.

--- a/crates/gateway/src/connection/mod.rs
+++ b/crates/gateway/src/connection/mod.rs
@@ -1,10 +1,11 @@
 //! Connections of clients.
 
+mod activity;
 mod body;
+mod watched;
 
 pub use body::Body;
 
-use std::cell::Cell;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
@@ -14,9 +15,11 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tamaracksail_http::socket;
-use tamaracksail_model::time::Instant;
 use tokio::net::{TcpListener, TcpStream};
 
+use activity::{Activity, Guard};
+use watched::Watched;
+
 use crate::gateway::{Gateway, now};
 use crate::request;
 
@@ -26,12 +29,14 @@
 /// Beyond the stated idle time, so that a request that crosses the close is rare.
 const IDLE_MARGIN: Duration = Duration::from_secs(1);
 
-/// What a connection is doing.
-#[derive(Debug)]
-struct Activity {
-    requests: Cell<usize>,
-    last: Cell<Instant>,
-}
+/// How long a head may take before the routes, which state it, are known.
+const DEFAULT_HEAD: Duration = Duration::from_secs(5);
+
+/// The longest head in bytes before the routes, which state it, are known.
+const DEFAULT_HEAD_BYTES: usize = 16 << 10;
+
+/// The shortest bound on heads that the HTTP library takes, in bytes.
+const LEAST_HEAD_BYTES: usize = 8192;
 
 /// Listens where clients, the balancer and the metrics' readers connect.
 ///
@@ -75,10 +80,7 @@
 
 async fn serve(gateway: &Rc<Gateway>, stream: TcpStream) -> Result<(), Box<dyn std::error::Error>> {
     socket::tune(&stream)?;
-    let activity = Rc::new(Activity {
-        requests: Cell::new(0),
-        last: Cell::new(now()),
-    });
+    let activity = Rc::new(Activity::new(now()));
     let service = {
         let gateway = Rc::clone(gateway);
         let activity = Rc::clone(&activity);
@@ -92,43 +94,35 @@
             }
         })
     };
+    let table = gateway.table();
+    let head_bytes = table.map_or(DEFAULT_HEAD_BYTES, |table| table.limits.header_bytes);
+    let stream = Watched::new(stream, Rc::clone(&activity));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(None)
+        .max_buf_size(head_bytes.max(LEAST_HEAD_BYTES))
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
     loop {
-        let idle = gateway
+        let (idle, head) = gateway
             .table()
-            .map_or(DEFAULT_IDLE, |table| table.limits.idle_timeout)
-            + IDLE_MARGIN;
-        let end = activity.last.get().after(idle);
+            .map_or((DEFAULT_IDLE, DEFAULT_HEAD), |table| {
+                (table.limits.idle_timeout, table.limits.header_timeout)
+            });
+        let idle = idle + IDLE_MARGIN;
+        let end = activity.deadline(now(), idle, head);
         tokio::select! {
             ended = connection.as_mut() => return Ok(ended?),
             () = tokio::time::sleep(end.since(now())) => {}
+            () = activity.head_began() => {}
+        }
+        if activity.is_head_late(now(), head) {
+            log::info!(limit_ms = head.as_millis(); "request head too slow, connection closed");
+            return Ok(());
         }
-        if activity.requests.get() > 0 {
-            activity.last.set(now());
-        } else if now() >= activity.last.get().after(idle) {
+        if activity.is_idle(now(), idle) {
             connection.as_mut().graceful_shutdown();
             return Ok(connection.await?);
         }
     }
 }
-
-/// Counts a request of a connection while it is answered.
-struct Guard(Rc<Activity>);
-
-impl Guard {
-    fn new(activity: Rc<Activity>) -> Self {
-        activity.requests.set(activity.requests.get() + 1);
-        Self(activity)
-    }
-}
-
-impl Drop for Guard {
-    fn drop(&mut self) {
-        self.0.requests.set(self.0.requests.get() - 1);
-        self.0.last.set(now());
-    }
-}
--- /dev/null
+++ b/crates/gateway/src/connection/watched.rs
@@ -0,0 +1,71 @@
+//! A socket that notes when bytes come.
+
+use std::io::{self, IoSlice};
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+use super::activity::Activity;
+use crate::gateway::now;
+
+/// A client's socket.
+#[derive(Debug)]
+pub struct Watched {
+    stream: TcpStream,
+    activity: Rc<Activity>,
+}
+
+impl Watched {
+    /// Watches a socket.
+    pub fn new(stream: TcpStream, activity: Rc<Activity>) -> Self {
+        Self { stream, activity }
+    }
+}
+
+impl AsyncRead for Watched {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(cx, buffer);
+        if buffer.filled().len() > before {
+            self.activity.received(now());
+        }
+        read
+    }
+}
+
+impl AsyncWrite for Watched {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        pieces: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, pieces)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -63,9 +63,14 @@
         }
     }
 
+    /// Where clients connect.
+    pub fn ingress(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, settings::INGRESS_PORT)
+    }
+
     /// A client of it.
     pub fn client(&self) -> Client {
-        Client::new(SocketAddr::new(self.ip, settings::INGRESS_PORT))
+        Client::new(self.ingress())
     }
 
     /// Waits until it is ready.
--- a/crates/gateway/tests/requests.rs
+++ b/crates/gateway/tests/requests.rs
@@ -4,11 +4,14 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use common::{Gateway, World, run, server};
+use hyper::Method;
 use tamaracksail_adapter_standins::Engine;
 use tamaracksail_adapter_standins::engine::Fault;
 use tamaracksail_adapter_standins::settings;
 use tamaracksail_adapter_standins::store::Fault as StoreFault;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 const PACE: Duration = Duration::from_millis(2);
 
@@ -258,3 +261,32 @@
         moved(&gateway).await;
     });
 }
+
+#[test]
+fn a_head_that_is_too_long_or_too_slow_ends_its_connection_and_an_idle_one_stays() {
+    run(async {
+        let (_world, gateway) = start().await;
+        let client = gateway.client();
+        let long = "x".repeat(20_000);
+        let headers = [("x-long", long.as_str())];
+        let answer = client.send(Method::POST, "/plain/x", &headers, Bytes::new());
+        assert_eq!(answer.await.expect("an answer").status, 431);
+        let mut idle = client.open().await.expect("a connection");
+        let mut slow = tokio::net::TcpStream::connect(gateway.ingress())
+            .await
+            .expect("a connection");
+        slow.write_all(b"POST /plain/x HTTP/1.1\r\nhost:")
+            .await
+            .expect("the gateway reads");
+        let mut rest = Vec::new();
+        slow.read_to_end(&mut rest)
+            .await
+            .expect("the gateway ends it");
+        assert_eq!(rest, b"");
+        gateway
+            .logged("request head too slow, connection closed")
+            .await;
+        let answer = client.send_on(&mut idle, Method::POST, "/plain/x", &[], Bytes::new());
+        assert_eq!(answer.await.expect("an answer").status, 200);
+    });
+}
