Let a holder go on with its runs while the store is away

Change: a holder whose span ended, and which saw no other, goes on with runs but gives no orders and lists nothing. It says that it is cut off, so a peer that reaches the store has it stop. A planned stop waits for the store before it gives the lease back, until 2.6 s before SIGKILL, and stays 1.9 s for its text. Keepers look at the lease as soon as the store answers again.

--- a/crates/gateway/src/batches/desk.rs
+++ b/crates/gateway/src/batches/desk.rs
@@ -20,7 +20,7 @@
 
 use super::record::{self, Chunk};
 use super::register::Register;
-use super::{keeper, orders, running};
+use super::{keeper, orders, running, texts};
 use crate::gateway::{Gateway, now, peer_address};
 
 /// How often the scheduler looks at the time while batches are open: a fraction of the silence
@@ -46,6 +46,8 @@
     pub(super) wake_keeper: Notify,
     /// Whether the lease is held and everything was taken over.
     pub(super) is_open: Cell<bool>,
+    /// When scheduling ended here.
+    closed: Cell<Instant>,
     pub(super) registers: RefCell<BTreeMap<String, Register>>,
     pub(super) tasks: RefCell<BTreeMap<u64, AbortHandle>>,
     pub(super) names: RefCell<BTreeMap<BatchKey, String>>,
@@ -84,6 +86,7 @@
             deference: RefCell::default(),
             wake_keeper: Notify::new(),
             is_open: Cell::new(false),
+            closed: Cell::new(Instant(0)),
             registers: RefCell::default(),
             tasks: RefCell::default(),
             names: RefCell::default(),
@@ -138,8 +141,12 @@
     }
 
     /// Gives the lease back and stops what runs. Another gateway goes on from the store.
-    pub async fn hand_over(&self, gateway: &Gateway) {
+    /// While the store is away nobody could, so this process goes on until `deadline` at the latest.
+    pub async fn hand_over(&self, gateway: &Gateway, deadline: Instant) {
         self.wanted.set(Instant(0));
+        while self.is_open.get() && now() < deadline && !keeper::reaches_store(gateway).await {
+            tokio::time::sleep(REWRITE).await;
+        }
         self.close("this process stops");
         let _call = self.lease_call.lock().await;
         let given_up = self.lease.borrow_mut().give_up();
@@ -192,11 +199,17 @@
         self.scheduler.borrow().past_groups()
     }
 
+    /// Whether this process schedules, or stopped so lately that its text may still be asked for.
+    pub fn is_needed(&self) -> bool {
+        self.is_open.get() || now().since(self.closed.get()) < texts::HELD
+    }
+
     /// Stops all that runs and forgets all batches.
     pub(super) fn close(&self, reason: &str) {
         if !self.is_open.replace(false) {
             return;
         }
+        self.closed.set(now());
         log::info!(reason, batches = self.registers.borrow().len(); "scheduling ends");
         for (_, task) in std::mem::take(&mut *self.tasks.borrow_mut()) {
             task.abort();
@@ -253,8 +266,9 @@
         if !desk.is_open.get() {
             continue;
         }
-        if desk.lease.borrow().fence(now()).is_none() {
-            desk.close("the lease is not held");
+        let is_held = desk.lease.borrow().fence(now()).is_some();
+        if !is_held && !desk.lease.borrow().is_unchallenged() {
+            desk.close("the lease was lost");
             continue;
         }
         let may_order = desk.order_fence().is_some();
--- a/crates/gateway/src/batches/keeper.rs
+++ b/crates/gateway/src/batches/keeper.rs
@@ -72,8 +72,7 @@
     let deadline = now().after(HOLDING);
     let first = desk.lease.borrow().revision();
     loop {
-        let is_held = desk.lease.borrow().fence(now()) == Some(fence);
-        if !is_held {
+        if !holds(gateway, fence) {
             return released(gateway, fence);
         }
         let cut_at = desk.failing_since.get().map(|since| since.after(CUT));
@@ -93,7 +92,7 @@
 /// Stops scheduling for a peer that reaches the store, if this process does not.
 pub fn yield_lease(gateway: &Gateway, fence: u64, successor: SocketAddr) -> Reply {
     let desk = &gateway.desk;
-    let is_held = desk.lease.borrow().fence(now()) == Some(fence);
+    let is_held = holds(gateway, fence);
     // Calls may have succeeded again since the peer heard that they fail.
     if is_held && desk.failing_since.get().is_none() {
         return Reply::Holding {
@@ -111,6 +110,17 @@
     released(gateway, fence)
 }
 
+/// Whether this process schedules under a fencing number. One whose span ended while it cannot
+/// reach the store goes on until a peer that reaches it asks it to stop.
+fn holds(gateway: &Gateway, fence: u64) -> bool {
+    let desk = &gateway.desk;
+    let lease = desk.lease.borrow();
+    let is_current = lease.record().is_some_and(|record| record.fence == fence);
+    let is_cut = desk.failing_since.get().is_some();
+    lease.fence(now()) == Some(fence)
+        || (is_current && is_cut && desk.is_open.get() && lease.is_unchallenged())
+}
+
 /// Stops scheduling and leaves the lease to a peer, which takes it without waiting.
 fn leave(gateway: &Gateway, successor: SocketAddr, reason: &str) {
     let desk = &gateway.desk;
@@ -144,7 +154,10 @@
             desk.wake_keeper.notified().await;
         }
         let pause = step(&gateway).await;
-        tokio::time::sleep(pause).await;
+        tokio::select! {
+            () = tokio::time::sleep(pause) => {}
+            () = gateway.pulse.returned() => {}
+        }
     }
 }
 
@@ -156,8 +169,8 @@
         .metrics
         .scheduling
         .set(i64::from(desk.is_open.get() && is_held));
-    if desk.is_open.get() && !is_held {
-        desk.close("the lease has lapsed");
+    if !is_held && !desk.lease.borrow().is_unchallenged() {
+        desk.close("the lease was lost");
     }
     let is_wanted = desk.wanted.get() > now() || !desk.names.borrow().is_empty();
     if !is_wanted || gateway.stopping.get().is_some() {
@@ -185,6 +198,9 @@
     desk.deference.borrow_mut().held();
     write(gateway, next).await;
     if desk.lease.borrow().fence(now()).is_none() {
+        if desk.lease.borrow().is_unchallenged() {
+            return OWN_LOOK;
+        }
         desk.close("the lease was lost");
         return if desk.lease.borrow().record().is_some() {
             LOOK
@@ -376,6 +392,11 @@
     }
 }
 
+/// Whether the store answers this process, which then knows who holds the lease.
+pub async fn reaches_store(gateway: &Gateway) -> bool {
+    read(gateway).await.is_ok()
+}
+
 async fn reread(gateway: &Gateway) {
     if let Err(error) = read(gateway).await {
         log::warn!(error:%; "lease not read");
--- a/crates/gateway/src/batches/texts.rs
+++ b/crates/gateway/src/batches/texts.rs
@@ -27,6 +27,10 @@
 /// How long the holder before may take to hand over the text of unfinished items.
 const HAND_OVER: Duration = Duration::from_millis(700);
 
+/// How long text of unfinished items may be asked for after scheduling ended here: the next holder
+/// looks at the lease once a second, takes it, and then asks.
+pub const HELD: Duration = Duration::from_millis(1900);
+
 /// How long reading saved text may take before scheduling begins without it.
 const READ: Duration = Duration::from_millis(1500);
 
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -16,6 +16,10 @@
 /// Before SIGKILL, so that the process ends by itself.
 const BEFORE_KILL: Duration = Duration::from_millis(600);
 
+/// Before that end the lease is given back even if the store does not answer, so that the next
+/// holder has the text of unfinished items from this process.
+const HAND_OVER: Duration = Duration::from_secs(2);
+
 /// Between two readings of the settings. They change with deployments, minutes apart at the least.
 const REREAD: Duration = Duration::from_secs(5);
 
@@ -32,11 +36,17 @@
     let start = now();
     gateway.stopping.set(Some(start));
     log::info!(open = gateway.active.get(); "stopping");
-    gateway.desk.hand_over(gateway).await;
     let limit = gateway.settings.borrow().grace.saturating_sub(BEFORE_KILL);
+    let hand_over = {
+        let gateway = Rc::clone(gateway);
+        let deadline = start.after(limit.saturating_sub(HAND_OVER));
+        async move { gateway.desk.hand_over(&gateway, deadline).await }
+    };
+    actix_rt::spawn(hand_over);
     loop {
         let passed = now().since(start);
-        if passed >= limit || (passed >= LINGER && gateway.active.get() == 0) {
+        let is_idle = gateway.active.get() == 0 && !gateway.desk.is_needed();
+        if passed >= limit || (passed >= LINGER && is_idle) {
             return;
         }
         tokio::time::sleep(LOOK).await;
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -36,6 +36,11 @@
 }
 
 impl Pulse {
+    /// Returns when the store answers again after it did not.
+    pub async fn returned(&self) {
+        self.returned.notified().await;
+    }
+
     /// Looks for ever. Whoever waits for the store asks anew when it answers again.
     pub async fn beat(self, client: Client) {
         let mut is_lost = false;
@@ -139,7 +144,7 @@
 async fn watch(client: &Client, pulse: &Pulse, kind: &str, at: u64) -> Result<Changes, Error> {
     tokio::select! {
         changes = client.watch(kind, at, WAIT) => changes,
-        () = pulse.returned.notified() => client.watch(kind, at, Duration::ZERO).await,
+        () = pulse.returned() => client.watch(kind, at, Duration::ZERO).await,
     }
 }
 
--- a/crates/gateway/tests/batches.rs
+++ b/crates/gateway/tests/batches.rs
@@ -432,3 +432,24 @@
         assert_eq!(line["drafts"], 1);
     });
 }
+
+#[test]
+fn a_planned_stop_while_the_store_is_away_stops_no_work_until_another_can_go_on() {
+    run(async {
+        let (world, gateways) = start(2, 300, Duration::from_millis(20)).await;
+        let answer = gateways[0].client().submit("b1", &["i0"], 1).await;
+        assert_eq!(answer.expect("an answer").status, 202);
+        until("the item runs", async || world.arrivals("i0") > 0).await;
+        world.store.set_fault(StoreFault::Busy);
+        gateways[0].signal("TERM");
+        // Longer than the lease lasts.
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        assert_eq!(gateways[0].lines("scheduling ends").len(), 0);
+        world.store.set_fault(StoreFault::None);
+        let results = read(&gateways[1].client(), "b1", 1).await;
+        check(&world, &results, &["i0"]);
+        assert_eq!(world.arrivals("i0"), 2);
+        let line = gateways[1].logged("text taken over").await;
+        assert_eq!(line["drafts"], 1);
+    });
+}
--- a/crates/policy/src/batch/saving.rs
+++ b/crates/policy/src/batch/saving.rs
@@ -32,6 +32,11 @@
 
 /// Takes text that was not saved yet, up to about `most` bytes, the longest texts first.
 pub(super) fn take(scheduler: &mut Scheduler, fence: u64, most: usize) -> Option<Checkpoint> {
+    if scheduler.saved_fence != Some(fence) {
+        // Pieces under another number are never joined with these.
+        lost(scheduler);
+        scheduler.saved_fence = Some(fence);
+    }
     let mut grown: Vec<(u64, WorkKey)> = scheduler
         .works
         .iter()
--- a/crates/policy/src/batch/scheduler.rs
+++ b/crates/policy/src/batch/scheduler.rs
@@ -52,6 +52,8 @@
     pub(super) next_rank: u64,
     /// How many saves there were.
     pub(super) saves: u64,
+    /// The fencing number of the last save.
+    pub(super) saved_fence: Option<u64>,
     /// The last number given to a saved text.
     pub(super) next_life: u64,
 }
--- a/crates/policy/src/lease.rs
+++ b/crates/policy/src/lease.rs
@@ -219,6 +219,15 @@
         (now >= held.orders_from).then_some(held.fence)
     }
 
+    /// Whether the object, as it was seen last, names this process, which has not said that it
+    /// stopped. A holder whose span ended while the store was away may go on with what does no
+    /// harm when another holds the lease: it gives no orders and lists nothing.
+    #[must_use]
+    pub fn is_unchallenged(&self) -> bool {
+        let record = self.record.as_ref();
+        record.is_some_and(|record| self.is_ours(record) && self.given_up != Some(record.fence))
+    }
+
     /// The record as it was seen last.
     #[must_use]
     pub fn record(&self) -> Option<&Record> {
--- a/crates/policy/tests/common/engines.rs
+++ b/crates/policy/tests/common/engines.rs
@@ -68,7 +68,8 @@
     made: BTreeMap<String, BTreeMap<u64, u64>>,
     /// Saved text by its place in the ring.
     saved: BTreeMap<u64, Checkpoint>,
-    fence: u64,
+    /// The fencing number of the scheduler.
+    pub fence: u64,
 }
 
 impl World {
--- a/crates/policy/tests/lease.rs
+++ b/crates/policy/tests/lease.rs
@@ -176,3 +176,33 @@
     assert_eq!(lease.fence(at(4200)), None);
     assert_eq!(wanted(lease.step(at(4200), true)).fence, 1);
 }
+
+#[test]
+fn a_holder_whose_span_ended_is_unchallenged_until_another_is_seen() {
+    let (mut lease, record) = holder();
+    assert!(lease.is_unchallenged());
+    assert_eq!(lease.fence(at(9000)), None);
+    assert!(lease.is_unchallenged());
+    // It takes the lease anew, under the next number, and need not pause between its own orders.
+    let again = wanted(lease.step(at(9000), false));
+    assert_eq!(again.fence, record.fence + 1);
+    lease.wrote(at(9000), at(9010), 2, again.clone());
+    assert_eq!(lease.order_fence(at(9020)), Some(again.fence));
+    // What it has said that it left is left.
+    lease.forswear(again.fence);
+    assert!(!lease.is_unchallenged());
+}
+
+#[test]
+fn a_holder_that_sees_another_is_challenged() {
+    let (mut lease, record) = holder();
+    let other = Record {
+        holder: Some("h2".to_owned()),
+        address: Some(address(2)),
+        incarnation: 2,
+        fence: record.fence + 1,
+        writes: record.writes + 1,
+    };
+    lease.saw(at(9000), 2, other);
+    assert!(!lease.is_unchallenged());
+}
--- a/crates/policy/tests/saving.rs
+++ b/crates/policy/tests/saving.rs
@@ -42,6 +42,18 @@
     assert!(took < Duration::from_secs(6), "{took:?}");
 }
 
+#[test]
+fn a_holder_that_takes_the_lease_anew_saves_its_texts_whole() {
+    let mut world = World::new(2, 4, PACE);
+    world.submit("s", 1, 1, &[("g0", &[150])]);
+    pass_saving(&mut world, 2);
+    world.fence += 1;
+    pass_saving(&mut world, 3);
+    world.take_over(1);
+    let took = world.until_whole("s", 1);
+    assert!(took < Duration::from_millis(1500), "{took:?}");
+}
+
 #[test]
 fn carried_groups_are_known_after_the_scheduler_was_lost() {
     let mut world = World::new(2, 4, PACE);
