--- a/crates/gateway/tests/batches.rs
+++ b/crates/gateway/tests/batches.rs
@@ -8,6 +8,7 @@
 use common::{Gateway, World, read, run, until};
 use tamaracksail_adapter_standins::Engine;
 use tamaracksail_adapter_standins::engine::Fault;
+use tamaracksail_adapter_standins::loopback::address;
 use tamaracksail_adapter_standins::store::Fault as StoreFault;
 use tamaracksail_model::batch::{Ending, Listing};
 
@@ -351,7 +352,7 @@
 fn a_gateway_that_the_store_turns_away_serves_batches_through_a_peer() {
     run(async {
         let (world, gateways) = start(1, 100, PACE).await;
-        let door = SocketAddr::new(common::address(), 7100);
+        let door = SocketAddr::new(address(), 7100);
         let door = world.store.door(door).await.expect("a second address");
         let away = Gateway::start("front-away", &door);
         away.ready().await;
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -3,33 +3,19 @@
 #![allow(dead_code, reason = "each test file uses a part")]
 
 use std::io::{BufRead, BufReader};
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, SocketAddr};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use serde_json::{Value, json};
+use tamaracksail_adapter_standins::loopback::address;
 use tamaracksail_adapter_standins::{Client, Engine, Store, settings};
 use tamaracksail_model::batch::Listing;
 
 /// How long a condition may take before a test fails. Far beyond what any needs.
 const PATIENCE: Duration = Duration::from_mins(1);
 
-/// A loopback address that no other test of this machine uses: the process id and a counter.
-pub fn address() -> IpAddr {
-    static NEXT: AtomicU8 = AtomicU8::new(1);
-    let process = std::process::id();
-    let octet = |bits: u32| u8::try_from(bits & 0xff).unwrap_or(0);
-    let last = NEXT.fetch_add(1, Ordering::Relaxed);
-    IpAddr::V4(Ipv4Addr::new(
-        127,
-        octet(process >> 8) | 1,
-        octet(process),
-        last,
-    ))
-}
-
 /// A gateway process. Killed when dropped.
 pub struct Gateway {
     child: Child,
