Make no calls while the store is known to be away

Change: while the one cheap look a second fails, other calls wait until a look succeeds, three seconds at the most; a renewal that was not done is not read back.

--- a/crates/gateway/src/batches/keeper.rs
+++ b/crates/gateway/src/batches/keeper.rs
@@ -154,9 +154,13 @@
             desk.wake_keeper.notified().await;
         }
         let pause = step(&gateway).await;
-        tokio::select! {
-            () = tokio::time::sleep(pause) => {}
-            () = gateway.pulse.returned() => {}
+        if desk.is_open.get() {
+            tokio::select! {
+                () = tokio::time::sleep(pause) => {}
+                () = gateway.pulse.returned() => {}
+            }
+        } else {
+            gateway.pulse.pause(pause).await;
         }
     }
 }
@@ -361,6 +365,9 @@
         Err(error) => {
             contact(gateway, false);
             log::warn!(fence = wanted.fence, error:%; "lease not written");
+            if matches!(error, Error::NotDone { .. }) {
+                return;
+            }
             // It may be written all the same; what stands there tells.
             reread(gateway).await;
             let fence = wanted.fence;
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -1,5 +1,6 @@
 //! Following a kind of objects in the platform's store.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -16,6 +17,9 @@
 /// The longest pause. After an outage entries must be here again within two seconds.
 const LONGEST_PAUSE: Duration = Duration::from_millis(1200);
 
+/// The longest pause while looks fail: they are of one object, and others may be served.
+const LOST_PAUSE: Duration = Duration::from_secs(3);
+
 /// Between two looks whether the store answers. A store that falls silent keeps connections alive
 /// and swallows the watches that wait there, so the kernel's probes do not show it.
 const LOOK: Duration = Duration::from_secs(1);
@@ -33,6 +37,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Pulse {
     returned: Rc<Notify>,
+    is_lost: Rc<Cell<bool>>,
 }
 
 impl Pulse {
@@ -41,9 +46,20 @@
         self.returned.notified().await;
     }
 
+    /// Waits `pause` before a failed call is made again, or longer while the store is known not to
+    /// answer: calls are paid for, and looks cost a tenth.
+    pub async fn pause(&self, pause: Duration) {
+        if !self.is_lost.get() {
+            return tokio::time::sleep(pause).await;
+        }
+        tokio::select! {
+            () = tokio::time::sleep(LOST_PAUSE) => {}
+            () = self.returned() => {}
+        }
+    }
+
     /// Looks for ever. Whoever waits for the store asks anew when it answers again.
     pub async fn beat(self, client: Client) {
-        let mut is_lost = false;
         loop {
             tokio::time::sleep(LOOK).await;
             let look = client.get_stale(LOOK_KIND, LOOK_NAME);
@@ -51,13 +67,13 @@
                 tokio::time::timeout(LOOK_ANSWER, look).await,
                 Ok(Ok(_) | Err(Error::Missing { .. }))
             );
-            if is_answered && is_lost {
+            let was_lost = self.is_lost.replace(!is_answered);
+            if is_answered && was_lost {
                 log::info!("store answers again, watches begin anew");
                 self.returned.notify_waiters();
-            } else if !is_answered && !is_lost {
+            } else if !is_answered && !was_lost {
                 log::warn!("store does not answer");
             }
-            is_lost = !is_answered;
         }
     }
 }
@@ -133,7 +149,7 @@
                     is_lost = true;
                     report(News::Lost);
                 }
-                tokio::time::sleep(pause).await;
+                pulse.pause(pause).await;
                 pause = (pause * 2).min(LONGEST_PAUSE);
             }
         }
