Make a span for each hop of a request and a run

The house style asks for traces with a span a hop; the gateway had none. Without the flag nothing is made or sent. Test: each_hop_has_a_span_and_a_parent, with a stand-in collector.

--- a/crates/gateway/src/batches/running.rs
+++ b/crates/gateway/src/batches/running.rs
@@ -13,6 +13,7 @@
 use tamaracksail_model::backend::Entry;
 use tamaracksail_model::batch::Item;
 use tamaracksail_policy::batch::Failure;
+use tamaracksail_process::trace::SpanKind;
 
 use crate::gateway::{Gateway, now};
 
@@ -72,7 +73,6 @@
     after: Option<u64>,
     version: Option<u64>,
 ) -> Result<(), Problem> {
-    let broken = |problem: String| (Failure::Broken, problem);
     let stamp = Stamp {
         instance: Some(&entry.instance),
         version,
@@ -80,8 +80,27 @@
         ..Stamp::default()
     };
     let host = gateway.desk.host_of(run).unwrap_or_default();
-    let request =
+    let mut request =
         request(item, &host, &stamp).map_err(|error| (Failure::Impossible, error.to_string()))?;
+    let span = gateway.span("run", SpanKind::Client, request.headers_mut());
+    let outcome = exchange(gateway, run, entry, item, request).await;
+    if let Some(span) = span {
+        span.note("item", item.id.clone());
+        span.note("server", entry.instance.clone());
+        span.end(outcome.as_ref().err().map(|(_, problem)| problem.clone()));
+    }
+    outcome
+}
+
+/// Sends an item and reads its answer.
+async fn exchange(
+    gateway: &Rc<Gateway>,
+    run: u64,
+    entry: &Entry,
+    item: &Item,
+    request: Request<Full<bytes::Bytes>>,
+) -> Result<(), Problem> {
+    let broken = |problem: String| (Failure::Broken, problem);
     let sent = gateway.http.send(entry.address, request, CONNECT).await;
     let mut reply = sent.map_err(|error| broken(error.to_string()))?;
     let answer = Answer::read(&reply.head, Some(&item.id));
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use hyper::header::{HeaderMap, HeaderValue};
 use rustix::time::{ClockId, clock_gettime};
 use tamaracksail_adapter::settings::Settings;
 use tamaracksail_adapter::store;
@@ -11,6 +12,7 @@
 use tamaracksail_model::table::Table;
 use tamaracksail_model::time::Instant;
 use tamaracksail_policy::fleet::Fleet;
+use tamaracksail_process::trace::{Span, SpanKind, TRACEPARENT, Tracer};
 
 use crate::batches::Desk;
 use crate::metrics::Metrics;
@@ -48,11 +50,13 @@
     pub desk: Desk,
     /// What the process counts.
     pub metrics: Metrics,
+    /// Makes spans, if they are wanted.
+    pub tracer: Option<Tracer>,
 }
 
 impl Gateway {
     /// A process that knows nothing yet.
-    pub fn new(settings: Settings, options: &Options) -> Self {
+    pub fn new(settings: Settings, options: &Options, tracer: Option<Tracer>) -> Self {
         // JSON numbers are exact up to 53 bits.
         let incarnation = rand::random::<u64>() >> 11;
         let desk = Desk::new(&settings, incarnation);
@@ -71,6 +75,7 @@
             active: Cell::new(0),
             desk,
             metrics: Metrics::new(),
+            tracer,
         }
     }
 
@@ -79,6 +84,22 @@
         self.stopping.get().is_none() && self.table.borrow().is_some() && self.knows_servers.get()
     }
 
+    /// Starts the span of a hop under the trace context of `headers`, and puts its own there.
+    pub fn span(
+        &self,
+        name: &'static str,
+        kind: SpanKind,
+        headers: &mut HeaderMap,
+    ) -> Option<Span> {
+        let parent = headers
+            .get(TRACEPARENT)
+            .and_then(|value| value.to_str().ok());
+        let span = self.tracer.as_ref()?.span(name, kind, parent);
+        let own = span.traceparent()?;
+        headers.insert(TRACEPARENT, HeaderValue::from_str(&own).ok()?);
+        Some(span)
+    }
+
     /// Where other gateways reach this one.
     pub fn peer_address(&self) -> SocketAddr {
         peer_address(&self.settings.borrow())
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -18,6 +18,7 @@
 use std::rc::Rc;
 
 use tamaracksail_adapter::settings::Settings;
+use tamaracksail_process::trace::Tracer;
 use tamaracksail_process::{logs, settings};
 
 use gateway::Gateway;
@@ -29,7 +30,12 @@
     let settings =
         Settings::load().unwrap_or_else(|error| settings::fail(options::NAME, &error.to_string()));
     actix_rt::System::new().block_on(async move {
-        let gateway = Rc::new(Gateway::new(settings, &options));
+        let endpoint = options.otlp_endpoint.as_deref();
+        let tracer = endpoint.map(|endpoint| {
+            Tracer::start(options::NAME, Some(endpoint))
+                .unwrap_or_else(|error| settings::fail(options::NAME, &error))
+        });
+        let gateway = Rc::new(Gateway::new(settings, &options, tracer));
         log::info!(host = gateway.settings.borrow().host.as_str(), incarnation = gateway.incarnation; "start");
         for listening in [
             connection::listen(&gateway).await,
@@ -42,6 +48,9 @@
         version::follow(&gateway);
         batches::start(&gateway);
         stop::serve_until_stopped(&gateway).await;
+        if let Some(tracer) = &gateway.tracer {
+            tracer.stop();
+        }
         log::info!("stop");
     });
 }
--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -13,6 +13,7 @@
 
   --log-format json|plain   the form of log lines (default json)
   --log-level LEVEL         off, error, warn, info, debug or trace (default info)
+  --otlp-endpoint URL       where spans are sent, over OTLP/HTTP (default: none are made)
   --metrics-port PORT       where /metrics is served, on the host's address (default: none)
   --help, --version
 
@@ -28,6 +29,8 @@
     pub log_level: LevelFilter,
     /// Where metrics are served.
     pub metrics_port: Option<u16>,
+    /// Where spans are sent; none are made without it.
+    pub otlp_endpoint: Option<String>,
 }
 
 impl Options {
@@ -42,11 +45,13 @@
         let log_format = parser.or("--log-format", Format::Json);
         let log_level = parser.or("--log-level", LevelFilter::Info);
         let metrics_port = parser.optional("--metrics-port");
+        let otlp_endpoint = parser.optional("--otlp-endpoint");
         parser.finish();
         Self {
             log_format,
             log_level,
             metrics_port,
+            otlp_endpoint,
         }
     }
 }
--- a/crates/gateway/src/request/forward.rs
+++ b/crates/gateway/src/request/forward.rs
@@ -15,6 +15,7 @@
 use tamaracksail_model::table::draw_target;
 use tamaracksail_model::time::Instant;
 use tamaracksail_policy::fleet::ServerKey;
+use tamaracksail_process::trace::SpanKind;
 use tokio::sync::mpsc;
 
 use super::answer::{SOON, refusal, status};
@@ -52,7 +53,7 @@
 pub async fn forward(
     gateway: &Rc<Gateway>,
     route: &Route,
-    head: Parts,
+    mut head: Parts,
     body: Bytes,
     id: &str,
     arrival: Instant,
@@ -62,6 +63,7 @@
         log::warn!(request = id, route = route.name.as_str(), outcome = "not run"; "no service");
         return refusal(SOON);
     };
+    let span = gateway.span("request", SpanKind::Server, &mut head.headers);
     let forwarding = Forwarding {
         gateway,
         route,
@@ -83,6 +85,11 @@
         Kind::Batch => "batch",
     };
     gateway.metrics.answered(kind, code, took);
+    if let Some(span) = span {
+        span.note("request", id.to_owned());
+        span.note("route", route.name.clone());
+        span.end((code >= 500).then(|| code.to_string()));
+    }
     log::info!(
         request = id, route = route.name.as_str(), status = code, millis = took.as_millis();
         "answered"
--- a/crates/gateway/src/request/sending.rs
+++ b/crates/gateway/src/request/sending.rs
@@ -15,6 +15,7 @@
 use tamaracksail_http::Reply;
 use tamaracksail_model::time::Instant;
 use tamaracksail_policy::fleet::{Report, ServerKey};
+use tamaracksail_process::trace::{Span, SpanKind};
 
 use crate::gateway::{Gateway, now};
 
@@ -46,6 +47,7 @@
     is_stream: bool,
     start: Instant,
     is_reported: Cell<bool>,
+    span: Cell<Option<Span>>,
 }
 
 impl Sending {
@@ -58,6 +60,7 @@
             is_stream,
             start: now(),
             is_reported: Cell::new(false),
+            span: Cell::new(None),
         }
     }
 
@@ -76,6 +79,11 @@
             remaining: Some(deadline.since(now())),
             ..Stamp::default()
         };
+        let span = self.gateway.span("send", SpanKind::Client, &mut headers);
+        if let Some(span) = &span {
+            span.note("server", entry.instance.clone());
+        }
+        self.span.set(span);
         if let Err(error) = stamp.write(&mut headers) {
             return Outcome::NotRun(error.to_string());
         }
@@ -154,6 +162,10 @@
         if !self.is_reported.replace(true) {
             let mut fleet = self.gateway.fleet.borrow_mut();
             fleet.ended(now(), self.key, report);
+            if let Some(span) = self.span.take() {
+                let is_answered = matches!(report, Report::Answered(_));
+                span.end((!is_answered).then(|| format!("{report:?}")));
+            }
         }
     }
 }
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -22,6 +22,8 @@
     host: String,
     ip: IpAddr,
     folder: std::path::PathBuf,
+    /// Where it sends spans.
+    spans: Option<String>,
     lines: Arc<Mutex<Vec<Value>>>,
 }
 
@@ -33,18 +35,29 @@
 
     /// Starts a gateway that keeps results for `retention_s` seconds.
     pub fn keeping(host: &str, store: &Store, retention_s: u64) -> Self {
+        Self::with(host, store, retention_s, None)
+    }
+
+    /// Starts a gateway that sends spans to `collector`.
+    pub fn traced(host: &str, store: &Store, collector: SocketAddr) -> Self {
+        let endpoint = format!("http://{collector}/v1/traces");
+        Self::with(host, store, 120, Some(endpoint))
+    }
+
+    fn with(host: &str, store: &Store, retention_s: u64, spans: Option<String>) -> Self {
         let ip = address();
         let folder = std::env::temp_dir().join(format!("tamaracksail-{ip}"));
         std::fs::create_dir_all(&folder).expect("a folder for settings");
         let text = settings::file(host, ip, store.address, retention_s);
         std::fs::write(folder.join("settings"), text).expect("a settings file");
         let lines = Arc::default();
-        let child = spawn(&folder, &lines);
+        let child = spawn(&folder, spans.as_deref(), &lines);
         Self {
             child,
             host: host.to_owned(),
             ip,
             folder,
+            spans,
             lines,
         }
     }
@@ -82,7 +95,7 @@
 
     /// Starts it again on its host.
     pub fn restart(&mut self) {
-        self.child = spawn(&self.folder, &self.lines);
+        self.child = spawn(&self.folder, self.spans.as_deref(), &self.lines);
     }
 
     /// Sends it a signal by name.
@@ -134,8 +147,12 @@
     }
 }
 
-fn spawn(folder: &std::path::Path, lines: &Arc<Mutex<Vec<Value>>>) -> Child {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_tamaracksail-gateway"))
+fn spawn(folder: &std::path::Path, spans: Option<&str>, lines: &Arc<Mutex<Vec<Value>>>) -> Child {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_tamaracksail-gateway"));
+    if let Some(endpoint) = spans {
+        command.env("TAMARACKSAIL_OTLP_ENDPOINT", endpoint);
+    }
+    let mut child = command
         .env(settings::PATH_VARIABLE, folder.join("settings"))
         .stdout(Stdio::piped())
         .spawn()
--- a/crates/process/src/trace.rs
+++ b/crates/process/src/trace.rs
@@ -15,7 +15,8 @@
 use opentelemetry_sdk::trace::{SdkTracer, SdkTracerProvider, Span as SdkSpan};
 use tokio::sync::{mpsc, oneshot};
 
-const TRACEPARENT: &str = "traceparent";
+/// The header that carries trace context.
+pub const TRACEPARENT: &str = "traceparent";
 
 /// Starts spans.
 #[derive(Clone, Debug)]
