--- a/crates/soak/src/clients.rs
+++ b/crates/soak/src/clients.rs
@@ -43,16 +43,15 @@
         let id = format!("{name}-{number}");
         let is_once = rng.random_bool(0.5);
         let host = rng.random_range(0..world.hosts.len());
-        let (mut connection, host) = match kept.take() {
-            Some(kept) => kept,
-            None => {
-                let Ok(connection) = world.hosts[host].client.open().await else {
-                    // Nothing was sent, so nothing is to be noted.
-                    pause(&mut rng).await;
-                    continue;
-                };
-                (connection, host)
-            }
+        let (mut connection, host) = if let Some(kept) = kept.take() {
+            kept
+        } else {
+            let Ok(connection) = world.hosts[host].client.open().await else {
+                // Nothing was sent, so nothing is to be noted.
+                pause(&mut rng).await;
+                continue;
+            };
+            (connection, host)
         };
         let path = if is_once { "/once/x" } else { "/plain/x" };
         let answer = timeout(
--- a/crates/soak/src/inject.rs
+++ b/crates/soak/src/inject.rs
@@ -95,7 +95,7 @@
         Store::Reset => StoreFault::Reset,
         Store::Silent => StoreFault::Silent,
         Store::LosesAnswers => StoreFault::LoseAnswers(String::new()),
-        Store::AppliesLate => StoreFault::AppliesLate(span),
+        Store::AppliesLate => StoreFault::AppliesLate(String::new(), span),
     }
 }
 
