Load first the engines of the model whose items wait

Engines were ordered by the number of the version that they held, so a model whose numbers are lower went first whether or not its trainer waited; one step began 5 s after it was accepted. Change: loads go to the model for which most items wait, to the engine that is furthest behind.

--- a/crates/policy/src/batch/weights.rs
+++ b/crates/policy/src/batch/weights.rs
@@ -4,6 +4,7 @@
 //! newest, so an engine loads where it is idle: first those that no open step can use, then, when
 //! nothing waits for an engine, the one with the fewest items, which go on elsewhere.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
 use tamaracksail_model::time::Instant;
@@ -29,30 +30,21 @@
         .count();
     let most = (engines / LOADING_SHARE).max(2);
     let mut loading = seats.values().filter(|s| s.loading.is_some()).count();
-    let named: Vec<(String, u64)> = scheduler
-        .named
-        .iter()
-        .map(|(model, version)| (model.clone(), *version))
-        .collect();
-    let mut behind: Vec<(u64, u32, SeatKey, String, u64)> = Vec::new();
-    for (model, version) in named {
-        for (key, seat) in &scheduler.pool.seats {
-            let held = seat.version(&model);
-            if seat.home.as_deref() == Some(&model)
-                && seat.is_open(now)
-                && let Some(held) = held.filter(|held| *held < version)
-            {
-                behind.push((held, seat.running, key, model.clone(), version));
-            }
-        }
-    }
-    behind.sort();
+    let mut behind = behind(scheduler, now);
     let needed = needed(scheduler);
     let mut fresh = fresh(scheduler);
-    for (held, _, key, model, version) in behind {
-        if loading >= most {
+    let mut waiting = waiting(scheduler);
+    while loading < most {
+        let Some(next) = next(&behind, &waiting) else {
             return;
-        }
+        };
+        let Behind {
+            key,
+            model,
+            version,
+            held,
+            ..
+        } = behind.swap_remove(next);
         let count = fresh.entry(model.clone()).or_default();
         if *count >= enough(scheduler, &model, key) {
             continue;
@@ -68,9 +60,13 @@
         }
         loading += 1;
         *fresh.entry(model.clone()).or_default() += 1;
-        scheduler.pool.seats[key].loading = Some(Loading {
+        let seat = &mut scheduler.pool.seats[key];
+        seat.loading = Some(Loading {
             model: model.clone(),
         });
+        if let Some(items) = waiting.get_mut(&model) {
+            *items = items.saturating_sub(seat.entry.slots as usize);
+        }
         scheduler.actions.push(Action::Order {
             seat: key,
             model,
@@ -79,6 +75,61 @@
     }
 }
 
+/// An engine that holds an older version than the one named.
+#[derive(Clone, Debug)]
+struct Behind {
+    key: SeatKey,
+    model: String,
+    version: u64,
+    held: u64,
+    running: u32,
+}
+
+/// The engines that are behind, of those that may load now.
+fn behind(scheduler: &Scheduler, now: Instant) -> Vec<Behind> {
+    let mut behind = Vec::new();
+    for (model, version) in &scheduler.named {
+        for (key, seat) in &scheduler.pool.seats {
+            let is_home = seat.home.as_ref() == Some(model);
+            let held = seat.version(model).filter(|held| held < version);
+            if let Some(held) = held.filter(|_| is_home && seat.is_open(now)) {
+                behind.push(Behind {
+                    key,
+                    model: model.clone(),
+                    version: *version,
+                    held,
+                    running: seat.running,
+                });
+            }
+        }
+    }
+    behind
+}
+
+/// The place of the engine to look at next: of the model for which most items wait, the one that is
+/// furthest behind, and of these the emptiest.
+fn next(behind: &[Behind], waiting: &BTreeMap<String, usize>) -> Option<usize> {
+    let key = |engine: &Behind| {
+        let items = waiting.get(&engine.model).copied().unwrap_or(0);
+        let lag = engine.version - engine.held;
+        (Reverse(items), Reverse(lag), engine.running, engine.key)
+    };
+    (0..behind.len()).min_by_key(|place| key(&behind[*place]))
+}
+
+/// How many items that a trainer waits for wait for an engine, by model.
+fn waiting(scheduler: &Scheduler) -> BTreeMap<String, usize> {
+    let mut waiting = BTreeMap::new();
+    for (_, key) in &scheduler.queue {
+        let work = &scheduler.works[*key];
+        let batch = &scheduler.batches[work.batch];
+        if let Some(model) = batch.model.as_ref().filter(|_| !work.is_spare) {
+            *waiting.entry(model.clone()).or_default() += 1;
+        }
+    }
+    waiting
+}
+
 /// How many engines of each model hold the version named, or load it.
 fn fresh(scheduler: &Scheduler) -> BTreeMap<String, usize> {
     let mut fresh = BTreeMap::new();
--- /dev/null
+++ b/crates/policy/tests/weights.rs
@@ -0,0 +1,84 @@
+//! Which engines load first when several trainers share them.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use tamaracksail_model::backend::{Entry, State};
+use tamaracksail_model::batch::Item;
+use tamaracksail_model::time::Instant;
+use tamaracksail_policy::batch::{Action, Intake, Scheduler};
+
+const NOW: Instant = Instant(1_000_000_000);
+
+fn engine(number: u16) -> Entry {
+    Entry {
+        instance: format!("e{number}"),
+        born: Some(1),
+        service: "pool".to_owned(),
+        address: ([127, 0, 0, 1], number).into(),
+        domain: "here".to_owned(),
+        slots: 4,
+        state: State::Ready,
+        models: BTreeMap::from([("a".to_owned(), 8), ("b".to_owned(), 2)]),
+    }
+}
+
+fn step(model: &str, min_version: u64, count: usize) -> Intake {
+    let item = |number: usize| Item {
+        id: format!("{model}{number}"),
+        path: "/x".to_owned(),
+        headers: Vec::new(),
+        body: bytes::Bytes::new(),
+        tokens: 10,
+        hint: None,
+        group: Some(format!("{model}-group")),
+    };
+    Intake {
+        host: "app".to_owned(),
+        model: Some(model.to_owned()),
+        min_version: Some(min_version),
+        target_groups: Some(1),
+        items: (0..count).map(item).collect(),
+        listed: BTreeSet::new(),
+        is_single_version: false,
+        max_attempts: 3,
+        expires: NOW.after(Duration::from_mins(1)),
+    }
+}
+
+fn orders(scheduler: &mut Scheduler) -> Vec<String> {
+    let actions = scheduler.pump(NOW, true);
+    let order = |action| match action {
+        Action::Order { model, .. } => Some(model),
+        _ => None,
+    };
+    actions.into_iter().filter_map(order).collect()
+}
+
+#[test]
+fn engines_of_the_model_whose_items_wait_load_first() {
+    let mut scheduler = Scheduler::default();
+    for number in 0..8 {
+        scheduler.engine(NOW, engine(number));
+    }
+    scheduler.version_named("a", 9);
+    scheduler.version_named("b", 3);
+    let route = |_: &str, _: &str| Some("pool".to_owned());
+    scheduler.submit(NOW, step("a", 9, 6), route);
+    // Two load at a time; the numbers of two models' versions say nothing of each other.
+    assert_eq!(orders(&mut scheduler), ["a", "a"]);
+}
+
+#[test]
+fn models_whose_items_wait_alike_share_the_loads() {
+    let mut scheduler = Scheduler::default();
+    for number in 0..8 {
+        scheduler.engine(NOW, engine(number));
+    }
+    scheduler.version_named("a", 9);
+    scheduler.version_named("b", 3);
+    let route = |_: &str, _: &str| Some("pool".to_owned());
+    scheduler.submit(NOW, step("a", 9, 6), route);
+    scheduler.submit(NOW, step("b", 3, 6), route);
+    assert_eq!(orders(&mut scheduler), ["a", "b"]);
+}
