Name the batch where an item is sent; note a trial with busy engines

Logs: from an item's id its batch could be found only by its order in time. 'item sent' names it, and a test asserts the lines that lead from an item to its engines and what went wrong there.

--- a/crates/gateway/src/batches/desk.rs
+++ b/crates/gateway/src/batches/desk.rs
@@ -294,14 +294,22 @@
             version,
             ..
         } => {
-            let entry = desk.scheduler.borrow().entry(seat).cloned();
+            let (entry, batch) = {
+                let scheduler = desk.scheduler.borrow();
+                (scheduler.entry(seat).cloned(), scheduler.batch(run))
+            };
             let Some(entry) = entry else {
                 return;
             };
+            let names = desk.names.borrow();
+            let batch = batch
+                .and_then(|batch| names.get(&batch))
+                .map(String::as_str);
             log::info!(
-                item = item.id.as_str(), run, server = entry.instance.as_str(), after;
+                item = item.id.as_str(), batch, run, server = entry.instance.as_str(), after;
                 "item sent"
             );
+            drop(names);
             let task = actix_rt::spawn(running::run(
                 Rc::clone(gateway),
                 run,
--- a/crates/gateway/tests/batches.rs
+++ b/crates/gateway/tests/batches.rs
@@ -100,6 +100,11 @@
             .filter(|arrival| arrival.after.is_some())
             .count();
         assert!(resumed >= 2, "{resumed}");
+        // From the item's id the logs lead to its batch, its engines and what went wrong there.
+        let sent = gateways[0].logged("item sent").await;
+        assert_eq!((&sent["batch"], &sent["run"]), (&"b1".into(), &1.into()));
+        let broken = gateways[0].logged("item not finished").await;
+        assert!(broken["server"].is_string() && broken["problem"].is_string());
     });
 }
 
--- a/crates/policy/src/batch/scheduler.rs
+++ b/crates/policy/src/batch/scheduler.rs
@@ -81,13 +81,18 @@
         self.pool.seats.get(seat).map(|seat| &seat.entry)
     }
 
+    /// The batch of a run.
+    #[must_use]
+    pub fn batch(&self, run: u64) -> Option<BatchKey> {
+        let work = self.works.get(self.runs.get(&run)?.work)?;
+        Some(work.batch)
+    }
+
     /// The host name under which the batch of a run was submitted.
     #[must_use]
     pub fn host(&self, run: u64) -> Option<&str> {
-        let work = self.works.get(self.runs.get(&run)?.work)?;
-        self.batches
-            .get(work.batch)
-            .map(|batch| batch.host.as_str())
+        let batch = self.batches.get(self.batch(run)?)?;
+        Some(batch.host.as_str())
     }
 
     /// Notes that a trainer has named a version.
--- a/crates/policy/src/batch/weights.rs
+++ b/crates/policy/src/batch/weights.rs
@@ -2,7 +2,8 @@
 //!
 //! Engines out of use and trainers that wait are both dear. A step allows the version before the
 //! newest, so an engine loads where it is idle: first those that no open step can use, then, when
-//! nothing waits for an engine, the one with the fewest items, which go on elsewhere.
+//! nothing waits for an engine, one whose items can go on elsewhere. The model for which most items wait goes first, then the engine furthest behind, then
+//! the one with the fewest items.
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
--- a/crates/policy/tests/weights.rs
+++ b/crates/policy/tests/weights.rs
@@ -25,13 +25,13 @@
 
 fn step(model: &str, min_version: u64, count: usize) -> Intake {
     let item = |number: usize| Item {
-        id: format!("{model}{number}"),
+        id: format!("{model}{min_version}-{number}"),
         path: "/x".to_owned(),
         headers: Vec::new(),
         body: bytes::Bytes::new(),
         tokens: 10,
         hint: None,
-        group: Some(format!("{model}-group")),
+        group: Some(format!("{model}{min_version}")),
     };
     Intake {
         host: "app".to_owned(),
@@ -82,3 +82,16 @@
     scheduler.submit(NOW, step("b", 3, 6), route);
     assert_eq!(orders(&mut scheduler), ["a", "b"]);
 }
+
+#[test]
+fn engines_that_waiting_items_can_use_do_not_load() {
+    let mut scheduler = Scheduler::default();
+    for number in 0..2 {
+        scheduler.engine(NOW, engine(number));
+    }
+    let route = |_: &str, _: &str| Some("pool".to_owned());
+    // More than all slots.
+    scheduler.submit(NOW, step("a", 8, 20), route);
+    scheduler.version_named("a", 9);
+    assert!(orders(&mut scheduler).is_empty());
+}
