--- a/crates/gateway/src/batches/desk.rs
+++ b/crates/gateway/src/batches/desk.rs
@@ -18,6 +18,7 @@
 use tokio::sync::{Mutex, Notify};
 use tokio::task::AbortHandle;
 
+use super::readiness::Readiness;
 use super::record::{self, Chunk};
 use super::register::Register;
 use super::{keeper, orders, running, texts};
@@ -46,6 +47,8 @@
     pub(super) wake_keeper: Notify,
     /// Whether the lease is held and everything was taken over.
     pub(super) is_open: Cell<bool>,
+    /// Whether the text of unfinished items has come here.
+    pub(super) texts: Readiness,
     /// When scheduling ended here.
     closed: Cell<Instant>,
     pub(super) registers: RefCell<BTreeMap<String, Register>>,
@@ -85,6 +88,7 @@
             deference: RefCell::default(),
             wake_keeper: Notify::new(),
             is_open: Cell::new(false),
+            texts: Readiness::default(),
             closed: Cell::new(Instant(0)),
             registers: RefCell::default(),
             tasks: RefCell::default(),
@@ -214,6 +218,7 @@
             return;
         }
         self.closed.set(now());
+        self.texts.set_ready(false);
         log::info!(reason, batches = self.registers.borrow().len(); "scheduling ends");
         for (_, task) in std::mem::take(&mut *self.tasks.borrow_mut()) {
             task.abort();
--- a/crates/gateway/src/batches/keeper.rs
+++ b/crates/gateway/src/batches/keeper.rs
@@ -213,7 +213,7 @@
     }
     if !desk.is_open.get() && gateway.stopping.get().is_none() {
         let before = desk.lease.borrow().before();
-        takeover::open(gateway, before).await;
+        takeover::open(gateway, before);
     }
     OWN_LOOK
 }
--- a/crates/gateway/src/batches/mod.rs
+++ b/crates/gateway/src/batches/mod.rs
@@ -6,6 +6,7 @@
 mod keeper;
 mod orders;
 mod read;
+mod readiness;
 mod record;
 mod register;
 mod running;
--- a/crates/gateway/src/batches/takeover.rs
+++ b/crates/gateway/src/batches/takeover.rs
@@ -30,19 +30,16 @@
 const PATIENCE: Duration = Duration::from_mins(1);
 
 /// Opens the desk: from now on this process schedules. `before` is the holder before, if it is
-/// another process.
-pub async fn open(gateway: &Rc<Gateway>, before: Option<SocketAddr>) {
+/// another process. Batches are read while the text of their items is on its way here, and taken in
+/// once it has come.
+pub fn open(gateway: &Rc<Gateway>, before: Option<SocketAddr>) {
     let desk = &gateway.desk;
-    texts::take_over(gateway, before).await;
-    if desk.lease.borrow().fence(now()).is_none() {
-        log::info!(reason = "the lease is not held any more"; "scheduling does not begin");
-        return;
-    }
     desk.is_open.set(true);
     gateway.metrics.scheduling.set(1);
     log::info!("scheduling begins");
     let mut tasks = desk.tasks.borrow_mut();
     for (slot, task) in [
+        actix_rt::spawn(texts::take_over(Rc::clone(gateway), before)),
         actix_rt::spawn(follow_heads(Rc::clone(gateway))),
         actix_rt::spawn(follow_versions(Rc::clone(gateway))),
         actix_rt::spawn(sweep::sweep(Rc::clone(gateway))),
@@ -147,6 +144,7 @@
     while is_wanted() {
         match read(&gateway, &id, &head, earlier).await {
             Ok((body, results, chunks)) => {
+                gateway.desk.texts.ready().await;
                 take_in(&gateway, &id, &head, &body, results, chunks);
                 return;
             }
@@ -293,7 +291,8 @@
 ) {
     let desk = &gateway.desk;
     let is_known = desk.registers.borrow().contains_key(id) || desk.ended.borrow().contains(id);
-    if !desk.is_open.get() || is_known {
+    // Before texts are here, the watch of heads brings it in.
+    if !desk.is_open.get() || is_known || !desk.texts.is_ready() {
         return;
     }
     let submission = match batch::parse(body) {
--- a/crates/gateway/src/batches/texts.rs
+++ b/crates/gateway/src/batches/texts.rs
@@ -66,9 +66,9 @@
 
 /// Takes over the text of unfinished items: from the holder before, if it is another process that
 /// still runs, else from the store. Both are asked at once.
-pub async fn take_over(gateway: &Gateway, before: Option<SocketAddr>) {
-    let mut from_peer = pin!(from_peer(gateway, before));
-    let mut from_store = pin!(from_store(gateway));
+pub async fn take_over(gateway: Rc<Gateway>, before: Option<SocketAddr>) {
+    let mut from_peer = pin!(from_peer(&gateway, before));
+    let mut from_store = pin!(from_store(&gateway));
     let mut saved = None;
     let handed_over = loop {
         tokio::select! {
@@ -94,6 +94,8 @@
         scheduler.keep_draft(now(), item, draft);
     }
     scheduler.keep_groups(now(), groups);
+    drop(scheduler);
+    gateway.desk.texts.set_ready(true);
 }
 
 /// Texts by item, and groups that later batches may bring again.
