--- a/crates/gateway/src/batches/desk.rs
+++ b/crates/gateway/src/batches/desk.rs
@@ -7,9 +7,8 @@
 use std::time::Duration;
 
 use tamaracksail_adapter::settings::Settings;
-use tamaracksail_adapter::store::Error;
 use tamaracksail_model::backend::Entry;
-use tamaracksail_model::batch::{Draft, Ending, Listing};
+use tamaracksail_model::batch::Draft;
 use tamaracksail_model::table::{Table, draw_target};
 use tamaracksail_model::time::Instant;
 use tamaracksail_policy::batch::{Action, BatchKey, Scheduler};
@@ -19,17 +18,17 @@
 use tokio::task::AbortHandle;
 
 use super::readiness::Readiness;
-use super::record::{self, Chunk};
+use super::record;
 use super::register::Register;
-use super::{keeper, orders, running, texts};
+use super::{keeper, listing, orders, running, texts};
 use crate::gateway::{Gateway, now, peer_address};
 
 /// How often the scheduler looks at the time while batches are open: a fraction of the silence
 /// after which an engine counts as stuck, and of the time for which results gather.
 const TURN: Duration = Duration::from_millis(50);
 
-/// The pause before results are written again.
-const REWRITE: Duration = Duration::from_millis(200);
+/// Between two looks whether the store answers a process that is to stop.
+const STOP_LOOK: Duration = Duration::from_millis(200);
 
 /// How long the lease lasts. Its loss costs a step that is due each four seconds this time and
 /// more; a holder that the store leaves alone longer goes on with what needs no lease.
@@ -148,7 +147,7 @@
     pub async fn hand_over(&self, gateway: &Gateway, deadline: Instant) {
         self.wanted.set(Instant(0));
         while self.is_open.get() && now() < deadline && !keeper::reaches_store(gateway).await {
-            tokio::time::sleep(REWRITE).await;
+            tokio::time::sleep(STOP_LOOK).await;
         }
         self.close("this process stops");
         let _call = self.lease_call.lock().await;
@@ -334,7 +333,7 @@
         Action::List { batch, listings } => {
             let id = desk.names.borrow().get(&batch).cloned();
             if let Some(id) = id {
-                actix_rt::spawn(list(Rc::clone(gateway), batch, id, listings));
+                actix_rt::spawn(listing::list(Rc::clone(gateway), batch, id, listings));
             }
         }
         Action::Order {
@@ -346,103 +345,3 @@
         }
     }
 }
-
-/// Writes results as the next chunk, until they are durable or the lease is lost.
-async fn list(gateway: Rc<Gateway>, batch: BatchKey, id: String, listings: Vec<Listing>) {
-    let desk = &gateway.desk;
-    let place = desk
-        .registers
-        .borrow()
-        .get(&id)
-        .map(|register| (register.next_chunk, register.results.len(), register.total));
-    let Some((mut number, first, total)) = place else {
-        return;
-    };
-    let chunk = Chunk {
-        total,
-        first,
-        results: listings,
-    };
-    let kind = record::kind(&id);
-    let mut name = record::chunk(number);
-    let mut is_unknown = false;
-    loop {
-        let is_held = desk.lease.borrow().fence(now()).is_some();
-        if !desk.is_open.get() || !desk.names.borrow().contains_key(&batch) {
-            if is_unknown {
-                // The store may know more results than this process, so reads go there.
-                desk.registers.borrow_mut().remove(&id);
-            }
-            return;
-        }
-        let outcome = if is_held {
-            let call = gateway.store.create(&kind, &name, &chunk);
-            keeper::limit(call).await.map(|_| ())
-        } else {
-            Err(Error::NotDone {
-                call: name.clone(),
-                problem: "the lease is not held".to_owned(),
-            })
-        };
-        match outcome {
-            Ok(()) => {
-                keeper::contact(&gateway, true);
-                break;
-            }
-            Err(Error::Conflict { .. }) => {
-                keeper::contact(&gateway, true);
-                is_unknown = true;
-                // An earlier try of ours, or a scheduler that has taken over.
-                match gateway.store.get(&kind, &name).await {
-                    Ok(object) if object.spec::<Chunk>().is_ok_and(|found| found == chunk) => break,
-                    Ok(object) if object.spec::<Chunk>().is_ok_and(|c| c.results.is_empty()) => {
-                        // A seal fixes no position.
-                        number += 1;
-                        name = record::chunk(number);
-                    }
-                    Ok(_) => {
-                        log::warn!(
-                            batch = id.as_str(), chunk = number;
-                            "results of another scheduler"
-                        );
-                        desk.lease.borrow_mut().doubt();
-                        desk.close("another process lists results");
-                        return;
-                    }
-                    Err(error) => {
-                        log::warn!(
-                            batch = id.as_str(), chunk = number, error:%;
-                            "results not read back"
-                        );
-                        tokio::time::sleep(REWRITE).await;
-                    }
-                }
-            }
-            Err(error) => {
-                is_unknown |= matches!(error, Error::Unknown { .. });
-                keeper::contact(&gateway, false);
-                log::warn!(batch = id.as_str(), chunk = number, error:%; "results not written");
-                tokio::time::sleep(REWRITE).await;
-            }
-        }
-    }
-    for result in &chunk.results {
-        let ending = match result.ending {
-            Ending::Completed => "completed",
-            Ending::Aborted => "aborted",
-        };
-        gateway.metrics.results.with_label_values(&[ending]).inc();
-    }
-    log::info!(
-        batch = id.as_str(), chunk = number, first, results = chunk.results.len();
-        "results listed"
-    );
-    if let Some(register) = desk.registers.borrow_mut().get_mut(&id) {
-        register.bytes += chunk.results.iter().map(|r| r.text.len()).sum::<usize>();
-        register.results.extend(chunk.results);
-        register.next_chunk = number + 1;
-        register.changed.notify_waiters();
-    }
-    desk.scheduler.borrow_mut().listed(batch);
-    desk.turn_soon();
-}
--- /dev/null
+++ b/crates/gateway/src/batches/listing.rs
@@ -0,0 +1,115 @@
+//! Writes results, which fixes their positions.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use tamaracksail_adapter::store::Error;
+use tamaracksail_model::batch::{Ending, Listing};
+use tamaracksail_policy::batch::BatchKey;
+
+use super::keeper;
+use super::record::{self, Chunk};
+use crate::gateway::{Gateway, now};
+
+/// The pause before results are written again.
+const REWRITE: Duration = Duration::from_millis(200);
+
+/// Writes results as the next chunk, until they are durable or the lease is lost.
+pub async fn list(gateway: Rc<Gateway>, batch: BatchKey, id: String, listings: Vec<Listing>) {
+    let desk = &gateway.desk;
+    let place = desk
+        .registers
+        .borrow()
+        .get(&id)
+        .map(|register| (register.next_chunk, register.results.len(), register.total));
+    let Some((mut number, first, total)) = place else {
+        return;
+    };
+    let chunk = Chunk {
+        total,
+        first,
+        results: listings,
+    };
+    let kind = record::kind(&id);
+    let mut name = record::chunk(number);
+    let mut is_unknown = false;
+    loop {
+        let is_held = desk.lease.borrow().fence(now()).is_some();
+        if !desk.is_open.get() || !desk.names.borrow().contains_key(&batch) {
+            if is_unknown {
+                // The store may know more results than this process, so reads go there.
+                desk.registers.borrow_mut().remove(&id);
+            }
+            return;
+        }
+        let outcome = if is_held {
+            let call = gateway.store.create(&kind, &name, &chunk);
+            keeper::limit(call).await.map(|_| ())
+        } else {
+            Err(Error::NotDone {
+                call: name.clone(),
+                problem: "the lease is not held".to_owned(),
+            })
+        };
+        match outcome {
+            Ok(()) => {
+                keeper::contact(&gateway, true);
+                break;
+            }
+            Err(Error::Conflict { .. }) => {
+                keeper::contact(&gateway, true);
+                is_unknown = true;
+                // An earlier try of ours, or a scheduler that has taken over.
+                match gateway.store.get(&kind, &name).await {
+                    Ok(object) if object.spec::<Chunk>().is_ok_and(|found| found == chunk) => break,
+                    Ok(object) if object.spec::<Chunk>().is_ok_and(|c| c.results.is_empty()) => {
+                        // A seal fixes no position.
+                        number += 1;
+                        name = record::chunk(number);
+                    }
+                    Ok(_) => {
+                        log::warn!(
+                            batch = id.as_str(), chunk = number;
+                            "results of another scheduler"
+                        );
+                        desk.lease.borrow_mut().doubt();
+                        desk.close("another process lists results");
+                        return;
+                    }
+                    Err(error) => {
+                        log::warn!(
+                            batch = id.as_str(), chunk = number, error:%;
+                            "results not read back"
+                        );
+                        tokio::time::sleep(REWRITE).await;
+                    }
+                }
+            }
+            Err(error) => {
+                is_unknown |= matches!(error, Error::Unknown { .. });
+                keeper::contact(&gateway, false);
+                log::warn!(batch = id.as_str(), chunk = number, error:%; "results not written");
+                tokio::time::sleep(REWRITE).await;
+            }
+        }
+    }
+    for result in &chunk.results {
+        let ending = match result.ending {
+            Ending::Completed => "completed",
+            Ending::Aborted => "aborted",
+        };
+        gateway.metrics.results.with_label_values(&[ending]).inc();
+    }
+    log::info!(
+        batch = id.as_str(), chunk = number, first, results = chunk.results.len();
+        "results listed"
+    );
+    if let Some(register) = desk.registers.borrow_mut().get_mut(&id) {
+        register.bytes += chunk.results.iter().map(|r| r.text.len()).sum::<usize>();
+        register.results.extend(chunk.results);
+        register.next_chunk = number + 1;
+        register.changed.notify_waiters();
+    }
+    desk.scheduler.borrow_mut().listed(batch);
+    desk.turn_soon();
+}
--- a/crates/gateway/src/batches/mod.rs
+++ b/crates/gateway/src/batches/mod.rs
@@ -3,7 +3,9 @@
 
 mod accept;
 mod desk;
+mod holding;
 mod keeper;
+mod listing;
 mod orders;
 mod read;
 mod readiness;
@@ -16,7 +18,7 @@
 
 pub use accept::{Request, accept, keep_for_peer};
 pub use desk::Desk;
-pub use keeper::{holding, yield_lease};
+pub use holding::{holding, yield_lease};
 pub use read::{body, end, end_for_peer, results, shared_body, shared_results};
 
 use std::rc::Rc;
--- a/crates/policy/tests/weights.rs
+++ b/crates/policy/tests/weights.rs
@@ -55,43 +55,47 @@
     actions.into_iter().filter_map(order).collect()
 }
 
-#[test]
-fn engines_of_the_model_whose_items_wait_load_first() {
+fn engines(count: u16) -> Scheduler {
     let mut scheduler = Scheduler::default();
-    for number in 0..8 {
+    for number in 0..count {
         scheduler.engine(NOW, engine(number));
     }
+    scheduler
+}
+
+/// Eight engines that are behind the versions named of both models.
+fn behind() -> Scheduler {
+    let mut scheduler = engines(8);
     scheduler.version_named("a", 9);
     scheduler.version_named("b", 3);
-    let route = |_: &str, _: &str| Some("pool".to_owned());
-    scheduler.submit(NOW, step("a", 9, 6), route);
+    scheduler
+}
+
+fn submit(scheduler: &mut Scheduler, intake: Intake) {
+    scheduler.submit(NOW, intake, |_, _| Some("pool".to_owned()));
+}
+
+#[test]
+fn engines_of_the_model_whose_items_wait_load_first() {
+    let mut scheduler = behind();
+    submit(&mut scheduler, step("a", 9, 6));
     // Two load at a time; the numbers of two models' versions say nothing of each other.
     assert_eq!(orders(&mut scheduler), ["a", "a"]);
 }
 
 #[test]
 fn models_whose_items_wait_alike_share_the_loads() {
-    let mut scheduler = Scheduler::default();
-    for number in 0..8 {
-        scheduler.engine(NOW, engine(number));
-    }
-    scheduler.version_named("a", 9);
-    scheduler.version_named("b", 3);
-    let route = |_: &str, _: &str| Some("pool".to_owned());
-    scheduler.submit(NOW, step("a", 9, 6), route);
-    scheduler.submit(NOW, step("b", 3, 6), route);
+    let mut scheduler = behind();
+    submit(&mut scheduler, step("a", 9, 6));
+    submit(&mut scheduler, step("b", 3, 6));
     assert_eq!(orders(&mut scheduler), ["a", "b"]);
 }
 
 #[test]
 fn engines_that_waiting_items_can_use_do_not_load() {
-    let mut scheduler = Scheduler::default();
-    for number in 0..2 {
-        scheduler.engine(NOW, engine(number));
-    }
-    let route = |_: &str, _: &str| Some("pool".to_owned());
+    let mut scheduler = engines(2);
     // More than all slots.
-    scheduler.submit(NOW, step("a", 8, 20), route);
+    submit(&mut scheduler, step("a", 8, 20));
     scheduler.version_named("a", 9);
     assert!(orders(&mut scheduler).is_empty());
 }
--- a/crates/soak/src/inject.rs
+++ b/crates/soak/src/inject.rs
@@ -165,10 +165,7 @@
 /// Ends a server without a word. Its entry lapses, and it comes back under another id.
 async fn crash(world: &World, number: usize, span: Duration) {
     let server = &world.servers[number];
-    let Some(engine) = server
-        .engine()
-        .filter(|_| !server.is_replaced.replace(true))
-    else {
+    let Some(engine) = server.replace() else {
         return;
     };
     engine.kill();
@@ -180,10 +177,7 @@
 
 async fn leave(world: &World, number: usize) {
     let server = &world.servers[number];
-    let Some(engine) = server
-        .engine()
-        .filter(|_| !server.is_replaced.replace(true))
-    else {
+    let Some(engine) = server.replace() else {
         return;
     };
     engine.register_behind(
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -72,6 +72,12 @@
 }
 
 impl Server {
+    /// The life that is to end so that another begins. None while one is already being replaced.
+    #[must_use]
+    pub fn replace(&self) -> Option<Engine> {
+        self.engine().filter(|_| !self.is_replaced.replace(true))
+    }
+
     /// The life that began last.
     #[must_use]
     pub fn engine(&self) -> Option<Engine> {
