Refuse at once what needs a store that is known not to answer

The users ask that what is known not to be servable is refused at once. Change: while looks at the store fail, submissions go to peers and are refused if these do not keep them; reads and ends likewise. A peer that did not answer a read is passed over for a second. Test: what_needs_a_store_that_is_known_to_be_silent_is_refused_at_once.

--- a/crates/gateway/src/batches/accept.rs
+++ b/crates/gateway/src/batches/accept.rs
@@ -73,7 +73,13 @@
         path: head.uri.path().to_owned(),
         body,
     };
-    let mut outcome = keep(gateway, &request, deadline).await;
+    let mut outcome = match gateway.pulse.check("batch") {
+        Ok(()) => keep(gateway, &request, deadline).await,
+        Err(error) => {
+            log::info!(batch = id, error:%, outcome = "not run"; "batch not kept");
+            Outcome::NotKept
+        }
+    };
     if matches!(outcome, Outcome::NotKept | Outcome::Unclear) {
         let relayed = relay(gateway, &request, deadline).await;
         outcome = match (outcome, relayed) {
--- a/crates/gateway/src/batches/desk.rs
+++ b/crates/gateway/src/batches/desk.rs
@@ -30,6 +30,10 @@
 /// Between two looks whether the store answers a process that is to stop.
 const STOP_LOOK: Duration = Duration::from_millis(200);
 
+/// How long a peer that did not answer is not asked again: the span in which those who wait for the
+/// lease look at it.
+const SILENT: Duration = Duration::from_secs(1);
+
 /// How long the lease lasts. Its loss costs a step that is due each four seconds this time and
 /// more; a holder that the store leaves alone longer goes on with what needs no lease.
 const LEASE: Duration = Duration::from_secs(2);
@@ -66,6 +70,8 @@
     pub(super) last_order: Cell<Instant>,
     /// Where the peer answers to which the last holder known here left the lease.
     pub(super) successor: Cell<Option<SocketAddr>>,
+    /// The peer that did not answer last, and when.
+    silent: Cell<Option<(SocketAddr, Instant)>>,
     /// Wakes those who ask whether the lease is held.
     pub(super) lease_changed: Notify,
     /// Wakes the turn.
@@ -99,6 +105,7 @@
             failing_since: Cell::new(None),
             last_order: Cell::new(now()),
             successor: Cell::new(None),
+            silent: Cell::new(None),
             lease_changed: Notify::new(),
             wake: Notify::new(),
         }
@@ -178,12 +185,22 @@
         let mut peers: Vec<SocketAddr> = holder
             .into_iter()
             .chain(self.successor.get())
-            .filter(|peer| *peer != own)
+            .filter(|peer| *peer != own && !self.is_silent(*peer))
             .collect();
         peers.dedup();
         peers
     }
 
+    /// Notes that a peer did not answer.
+    pub(super) fn note_silent(&self, peer: SocketAddr) {
+        self.silent.set(Some((peer, now())));
+    }
+
+    fn is_silent(&self, peer: SocketAddr) -> bool {
+        let is_recent = |at: Instant| now().since(at) < SILENT;
+        matches!(self.silent.get(), Some((silent, at)) if silent == peer && is_recent(at))
+    }
+
     /// The number of the next register.
     pub(super) fn next_register(&self) -> u64 {
         let number = self.registered.get();
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -46,6 +46,21 @@
         self.returned.notified().await;
     }
 
+    /// An error while the store is known not to answer, so that callers hear at once what would
+    /// otherwise take a timeout.
+    ///
+    /// # Errors
+    /// [`Error::NotDone`] while looks fail.
+    pub fn check(&self, call: &str) -> Result<(), Error> {
+        if !self.is_lost.get() {
+            return Ok(());
+        }
+        Err(Error::NotDone {
+            call: call.to_owned(),
+            problem: "the store does not answer looks".to_owned(),
+        })
+    }
+
     /// Waits `pause` before a failed call is made again, or longer while the store is known not to
     /// answer: calls are paid for, and looks cost a tenth.
     pub async fn pause(&self, pause: Duration) {
--- a/crates/gateway/tests/batches.rs
+++ b/crates/gateway/tests/batches.rs
@@ -459,3 +459,30 @@
         assert_eq!(line["drafts"], 1);
     });
 }
+
+#[test]
+fn what_needs_a_store_that_is_known_to_be_silent_is_refused_at_once() {
+    run(async {
+        let (world, gateways) = start(1, 5, PACE).await;
+        let client = gateways[0].client();
+        world.store.set_fault(StoreFault::Silent);
+        gateways[0].logged("store does not answer").await;
+        let answer = client.submit("b1", &["i0"], 1).await.expect("an answer");
+        assert_eq!(answer.status, 503);
+        assert!(answer.retry_after().is_some());
+        let answer = client.results("b0", 0).await.expect("an answer");
+        assert_eq!(answer.status, 503);
+        let answer = client.end("b0").await.expect("an answer");
+        assert_eq!(answer.status, 503);
+        // No call was made for it.
+        let line = gateways[0].logged("batch not kept").await;
+        let error = line["error"].as_str().expect("a text");
+        assert!(error.contains("does not answer looks"), "{error}");
+        world.store.set_fault(StoreFault::None);
+        gateways[0]
+            .logged("store answers again, watches begin anew")
+            .await;
+        let answer = client.submit("b1", &["i0"], 1).await.expect("an answer");
+        assert_eq!(answer.status, 202);
+    });
+}
