--- a/crates/gateway/tests/batches.rs
+++ b/crates/gateway/tests/batches.rs
@@ -486,3 +486,24 @@
         assert_eq!(answer.status, 202);
     });
 }
+
+#[test]
+fn a_takeover_holds_the_place_of_results_that_are_still_on_their_way() {
+    run(async {
+        let (world, mut gateways) = start(2, 150, Duration::from_millis(20)).await;
+        let client = gateways[1].client();
+        let answer = gateways[0].client().submit("b1", &["i0"], 1).await;
+        assert_eq!(answer.expect("an answer").status, 202);
+        gateways[0].logged("batch taken in").await;
+        // The store does the write long after this test, and answers nothing.
+        let late = StoreFault::AppliesLate("batch-".to_owned(), Duration::from_mins(10));
+        world.store.set_fault(late);
+        gateways[0].logged("results not written").await;
+        gateways[0].kill();
+        world.store.set_fault(StoreFault::None);
+        check(&world, &read(&client, "b1", 1).await, &["i0"]);
+        let first = world.store.spec("batch-b1", "results.00000");
+        let first = first.expect("the place is held");
+        assert_eq!(first["results"], serde_json::json!([]), "{first}");
+    });
+}
