Drop what was read under a lease that was lost since

Change: tenures are numbered; a reading, a recall and a write of results that began under another tenure change nothing. Test: what_was_read_under_a_lost_lease_is_not_taken_in_under_the_next fails without the change (listed 0 instead of 6), passes with it, twice each.

--- a/crates/gateway/src/batches/desk.rs
+++ b/crates/gateway/src/batches/desk.rs
@@ -50,6 +50,8 @@
     pub(super) wake_keeper: Notify,
     /// Whether the lease is held and everything was taken over.
     pub(super) is_open: Cell<bool>,
+    /// How often this process has begun to schedule.
+    tenures: Cell<u64>,
     /// Whether the text of unfinished items has come here.
     pub(super) texts: Readiness,
     /// When scheduling ended here.
@@ -93,6 +95,7 @@
             deference: RefCell::default(),
             wake_keeper: Notify::new(),
             is_open: Cell::new(false),
+            tenures: Cell::new(0),
             texts: Readiness::default(),
             closed: Cell::new(Instant(0)),
             registers: RefCell::default(),
@@ -223,6 +226,19 @@
         self.scheduler.borrow().past_groups()
     }
 
+    /// Begins to schedule.
+    pub(super) fn begin(&self) {
+        self.tenures.set(self.tenures.get() + 1);
+        self.is_open.set(true);
+    }
+
+    /// The number of the present tenure; none if this process does not schedule. What was read
+    /// or written under one tenure says nothing under the next, since another process may have
+    /// scheduled between them.
+    pub(super) fn tenure(&self) -> Option<u64> {
+        self.is_open.get().then(|| self.tenures.get())
+    }
+
     /// Whether this process schedules, or stopped so lately that its text may still be asked for.
     pub fn is_needed(&self) -> bool {
         self.is_open.get() || now().since(self.closed.get()) < texts::HELD
--- a/crates/gateway/src/batches/listing.rs
+++ b/crates/gateway/src/batches/listing.rs
@@ -17,6 +17,7 @@
 /// Writes results as the next chunk, until they are durable or the lease is lost.
 pub async fn list(gateway: Rc<Gateway>, batch: BatchKey, id: String, listings: Vec<Listing>) {
     let desk = &gateway.desk;
+    let tenure = desk.tenure();
     let place = desk
         .registers
         .borrow()
@@ -35,7 +36,7 @@
     let mut is_unknown = false;
     loop {
         let is_held = desk.lease.borrow().fence(now()).is_some();
-        if !desk.is_open.get() || !desk.names.borrow().contains_key(&batch) {
+        if desk.tenure() != tenure || !desk.names.borrow().contains_key(&batch) {
             if is_unknown {
                 // The store may know more results than this process, so reads go there.
                 desk.registers.borrow_mut().remove(&id);
@@ -93,6 +94,10 @@
             }
         }
     }
+    if desk.tenure() != tenure {
+        // The register is of a later tenure, and was read from the store.
+        return;
+    }
     for result in &chunk.results {
         let ending = match result.ending {
             Ending::Completed => "completed",
--- a/crates/gateway/src/batches/takeover.rs
+++ b/crates/gateway/src/batches/takeover.rs
@@ -34,7 +34,7 @@
 /// once it has come.
 pub fn open(gateway: &Rc<Gateway>, before: Option<SocketAddr>) {
     let desk = &gateway.desk;
-    desk.is_open.set(true);
+    desk.begin();
     gateway.metrics.scheduling.set(1);
     log::info!("scheduling begins");
     let mut tasks = desk.tasks.borrow_mut();
@@ -135,17 +135,21 @@
 
 /// Reads a batch from the store and takes it in.
 async fn load(gateway: Rc<Gateway>, id: String, head: Head, earlier: Earlier) {
+    let desk = &gateway.desk;
+    let tenure = desk.tenure();
     let is_wanted = || {
-        let desk = &gateway.desk;
-        desk.is_open.get()
+        tenure.is_some()
+            && desk.tenure() == tenure
             && !desk.registers.borrow().contains_key(&id)
             && !desk.ended.borrow().contains(&id)
     };
     while is_wanted() {
         match read(&gateway, &id, &head, earlier).await {
             Ok((body, results, chunks)) => {
-                gateway.desk.texts.ready().await;
-                take_in(&gateway, &id, &head, &body, results, chunks);
+                desk.texts.ready().await;
+                if is_wanted() {
+                    take_in(&gateway, &id, &head, &body, results, chunks);
+                }
                 return;
             }
             Err(error) => {
@@ -162,6 +166,7 @@
 /// # Errors
 /// If it cannot be read; [`Error::Missing`] if there is no such batch.
 pub async fn recall(gateway: &Gateway, id: &str) -> Result<bool, Error> {
+    let tenure = gateway.desk.tenure();
     let object = gateway.store.get(record::HEADS, id).await?;
     let progress = object.status::<Progress>().unwrap_or_default();
     if !progress.is_some_and(|progress| progress.is_ended) {
@@ -175,6 +180,9 @@
         }
     };
     let (body, results, chunks) = read(gateway, id, &head, Earlier::Possible).await?;
+    if gateway.desk.tenure() != tenure {
+        return Ok(false);
+    }
     let items = match batch::parse(&body) {
         Ok(submission) => submission.items,
         Err(error) => {
--- a/crates/gateway/tests/batches.rs
+++ b/crates/gateway/tests/batches.rs
@@ -507,3 +507,50 @@
         assert_eq!(first["results"], serde_json::json!([]), "{first}");
     });
 }
+
+#[test]
+fn what_was_read_under_a_lost_lease_is_not_taken_in_under_the_next() {
+    run(async {
+        let (world, mut gateways) = start(2, 100, Duration::from_millis(20)).await;
+        let clients = [gateways[0].client(), gateways[1].client()];
+        clients[0]
+            .submit("b0", &["j0"], 1)
+            .await
+            .expect("an answer");
+        read(&clients[0], "b0", 1).await;
+        gateways[0].signal("STOP");
+        clients[1].submit("b1", &ITEMS, 1).await.expect("an answer");
+        until("another gateway schedules", async || {
+            drop(clients[1].results("b1", 0).await);
+            world.arrivals("i0") > 0
+        })
+        .await;
+        // It hears that it lost the lease while it reads the batch, of which no result stands yet.
+        let slow = StoreFault::Slow("batch-b1".to_owned(), Duration::from_millis(700));
+        world.store.set_fault(slow);
+        gateways[0].signal("CONT");
+        gateways[0].logged("scheduling ends").await;
+        until("it has read the batch", async || {
+            let lines = gateways[0].lines("batch read");
+            lines.iter().any(|line| line["batch"] == "b1")
+        })
+        .await;
+        world.store.set_fault(StoreFault::None);
+        let results = read(&clients[1], "b1", ITEMS.len()).await;
+        check(&world, &results, &ITEMS);
+        gateways[1].kill();
+        assert_eq!(read(&clients[0], "b1", ITEMS.len()).await, results);
+        let mut taken = None;
+        until("the batch is taken in under the second lease", async || {
+            let begins = gateways[0].lines("scheduling begins");
+            let second = begins.get(1).and_then(|line| line["t"].as_u64());
+            let lines = gateways[0].lines("batch taken in");
+            taken = lines.into_iter().find(|line| {
+                line["batch"] == "b1" && second.is_some() && line["t"].as_u64() >= second
+            });
+            taken.is_some()
+        })
+        .await;
+        assert_eq!(taken.expect("it was found")["listed"], 6);
+    });
+}
