--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -11,7 +11,7 @@
 use serde_json::{Value, json};
 use tamaracksail_adapter_standins::loopback::address;
 use tamaracksail_adapter_standins::{Client, Engine, Store, settings};
-use tamaracksail_model::batch::Listing;
+use tamaracksail_model::batch::{Ending, Listing};
 
 /// How long a condition may take before a test fails. Far beyond what any needs.
 const PATIENCE: Duration = Duration::from_mins(1);
@@ -246,3 +246,27 @@
     .await;
     results
 }
+
+/// Starts a platform with two engines, and gateways before it.
+pub async fn start(gateways: usize, events: u64, pace: Duration) -> (World, Vec<Gateway>) {
+    let world = World::start(2, events, pace).await;
+    let mut started = Vec::new();
+    for number in 0..gateways {
+        started.push(Gateway::start(&format!("front-{number}"), &world.store));
+    }
+    for gateway in &started {
+        gateway.ready().await;
+    }
+    (world, started)
+}
+
+/// Checks that the results are of these items, once each, and whole.
+pub fn check(world: &World, results: &[Listing], items: &[&str]) {
+    let mut found: Vec<&str> = results.iter().map(|r| r.item.as_str()).collect();
+    found.sort_unstable();
+    assert_eq!(found, items);
+    for result in results {
+        assert_eq!(result.ending, Ending::Completed, "{}", result.item);
+        assert_eq!(result.text, world.engines[0].text(&result.item));
+    }
+}
