Log and count what became of a server whose response broke off

Change: after a response breaks off, the gateway opens a connection to the server. A refused one means that the process has ended. The log line `response broke off` names the request, the server, its state and a fingerprint of the content, which is the same under any request id; the counter _broken_responses{server} counts the states. A request is sent again only after that check: one round trip where the server has ended, 20 ms more where it still listens, 100 ms at most. No decision uses the state yet.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -19,6 +19,8 @@
     pub latency: Histogram,
     /// Attempts of requests at backend servers, by outcome.
     pub sends: IntCounterVec,
+    /// Responses that broke off, by the state of the server afterwards.
+    pub broken_responses: IntCounterVec,
     /// Runs of items, by outcome.
     pub runs: IntCounterVec,
     /// The seconds that runs took that finished their item.
@@ -78,6 +80,11 @@
                 "Attempts of requests at backend servers.",
                 &["outcome"],
             ),
+            broken_responses: counter(
+                "broken_responses",
+                "Responses that broke off, by the state of the server afterwards.",
+                &["server"],
+            ),
             runs: counter("runs", "Runs of batch items on engines.", &["outcome"]),
             run_latency: histogram("run_seconds", "Duration of runs that finished their item."),
             batches: counter("batches", "Batches.", &["event"]),
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -8,7 +8,6 @@
 use http_body_util::Full;
 use hyper::Request;
 use hyper::StatusCode;
-use hyper::http::request::Parts;
 use hyper::http::response;
 use tamaracksail_adapter::backend::{RequestHeaders, ResponseHead};
 use tamaracksail_adapter::ingress;
@@ -17,6 +16,8 @@
 use tamaracksail_policy::fleet::{SendOutcome, ServerKey};
 use tamaracksail_process::trace::{Span, SpanKind};
 
+use super::breaks::Break;
+use super::content::Content;
 use crate::gateway::{Gateway, now};
 
 /// The time limit on connecting to a backend server. A healthy connect takes one round trip.
@@ -68,7 +69,8 @@
     }
 
     /// Sends the request and reads the response.
-    pub async fn run(self, head: &Parts, body: Bytes, id: &str, deadline: Instant) -> Outcome {
+    pub async fn run(self, content: &Content, id: &str, deadline: Instant) -> Outcome {
+        let Content { head, body } = content;
         let Some(registration) = self.gateway.fleet.borrow().registration(self.key).cloned() else {
             return Outcome::NotRun("the server is no longer registered".to_owned());
         };
@@ -90,7 +92,7 @@
         if let Err(error) = request_headers.write(&mut headers) {
             return Outcome::NotRun(error.to_string());
         }
-        let mut request = Request::new(Full::new(body));
+        let mut request = Request::new(Full::new(body.clone()));
         *request.method_mut() = head.method.clone();
         *request.uri_mut() = head.uri.clone();
         *request.headers_mut() = headers;
@@ -100,19 +102,26 @@
             .send(registration.address, request, CONNECT_TIMEOUT)
             .await;
         match response {
-            Ok(reply) => self.read_response(reply, id).await,
+            Ok(reply) => self.read_response(reply, content, id).await,
             Err(error) => {
                 self.record_outcome(SendOutcome::Failed);
                 if error.is_unsent() {
-                    Outcome::NotRun(error.to_string())
-                } else {
-                    Outcome::Failed(error.to_string())
+                    return Outcome::NotRun(error.to_string());
                 }
+                Break::new(&self.gateway, self.key, content, id)
+                    .record()
+                    .await;
+                Outcome::Failed(error.to_string())
             }
         }
     }
 
-    async fn read_response(self, mut reply: IncomingResponse, id: &str) -> Outcome {
+    async fn read_response(
+        self,
+        mut reply: IncomingResponse,
+        content: &Content,
+        id: &str,
+    ) -> Outcome {
         let response = ResponseHead::parse(&reply.head, (!id.is_empty()).then_some(id));
         if let Some(load) = response.load {
             let mut fleet = self.gateway.fleet.borrow_mut();
@@ -139,6 +148,10 @@
                 Ok(None) => break,
                 Err(error) => {
                     self.record_outcome(SendOutcome::Failed);
+                    drop(reply);
+                    Break::new(&self.gateway, self.key, content, id)
+                        .record()
+                        .await;
                     return Outcome::Failed(error.to_string());
                 }
             }
--- a/crates/gateway/src/request/forward.rs
+++ b/crates/gateway/src/request/forward.rs
@@ -8,7 +8,6 @@
 use bytes::Bytes;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
-use hyper::http::request::Parts;
 use hyper::{Response, StatusCode};
 use tamaracksail_adapter::ingress;
 use tamaracksail_model::route::{Kind, Route};
@@ -19,6 +18,8 @@
 use tokio::sync::mpsc;
 
 use super::attempt::{Attempt, Outcome};
+use super::breaks::Break;
+use super::content::Content;
 use super::response::{UNAVAILABLE_RETRY_AFTER, empty_response, retry_later};
 use super::streaming::{self, Stream};
 use crate::connection::Body;
@@ -43,8 +44,7 @@
     gateway: &'a Rc<Gateway>,
     route: &'a Route,
     service: &'a str,
-    head: &'a Parts,
-    body: Bytes,
+    content: &'a Content,
     id: &'a str,
     deadline: Instant,
     /// The servers of all attempts so far, in order.
@@ -57,8 +57,7 @@
 pub async fn forward(
     gateway: &Rc<Gateway>,
     route: &Route,
-    mut head: Parts,
-    body: Bytes,
+    mut content: Content,
     id: &str,
     arrival: Instant,
     deadline: Instant,
@@ -67,13 +66,12 @@
         log::warn!(request = id, route = route.name.as_str(), outcome = "not run"; "request refused, route has no target");
         return retry_later(UNAVAILABLE_RETRY_AFTER);
     };
-    let span = gateway.span("request", SpanKind::Server, &mut head.headers);
+    let span = gateway.span("request", SpanKind::Server, &mut content.head.headers);
     let forwarding = Forwarding {
         gateway,
         route,
         service: &target.service,
-        head: &head,
-        body,
+        content: &content,
         id,
         deadline,
         tried: Vec::new(),
@@ -130,7 +128,9 @@
                     Outcome::Streaming(_, reply) if self.is_resumable() => {
                         return streaming::relay(self.into_stream(), *reply);
                     }
-                    Outcome::Streaming(first, reply) => return relay_chunks(first, *reply),
+                    Outcome::Streaming(first, reply) => {
+                        return self.relay_chunks(key, first, *reply);
+                    }
                     Outcome::NotRun(problem) => self.log_failure(key, &problem),
                     Outcome::Failed(problem) => {
                         self.log_failure(key, &problem);
@@ -165,8 +165,7 @@
         Stream {
             gateway: Rc::clone(self.gateway),
             service: self.service.to_owned(),
-            head: self.head.clone(),
-            body: self.body,
+            content: self.content.clone(),
             id: self.id.to_owned(),
             deadline: self.deadline,
             attempts_left: (self.route.max_attempts as usize).saturating_sub(self.tried.len()),
@@ -206,9 +205,9 @@
         }
         self.tried.push(key);
         let attempt = Attempt::new(gateway, key, self.route.kind == Kind::Stream);
-        let (head, body, id, deadline) = (self.head, self.body.clone(), self.id, self.deadline);
+        let (content, id, deadline) = (self.content, self.id, self.deadline);
         Some(Box::pin(async move {
-            (key, attempt.run(head, body, id, deadline).await)
+            (key, attempt.run(content, id, deadline).await)
         }))
     }
 
@@ -254,6 +253,43 @@
             OVERLOAD_RETRY_AFTER
         })
     }
+
+    /// Relays a response to the client chunk by chunk, beginning with the bytes already read.
+    fn relay_chunks(
+        &self,
+        key: ServerKey,
+        first: Bytes,
+        mut reply: tamaracksail_http::IncomingResponse,
+    ) -> Response<Body> {
+        let (sender, chunks) = mpsc::channel(MAX_BUFFERED_CHUNKS);
+        let length = reply.length().map(|left| left + first.len() as u64);
+        let head = reply.head.clone();
+        let broken = Break::new(self.gateway, key, self.content, self.id);
+        actix_rt::spawn(async move {
+            if sender.send(Ok(first)).await.is_err() {
+                return;
+            }
+            loop {
+                let chunk = tokio::select! {
+                    chunk = reply.next() => chunk,
+                    () = sender.closed() => return,
+                };
+                let chunk = match chunk {
+                    Ok(None) => return,
+                    Ok(Some(chunk)) => Ok(chunk),
+                    Err(error) => Err(error),
+                };
+                let is_broken = chunk.is_err();
+                if sender.send(chunk).await.is_err() {
+                    return;
+                }
+                if is_broken {
+                    return broken.record().await;
+                }
+            }
+        });
+        client_response(head, Body::Chunks { chunks, length })
+    }
 }
 
 /// Returns a server's response as it goes to the client, without hop-by-hop headers.
@@ -265,30 +301,3 @@
     head.version = hyper::Version::HTTP_11;
     Response::from_parts(head, body)
 }
-
-/// Relays a response to the client chunk by chunk, beginning with the bytes already read.
-fn relay_chunks(first: Bytes, mut reply: tamaracksail_http::IncomingResponse) -> Response<Body> {
-    let (sender, chunks) = mpsc::channel(MAX_BUFFERED_CHUNKS);
-    let length = reply.length().map(|left| left + first.len() as u64);
-    let head = reply.head.clone();
-    actix_rt::spawn(async move {
-        if sender.send(Ok(first)).await.is_err() {
-            return;
-        }
-        loop {
-            let chunk = tokio::select! {
-                chunk = reply.next() => chunk,
-                () = sender.closed() => return,
-            };
-            let chunk = match chunk {
-                Ok(None) => return,
-                Ok(Some(chunk)) => Ok(chunk),
-                Err(error) => Err(error),
-            };
-            if sender.send(chunk).await.is_err() {
-                return;
-            }
-        }
-    });
-    client_response(head, Body::Chunks { chunks, length })
-}
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -1,7 +1,10 @@
 //! Handling of one request of a client.
 
 mod attempt;
+mod breaks;
+mod content;
 mod forward;
+mod liveness;
 mod response;
 mod streaming;
 
@@ -19,6 +22,7 @@
 use crate::batches;
 use crate::connection::Body;
 use crate::gateway::{Gateway, now};
+use content::Content;
 
 pub use response::{empty_response, response_with_body, retry_later};
 
@@ -114,7 +118,8 @@
     if is_batch {
         return batches::accept(gateway, route, &head, &id, body, deadline).await;
     }
-    forward::forward(gateway, route, head, body, &id, arrival, deadline).await
+    let content = Content { head, body };
+    forward::forward(gateway, route, content, &id, arrival, deadline).await
 }
 
 /// Reads a body of at most `max_bytes`.
--- a/crates/gateway/src/request/streaming.rs
+++ b/crates/gateway/src/request/streaming.rs
@@ -5,7 +5,6 @@
 
 use bytes::Bytes;
 use hyper::Response;
-use hyper::http::request::Parts;
 use tamaracksail_adapter::backend::RequestHeaders;
 use tamaracksail_adapter::event::Parser;
 use tamaracksail_http::{Error, IncomingResponse};
@@ -14,6 +13,8 @@
 use tokio::sync::mpsc;
 
 use super::attempt::{Attempt, Outcome};
+use super::breaks::Break;
+use super::content::Content;
 use super::forward::{MAX_BUFFERED_CHUNKS, client_response};
 use crate::connection::Body;
 use crate::gateway::{Gateway, now};
@@ -28,9 +29,7 @@
     /// The service whose servers can continue the stream.
     pub service: String,
     /// The client's request.
-    pub head: Parts,
-    /// The body of the client's request.
-    pub body: Bytes,
+    pub content: Content,
     /// The id of the client's request.
     pub id: String,
     /// When the client no longer waits.
@@ -84,6 +83,10 @@
             );
             // Closes the connection, so that the broken server doesn't run on beside the next.
             drop(reply);
+            if let Some(key) = self.tried.last() {
+                let broken = Break::new(&self.gateway, *key, &self.content, &self.id);
+                broken.record().await;
+            }
             let Some(next) = self.resume(last).await else {
                 log::warn!(request = self.id.as_str(), after = last; "stream abandoned");
                 // Breaks the client's connection, so that the response doesn't look complete. The
@@ -110,19 +113,17 @@
                 choose(&self.tried).or_else(|| choose(just_broken.as_slice()))?
             };
             self.tried.push(key);
-            let mut head = self.head.clone();
+            let mut content = self.content.clone();
             let request_headers = RequestHeaders {
                 last_event: last,
                 ..RequestHeaders::default()
             };
-            if let Err(error) = request_headers.write(&mut head.headers) {
+            if let Err(error) = request_headers.write(&mut content.head.headers) {
                 log::error!(request = self.id.as_str(), error:%; "stream not resumed");
                 return None;
             }
             let attempt = Attempt::new(&self.gateway, key, true);
-            let outcome = attempt
-                .run(&head, self.body.clone(), &self.id, self.deadline)
-                .await;
+            let outcome = attempt.run(&content, &self.id, self.deadline).await;
             match outcome {
                 Outcome::Streaming(_, reply) => {
                     log::info!(request = self.id.as_str(), after = last; "stream resumed");
--- a/crates/model/src/id.rs
+++ b/crates/model/src/id.rs
@@ -153,11 +153,27 @@
     }
 }
 
+/// The FNV-1a hash of no bytes.
+const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+
 /// Computes the FNV-1a hash of `content`, which is the same on every host.
 #[must_use]
 pub fn fingerprint(content: &[u8]) -> Fingerprint {
-    const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+    Fingerprint(fnv1a(FNV_OFFSET, content))
+}
+
+/// Computes the FNV-1a hash of a list of parts. The length of each part is hashed too, so lists that
+/// differ only in where a part ends have different fingerprints.
+#[must_use]
+pub fn fingerprint_of_parts(parts: &[&[u8]]) -> Fingerprint {
+    let hash = parts.iter().fold(FNV_OFFSET, |hash, part| {
+        fnv1a(fnv1a(hash, part), &part.len().to_le_bytes())
+    });
+    Fingerprint(hash)
+}
+
+fn fnv1a(hash: u64, content: &[u8]) -> u64 {
     const PRIME: u64 = 0x0100_0000_01b3;
     let fold = |hash: u64, byte: &u8| (hash ^ u64::from(*byte)).wrapping_mul(PRIME);
-    Fingerprint(content.iter().fold(OFFSET, fold))
+    content.iter().fold(hash, fold)
 }
