Keep content cleared that ran to its end, whatever peers report late

What callers saw: content that had run to its end could be refused again for ten minutes, when a peer's report of the crashes arrived after that. Cause: clearing removed the record, so a late report of the same crashes made it anew. Evidence: late_reports_do_not_make_content_suspect_again_that_ran_to_its_end; with the old clear() the verdict is Refused, where Unrestricted is expected. Change: a record keeps the crashes that were cleared and ignores reports of them. Crashes that come later count. The table also tells how many crashes a content has and how long it remains suspect. Why it works: reports name crashes, not counts, so those that were cleared can be told from new ones.

--- a/crates/policy/src/request/suspects.rs
+++ b/crates/policy/src/request/suspects.rs
@@ -27,10 +27,16 @@
     Refused,
 }
 
+/// The end of a server's process: the host, and the number of the crash in its agent's count. Where
+/// no agent runs, the server's instance id, and when its process started.
+type Crash = (id::Host, u64);
+
 #[derive(Clone, Debug)]
 struct SuspectRecord {
-    /// The crashes: the host, and the number of the crash in its agent's count.
-    crashes: BTreeSet<(id::Host, u64)>,
+    crashes: BTreeSet<Crash>,
+    /// Crashes that the content did not cause, since it ran to its end later. Late reports of them
+    /// are ignored.
+    cleared: BTreeSet<Crash>,
     /// Whether a server crashed while the content ran alone on it.
     alone: bool,
     expires: Instant,
@@ -45,12 +51,12 @@
 }
 
 impl SuspectTable {
-    /// Records a crash, given as a host and the number of its crash, with this content in flight.
+    /// Records a crash with this content in flight.
     pub fn record(
         &mut self,
         now: Instant,
         fingerprint: id::Fingerprint,
-        crash: (id::Host, u64),
+        crash: Crash,
         alone: bool,
     ) {
         let crashes = BTreeSet::from([crash]);
@@ -69,15 +75,28 @@
     pub fn merge(&mut self, now: Instant, suspect: &Suspect) {
         self.expire(now);
         let expires = now.after(suspect.valid.min(SUSPECT_LIFETIME));
+        let cleared = self.records.get(&suspect.fingerprint);
+        let is_cleared =
+            |crash: &Crash| cleared.is_some_and(|record| record.cleared.contains(crash));
+        let crashes: Vec<Crash> = suspect
+            .crashes
+            .iter()
+            .filter(|crash| !is_cleared(crash))
+            .cloned()
+            .collect();
+        if crashes.is_empty() {
+            return;
+        }
         let record = self
             .records
             .entry(suspect.fingerprint)
             .or_insert_with(|| SuspectRecord {
                 crashes: BTreeSet::new(),
+                cleared: BTreeSet::new(),
                 alone: false,
                 expires,
             });
-        record.crashes.extend(suspect.crashes.iter().cloned());
+        record.crashes.extend(crashes);
         record.alone |= suspect.alone;
         record.expires = record.expires.max(expires);
         if self.records.len() > MAX_SUSPECTS {
@@ -96,9 +115,34 @@
         }
     }
 
-    /// Removes content that ran alone to its end, and so did not cause the crashes.
+    /// Returns whether no content is suspect.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    /// Returns how many crashes had this content in flight.
+    #[must_use]
+    pub fn crash_count(&self, now: Instant, fingerprint: id::Fingerprint) -> usize {
+        let record = self.records.get(&fingerprint);
+        record
+            .filter(|record| record.expires > now)
+            .map_or(0, |record| record.crashes.len())
+    }
+
+    /// Returns how long the content remains suspect.
+    #[must_use]
+    pub fn validity(&self, now: Instant, fingerprint: id::Fingerprint) -> Duration {
+        let record = self.records.get(&fingerprint);
+        record.map_or(Duration::ZERO, |record| record.expires.since(now))
+    }
+
+    /// Ends the suspicion of content that ran to its end, and so did not cause the crashes.
     pub fn clear(&mut self, fingerprint: id::Fingerprint) {
-        self.records.remove(&fingerprint);
+        if let Some(record) = self.records.get_mut(&fingerprint) {
+            record.cleared.append(&mut record.crashes);
+            record.alone = false;
+        }
     }
 
     /// Returns the suspects that have not expired, to be sent to peers.
@@ -107,7 +151,7 @@
         let valid = self
             .records
             .iter()
-            .filter(|(_, record)| record.expires > now);
+            .filter(|(_, record)| record.expires > now && !record.crashes.is_empty());
         let suspects = valid.map(|(fingerprint, record)| Suspect {
             fingerprint: *fingerprint,
             crashes: record.crashes.clone(),
