Stop sending content under which servers end

Cause: gateways kept no record of the content under which a server ended. Each attempt of a client has a new id and began with an empty list of servers, on each gateway anew. policy::request::suspects, which recognises such content where agents run, was not used by the gateway. Change: a gateway records the content when a response broke off and the server's host refuses connections. After two servers the content runs alone, on the server that all gateways rank first for it, and only while half of the service's servers would remain; after an end while alone it is refused with status 503 and the time for which that lasts. A whole response at any server ends the suspicion. The table is one object a host in the store (kind suspects), written 0.1 s after a record unless the content completed meanwhile; all gateways watch the kind, so restarted ones know it too. Items of batches are not recorded. Suspect content is not hedged. Why it works: content, unlike ids, stays the same when a client comes back; a refused connection tells an end from an answer that was lost; and a sound request beside the one at fault completes when it runs elsewhere or alone, which is why the number of ends alone never refuses a request.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -18,6 +18,7 @@
 use crate::metrics::Metrics;
 use crate::options::Options;
 use crate::store::Availability;
+use crate::suspects::Suspects;
 
 /// The state of the process, shared by all tasks of its one thread.
 #[derive(Debug)]
@@ -40,6 +41,8 @@
     pub table: RefCell<Option<Rc<Table>>>,
     /// The backend servers.
     pub fleet: RefCell<Fleet>,
+    /// The contents of requests under which servers ended.
+    pub suspects: Suspects,
     /// Whether the list of backend servers has been read.
     pub has_server_list: Cell<bool>,
     /// Since when the process has been stopping; none while it isn't.
@@ -70,6 +73,7 @@
             settings: RefCell::new(settings),
             table: RefCell::new(None),
             fleet: RefCell::new(Fleet::default()),
+            suspects: Suspects::default(),
             has_server_list: Cell::new(false),
             stopping_since: Cell::new(None),
             active_requests: Cell::new(0),
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -14,6 +14,7 @@
 mod request;
 mod stop;
 mod store;
+mod suspects;
 mod version;
 
 use std::rc::Rc;
@@ -47,6 +48,7 @@
             }
         }
         version::watch_all(&gateway);
+        suspects::share(&gateway);
         batches::start(&gateway);
         stop::serve_until_stopped(&gateway).await;
         if let Some(tracer) = &gateway.tracer {
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -18,6 +18,7 @@
 
 use super::breaks::Break;
 use super::content::Content;
+use super::trial::Trial;
 use crate::gateway::{Gateway, now};
 
 /// The time limit on connecting to a backend server. A healthy connect takes one round trip.
@@ -33,9 +34,9 @@
 pub enum Outcome {
     /// The server responded, and its body is complete.
     Complete(response::Parts, Bytes),
-    /// The server responded with a stream or a large body; these are the bytes read so far and the
-    /// rest of the response.
-    Streaming(Bytes, Box<IncomingResponse>),
+    /// The server responded with a stream or a large body; these are the bytes read so far, the rest
+    /// of the response, and the trial if the request runs alone.
+    Streaming(Bytes, Box<IncomingResponse>, Option<Trial>),
     /// The server did not execute the request, for the given reason.
     NotRun(String),
     /// The server may have executed the request, but there is no usable response, for the given
@@ -46,11 +47,15 @@
 /// An attempt in progress. Dropping it closes its connection and records it as abandoned.
 pub struct Attempt {
     gateway: Rc<Gateway>,
-    key: ServerKey,
+    /// The server.
+    pub key: ServerKey,
     /// Whether a successful response is relayed as it arrives.
     is_stream: bool,
     start: Instant,
     is_recorded: Cell<bool>,
+    /// Set if the request runs alone.
+    trial: Cell<Option<Trial>>,
+    is_alone: bool,
     span: Cell<Option<Span>>,
 }
 
@@ -64,13 +69,23 @@
             is_stream,
             start: now(),
             is_recorded: Cell::new(false),
+            trial: Cell::new(None),
+            is_alone: false,
             span: Cell::new(None),
         }
     }
 
+    /// Records a new attempt that runs alone.
+    pub fn alone(gateway: &Rc<Gateway>, trial: Trial, is_stream: bool) -> Self {
+        let mut attempt = Self::new(gateway, trial.key, is_stream);
+        attempt.trial = Cell::new(Some(trial));
+        attempt.is_alone = true;
+        attempt
+    }
+
     /// Sends the request and reads the response.
     pub async fn run(self, content: &Content, id: &str, deadline: Instant) -> Outcome {
-        let Content { head, body } = content;
+        let Content { head, body, .. } = content;
         let Some(registration) = self.gateway.fleet.borrow().registration(self.key).cloned() else {
             return Outcome::NotRun("the server is no longer registered".to_owned());
         };
@@ -108,9 +123,7 @@
                 if error.is_unsent() {
                     return Outcome::NotRun(error.to_string());
                 }
-                Break::new(&self.gateway, self.key, content, id)
-                    .record()
-                    .await;
+                self.record_break(content, id).await;
                 Outcome::Failed(error.to_string())
             }
         }
@@ -139,7 +152,7 @@
         }
         if self.is_stream && code.is_success() {
             self.record_outcome(SendOutcome::Responded(now().since(self.start)));
-            return Outcome::Streaming(Bytes::new(), Box::new(reply));
+            return Outcome::Streaming(Bytes::new(), Box::new(reply), self.trial.take());
         }
         let mut body = Vec::new();
         loop {
@@ -149,15 +162,13 @@
                 Err(error) => {
                     self.record_outcome(SendOutcome::Failed);
                     drop(reply);
-                    Break::new(&self.gateway, self.key, content, id)
-                        .record()
-                        .await;
+                    self.record_break(content, id).await;
                     return Outcome::Failed(error.to_string());
                 }
             }
             if body.len() > MAX_BUFFERED_BYTES {
                 self.record_outcome(SendOutcome::Responded(now().since(self.start)));
-                return Outcome::Streaming(body.into(), Box::new(reply));
+                return Outcome::Streaming(body.into(), Box::new(reply), self.trial.take());
             }
         }
         let head = reply.head.clone();
@@ -166,6 +177,8 @@
             self.record_outcome(SendOutcome::Refused);
             return Outcome::NotRun(format!("status {code}, not run"));
         }
+        let suspects = &self.gateway.suspects;
+        suspects.record_response(|| content.fingerprint());
         self.record_outcome(if code == StatusCode::INTERNAL_SERVER_ERROR {
             SendOutcome::Failed
         } else {
@@ -174,6 +187,11 @@
         Outcome::Complete(head, body.into())
     }
 
+    async fn record_break(&self, content: &Content, id: &str) {
+        let broken = Break::new(&self.gateway, self.key, content, id, self.is_alone);
+        broken.record().await;
+    }
+
     /// Records the outcome in the fleet and ends the span. Only the first call has an effect.
     fn record_outcome(&self, report: SendOutcome) {
         if !self.is_recorded.replace(true) {
--- a/crates/gateway/src/request/breaks.rs
+++ b/crates/gateway/src/request/breaks.rs
@@ -6,8 +6,8 @@
 use tamaracksail_policy::fleet::ServerKey;
 
 use super::content::Content;
-use super::liveness;
-use crate::gateway::Gateway;
+use super::liveness::{self, Liveness};
+use crate::gateway::{Gateway, now};
 
 /// A response that broke off, and the request and server that it concerns.
 pub struct Break {
@@ -16,25 +16,35 @@
     registration: Option<Registration>,
     content: Content,
     id: String,
+    /// Whether the request ran alone on the server.
+    is_alone: bool,
 }
 
 impl Break {
     /// Describes a break of the response to the request `id`.
-    pub fn new(gateway: &Rc<Gateway>, key: ServerKey, content: &Content, id: &str) -> Self {
+    pub fn new(
+        gateway: &Rc<Gateway>,
+        key: ServerKey,
+        content: &Content,
+        id: &str,
+        is_alone: bool,
+    ) -> Self {
         Self {
             gateway: Rc::clone(gateway),
             registration: gateway.fleet.borrow().registration(key).cloned(),
             content: content.clone(),
             id: id.to_owned(),
+            is_alone,
         }
     }
 
-    /// Checks whether the server has ended, and logs and counts the result.
+    /// Checks whether the server has ended, and records it if so.
     pub async fn record(self) {
         let Some(registration) = self.registration else {
             return;
         };
-        let state = liveness::check(registration.address).await.as_str();
+        let liveness = liveness::check(registration.address).await;
+        let state = liveness.as_str();
         self.gateway
             .metrics
             .broken_responses
@@ -45,5 +55,14 @@
             content:% = self.content.fingerprint();
             "response broke off"
         );
+        if liveness == Liveness::Ended {
+            let fingerprint = self.content.fingerprint();
+            let suspects = &self.gateway.suspects;
+            let ends = suspects.record_end(now(), fingerprint, &registration, self.is_alone);
+            log::info!(
+                request = self.id.as_str(), content:% = fingerprint, ends, is_alone = self.is_alone;
+                "content suspected of ending servers"
+            );
+        }
     }
 }
--- a/crates/gateway/src/request/content.rs
+++ b/crates/gateway/src/request/content.rs
@@ -1,5 +1,7 @@
 //! The content of a request, by which it is recognised when a client sends it again under a new id.
 
+use std::cell::OnceCell;
+
 use bytes::Bytes;
 use hyper::header::{AUTHORIZATION, HOST};
 use hyper::http::request::Parts;
@@ -12,25 +14,33 @@
     pub head: Parts,
     /// The request's body.
     pub body: Bytes,
+    fingerprint: OnceCell<Fingerprint>,
 }
 
 impl Content {
+    /// Returns the content of a request.
+    pub fn new(head: Parts, body: Bytes) -> Self {
+        Self {
+            head,
+            body,
+            fingerprint: OnceCell::new(),
+        }
+    }
+
     /// Returns the fingerprint of the method, the host, the path and query, the caller's credentials
-    /// and the body.
+    /// and the body. Computed once.
     pub fn fingerprint(&self) -> Fingerprint {
-        let header = |name| {
-            self.head
-                .headers
-                .get(name)
-                .map_or(&[][..], |value| value.as_bytes())
-        };
-        let target = self.head.uri.path_and_query();
-        fingerprint_of_parts(&[
-            self.head.method.as_str().as_bytes(),
-            header(HOST),
-            target.map_or("", |target| target.as_str()).as_bytes(),
-            header(AUTHORIZATION),
-            &self.body,
-        ])
+        *self.fingerprint.get_or_init(|| {
+            let headers = &self.head.headers;
+            let header = |name| headers.get(name).map_or(&[][..], |value| value.as_bytes());
+            let target = self.head.uri.path_and_query();
+            fingerprint_of_parts(&[
+                self.head.method.as_str().as_bytes(),
+                header(HOST),
+                target.map_or("", |target| target.as_str()).as_bytes(),
+                header(AUTHORIZATION),
+                &self.body,
+            ])
+        })
     }
 }
--- a/crates/gateway/src/request/forward.rs
+++ b/crates/gateway/src/request/forward.rs
@@ -14,6 +14,7 @@
 use tamaracksail_model::table::draw_target;
 use tamaracksail_model::time::Instant;
 use tamaracksail_policy::fleet::ServerKey;
+use tamaracksail_policy::request::suspects::Verdict;
 use tamaracksail_process::trace::SpanKind;
 use tokio::sync::mpsc;
 
@@ -22,6 +23,7 @@
 use super::content::Content;
 use super::response::{UNAVAILABLE_RETRY_AFTER, empty_response, retry_later};
 use super::streaming::{self, Stream};
+use super::trial::Trial;
 use crate::connection::Body;
 use crate::gateway::{Gateway, now};
 
@@ -107,12 +109,15 @@
         let mut last_failure = None;
         loop {
             if pending.is_empty() {
-                match self.next_attempt() {
+                match self.next_attempt().await {
                     Some(next) => pending.push(next),
                     None => return self.give_up(last_failure),
                 }
             }
-            let may_hedge = self.may_repeat() && pending.len() == 1 && now() < self.deadline;
+            let may_hedge = self.may_repeat()
+                && pending.len() == 1
+                && now() < self.deadline
+                && !self.is_suspect();
             tokio::select! {
                 Some((key, outcome)) = pending.next() => match self.count_outcome(outcome) {
                     Outcome::Complete(head, body) => {
@@ -125,11 +130,11 @@
                         }
                         return client_response(head, Body::full(body));
                     }
-                    Outcome::Streaming(_, reply) if self.is_resumable() => {
-                        return streaming::relay(self.into_stream(), *reply);
+                    Outcome::Streaming(_, reply, trial) if self.is_resumable() => {
+                        return streaming::relay(self.into_stream(trial), *reply);
                     }
-                    Outcome::Streaming(first, reply) => {
-                        return self.relay_chunks(key, first, *reply);
+                    Outcome::Streaming(first, reply, trial) => {
+                        return self.relay_chunks(key, first, *reply, trial);
                     }
                     Outcome::NotRun(problem) => self.log_failure(key, &problem),
                     Outcome::Failed(problem) => {
@@ -141,7 +146,7 @@
                     }
                 },
                 () = tokio::time::sleep(hedge_at.since(now())), if may_hedge && self.tried.len() == 1 => {
-                    if let Some(next) = self.next_attempt() {
+                    if let Some(next) = self.next_shared_attempt() {
                         log::info!(request = self.id; "request hedged to a second server");
                         pending.push(next);
                     }
@@ -161,11 +166,12 @@
     }
 
     /// Hands the request over to the relay of a resumable stream.
-    fn into_stream(self) -> Stream {
+    fn into_stream(self, trial: Option<Trial>) -> Stream {
         Stream {
             gateway: Rc::clone(self.gateway),
             service: self.service.to_owned(),
             content: self.content.clone(),
+            trial,
             id: self.id.to_owned(),
             deadline: self.deadline,
             attempts_left: (self.route.max_attempts as usize).saturating_sub(self.tried.len()),
@@ -182,9 +188,38 @@
         self.tried.len() < self.route.max_attempts.max(1) as usize
     }
 
+    /// Whether a server has ended under a request with this content.
+    fn is_suspect(&self) -> bool {
+        let suspects = &self.gateway.suspects;
+        suspects.is_suspect(now(), || self.content.fingerprint())
+    }
+
+    fn verdict(&self) -> Verdict {
+        let suspects = &self.gateway.suspects;
+        suspects.verdict(now(), || self.content.fingerprint())
+    }
+
+    /// Starts an attempt. Returns none if there is no server, no attempt is left, the deadline has
+    /// passed, or the request may not run since servers ended under its content.
+    async fn next_attempt(&mut self) -> Option<PendingAttempt<'a>> {
+        if !self.has_attempts() || now() >= self.deadline {
+            return None;
+        }
+        match self.verdict() {
+            Verdict::Unrestricted => return self.next_shared_attempt(),
+            Verdict::Refused => return None,
+            Verdict::Alone => {}
+        }
+        let (gateway, tried) = (self.gateway, &self.tried);
+        let trial = Trial::start(gateway, self.service, self.content, tried, self.deadline).await?;
+        self.tried.push(trial.key);
+        let is_stream = self.route.kind == Kind::Stream;
+        Some(self.send(Attempt::alone(gateway, trial, is_stream)))
+    }
+
     /// Starts an attempt at the best server, preferring servers not tried yet. Returns none if there
     /// is no server, no attempt is left or the deadline has passed.
-    fn next_attempt(&mut self) -> Option<PendingAttempt<'a>> {
+    fn next_shared_attempt(&mut self) -> Option<PendingAttempt<'a>> {
         let at = now();
         if !self.has_attempts() || at >= self.deadline {
             return None;
@@ -197,18 +232,20 @@
                 |except: &[ServerKey]| fleet.choose(at, self.service, &settings.domain, except);
             choose(&self.tried).or_else(|| choose(&[]))?
         };
-        if let Some(registration) = gateway.fleet.borrow().registration(key) {
+        self.tried.push(key);
+        Some(self.send(Attempt::new(gateway, key, self.route.kind == Kind::Stream)))
+    }
+
+    fn send(&self, attempt: Attempt) -> PendingAttempt<'a> {
+        let key = attempt.key;
+        if let Some(registration) = self.gateway.fleet.borrow().registration(key) {
             log::debug!(
-                request = self.id, server = registration.instance.as_str(), attempt = self.tried.len() + 1;
+                request = self.id, server = registration.instance.as_str(), attempt = self.tried.len();
                 "sent"
             );
         }
-        self.tried.push(key);
-        let attempt = Attempt::new(gateway, key, self.route.kind == Kind::Stream);
         let (content, id, deadline) = (self.content, self.id, self.deadline);
-        Some(Box::pin(async move {
-            (key, attempt.run(content, id, deadline).await)
-        }))
+        Box::pin(async move { (key, attempt.run(content, id, deadline).await) })
     }
 
     fn count_outcome(&self, outcome: Outcome) -> Outcome {
@@ -243,6 +280,15 @@
         if self.may_have_run {
             return empty_response(StatusCode::BAD_GATEWAY);
         }
+        if self.verdict() == Verdict::Refused {
+            let fingerprint = self.content.fingerprint();
+            let validity = self.gateway.suspects.validity(now(), fingerprint);
+            log::info!(
+                request = self.id, content:% = fingerprint, retry_after_s = validity.as_secs(),
+                outcome = "not run"; "refused, servers ended under this content"
+            );
+            return retry_later(validity);
+        }
         log::info!(
             request = self.id, service = self.service, sends = self.tried.len(),
             outcome = "not run"; "refused"
@@ -260,12 +306,16 @@
         key: ServerKey,
         first: Bytes,
         mut reply: tamaracksail_http::IncomingResponse,
+        trial: Option<Trial>,
     ) -> Response<Body> {
         let (sender, chunks) = mpsc::channel(MAX_BUFFERED_CHUNKS);
         let length = reply.length().map(|left| left + first.len() as u64);
         let head = reply.head.clone();
-        let broken = Break::new(self.gateway, key, self.content, self.id);
+        let gateway = Rc::clone(self.gateway);
+        let content = self.content.clone();
+        let broken = Break::new(&gateway, key, &content, self.id, trial.is_some());
         actix_rt::spawn(async move {
+            let _trial = trial;
             if sender.send(Ok(first)).await.is_err() {
                 return;
             }
@@ -275,7 +325,10 @@
                     () = sender.closed() => return,
                 };
                 let chunk = match chunk {
-                    Ok(None) => return,
+                    Ok(None) => {
+                        gateway.suspects.record_response(|| content.fingerprint());
+                        return;
+                    }
                     Ok(Some(chunk)) => Ok(chunk),
                     Err(error) => Err(error),
                 };
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -7,6 +7,7 @@
 mod liveness;
 mod response;
 mod streaming;
+mod trial;
 
 use std::convert::Infallible;
 use std::rc::Rc;
@@ -118,7 +119,7 @@
     if is_batch {
         return batches::accept(gateway, route, &head, &id, body, deadline).await;
     }
-    let content = Content { head, body };
+    let content = Content::new(head, body);
     forward::forward(gateway, route, content, &id, arrival, deadline).await
 }
 
--- a/crates/gateway/src/request/streaming.rs
+++ b/crates/gateway/src/request/streaming.rs
@@ -10,12 +10,14 @@
 use tamaracksail_http::{Error, IncomingResponse};
 use tamaracksail_model::time::Instant;
 use tamaracksail_policy::fleet::ServerKey;
+use tamaracksail_policy::request::suspects::Verdict;
 use tokio::sync::mpsc;
 
 use super::attempt::{Attempt, Outcome};
 use super::breaks::Break;
 use super::content::Content;
 use super::forward::{MAX_BUFFERED_CHUNKS, client_response};
+use super::trial::Trial;
 use crate::connection::Body;
 use crate::gateway::{Gateway, now};
 
@@ -30,6 +32,8 @@
     pub service: String,
     /// The client's request.
     pub content: Content,
+    /// Set while the request runs alone.
+    pub trial: Option<Trial>,
     /// The id of the client's request.
     pub id: String,
     /// When the client no longer waits.
@@ -72,6 +76,8 @@
         loop {
             let problem = match relay_events(&mut reply, &client, &mut last).await {
                 Ok(()) => {
+                    let suspects = &self.gateway.suspects;
+                    suspects.record_response(|| self.content.fingerprint());
                     reply.release(&self.gateway.http);
                     return;
                 }
@@ -84,7 +90,8 @@
             // Closes the connection, so that the broken server doesn't run on beside the next.
             drop(reply);
             if let Some(key) = self.tried.last() {
-                let broken = Break::new(&self.gateway, *key, &self.content, &self.id);
+                let is_alone = self.trial.is_some();
+                let broken = Break::new(&self.gateway, *key, &self.content, &self.id, is_alone);
                 broken.record().await;
             }
             let Some(next) = self.resume(last).await else {
@@ -102,17 +109,9 @@
     async fn resume(&mut self, last: Option<u64>) -> Option<IncomingResponse> {
         while self.attempts_left > 0 && now() < self.deadline {
             self.attempts_left -= 1;
-            let key = {
-                let settings = self.gateway.settings.borrow();
-                let fleet = self.gateway.fleet.borrow();
-                let choose = |except: &[ServerKey]| {
-                    fleet.choose(now(), &self.service, &settings.domain, except)
-                };
-                // With every server tried, any but the one that broke off just now will do.
-                let just_broken = self.tried.last().copied();
-                choose(&self.tried).or_else(|| choose(just_broken.as_slice()))?
-            };
-            self.tried.push(key);
+            self.trial = None;
+            let attempt = self.next_attempt().await?;
+            self.tried.push(attempt.key);
             let mut content = self.content.clone();
             let request_headers = RequestHeaders {
                 last_event: last,
@@ -122,10 +121,10 @@
                 log::error!(request = self.id.as_str(), error:%; "stream not resumed");
                 return None;
             }
-            let attempt = Attempt::new(&self.gateway, key, true);
             let outcome = attempt.run(&content, &self.id, self.deadline).await;
             match outcome {
-                Outcome::Streaming(_, reply) => {
+                Outcome::Streaming(_, reply, trial) => {
+                    self.trial = trial;
                     log::info!(request = self.id.as_str(), after = last; "stream resumed");
                     return Some(*reply);
                 }
@@ -142,6 +141,34 @@
         }
         None
     }
+
+    /// Returns an attempt at another server. Returns none if there is no server, or if the request may
+    /// not run since servers ended under its content.
+    async fn next_attempt(&self) -> Option<Attempt> {
+        let (gateway, tried) = (&self.gateway, &self.tried);
+        match gateway
+            .suspects
+            .verdict(now(), || self.content.fingerprint())
+        {
+            Verdict::Unrestricted => {}
+            Verdict::Refused => return None,
+            Verdict::Alone => {
+                let (service, content) = (&self.service, &self.content);
+                let trial = Trial::start(gateway, service, content, tried, self.deadline).await?;
+                return Some(Attempt::alone(gateway, trial, true));
+            }
+        }
+        let key = {
+            let settings = gateway.settings.borrow();
+            let fleet = gateway.fleet.borrow();
+            let choose =
+                |except: &[ServerKey]| fleet.choose(now(), &self.service, &settings.domain, except);
+            // With every server tried, any but the one that broke off just now will do.
+            let just_broken = tried.last().copied();
+            choose(tried).or_else(|| choose(just_broken.as_slice()))?
+        };
+        Some(Attempt::new(gateway, key, true))
+    }
 }
 
 /// Relays complete events until the end of the response, keeping the last event's id in `last`.
--- /dev/null
+++ b/crates/gateway/src/request/trial.rs
@@ -0,0 +1,84 @@
+//! Requests that run alone on a server, since servers have ended under their content.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use tamaracksail_model::time::Instant;
+use tamaracksail_policy::fleet::ServerKey;
+use tamaracksail_policy::request::suspects::Verdict;
+
+use super::content::Content;
+use crate::gateway::{Gateway, now};
+
+/// How long a request waits for a server that may run it alone. Servers back off for half a second
+/// after the first failure.
+const MAX_WAIT: Duration = Duration::from_millis(700);
+
+/// The time between two checks of whether a server may run the request.
+const POLL_INTERVAL: Duration = Duration::from_millis(10);
+
+/// The use of a server for a request that runs alone. Other requests of this gateway prefer other
+/// servers until it is dropped.
+#[derive(Debug)]
+pub struct Trial {
+    gateway: Rc<Gateway>,
+    /// The server.
+    pub key: ServerKey,
+}
+
+impl Trial {
+    /// Waits for a server of `service`, not in `tried` if there is another, that has no request of
+    /// this gateway in flight. Returns `None` if there is none in time, or if the content is refused
+    /// meanwhile.
+    pub async fn start(
+        gateway: &Rc<Gateway>,
+        service: &str,
+        content: &Content,
+        tried: &[ServerKey],
+        deadline: Instant,
+    ) -> Option<Self> {
+        let limit = now().after(MAX_WAIT).min(deadline);
+        let mut trial: Option<Self> = None;
+        loop {
+            let fingerprint = || content.fingerprint();
+            if gateway.suspects.verdict(now(), fingerprint) == Verdict::Refused {
+                return None;
+            }
+            trial = trial.or_else(|| Self::choose(gateway, service, content, tried));
+            let is_idle = |trial: &mut Self| gateway.fleet.borrow().is_idle(trial.key);
+            if let Some(trial) = trial.take_if(is_idle) {
+                return Some(trial);
+            }
+            if now() >= limit {
+                return None;
+            }
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+    }
+
+    fn choose(
+        gateway: &Rc<Gateway>,
+        service: &str,
+        content: &Content,
+        tried: &[ServerKey],
+    ) -> Option<Self> {
+        let fingerprint = content.fingerprint();
+        let key = {
+            let fleet = gateway.fleet.borrow();
+            let choose =
+                |except: &[ServerKey]| fleet.choose_alone(now(), service, fingerprint, except);
+            choose(tried).or_else(|| choose(&[]))?
+        };
+        gateway.fleet.borrow_mut().begin_trial(key);
+        Some(Self {
+            gateway: Rc::clone(gateway),
+            key,
+        })
+    }
+}
+
+impl Drop for Trial {
+    fn drop(&mut self) {
+        self.gateway.fleet.borrow_mut().end_trial(self.key);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/suspects/publication.rs
@@ -0,0 +1,82 @@
+//! The object in which a gateway publishes the contents that it suspects.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use serde_with::{DisplayFromStr, DurationMilliSeconds};
+use tamaracksail_model::id::{Fingerprint, Host};
+use tamaracksail_model::plain;
+use tamaracksail_wire::Suspect;
+
+/// The kind of these objects. Each has the name of the gateway's host.
+pub const KIND: &str = "suspects";
+
+/// The number of contents in one object, which keeps it far below the store's limit.
+const MAX_CONTENTS: usize = 256;
+
+plain! {
+    /// The contents that one gateway suspects.
+    pub struct Publication {
+        /// When it was written, in milliseconds since the Unix epoch.
+        pub written_at_ms: u64,
+        contents: Vec<Content>,
+    }
+}
+
+plain! {
+    /// A content under which servers ended.
+    #[serde_as]
+    struct Content {
+        /// The fingerprint, as text since it exceeds the integers that JSON numbers hold exactly.
+        #[serde_as(as = "DisplayFromStr")]
+        fingerprint: u64,
+        /// The servers that ended, by instance id, and when their processes had started, in
+        /// milliseconds since the Unix epoch.
+        servers: BTreeMap<String, u64>,
+        /// Whether one of them ran no other request of its gateway.
+        is_alone: bool,
+        /// How long the suspicion is valid after the object was written.
+        #[serde_as(as = "DurationMilliSeconds<u64>")]
+        valid_ms: Duration,
+    }
+}
+
+impl Publication {
+    /// Returns an object with the suspects that remain valid for longest.
+    pub fn new(written_at_ms: u64, mut suspects: Vec<Suspect>) -> Self {
+        suspects.sort_by_key(|suspect| std::cmp::Reverse(suspect.valid));
+        suspects.truncate(MAX_CONTENTS);
+        let contents = suspects.into_iter().map(|suspect| Content {
+            fingerprint: suspect.fingerprint.0,
+            servers: suspect
+                .crashes
+                .into_iter()
+                .map(|(server, started_at)| (server.0, started_at))
+                .collect(),
+            is_alone: suspect.alone,
+            valid_ms: suspect.valid,
+        });
+        Self {
+            written_at_ms,
+            contents: contents.collect(),
+        }
+    }
+
+    /// Returns the suspects that are still valid at `unix_ms`, in milliseconds since the Unix epoch.
+    pub fn suspects(self, unix_ms: u64) -> impl Iterator<Item = Suspect> {
+        let age = Duration::from_millis(unix_ms.saturating_sub(self.written_at_ms));
+        self.contents.into_iter().filter_map(move |content| {
+            let valid = content.valid_ms.checked_sub(age)?;
+            Some(Suspect {
+                fingerprint: Fingerprint(content.fingerprint),
+                crashes: content
+                    .servers
+                    .into_iter()
+                    .map(|(server, started_at)| (Host(server), started_at))
+                    .collect(),
+                alone: content.is_alone,
+                valid,
+            })
+        })
+    }
+}
--- a/crates/gateway/tests/crashing_requests.rs
+++ b/crates/gateway/tests/crashing_requests.rs
@@ -158,3 +158,47 @@
         crashing.check_later_sends().await;
     });
 }
+
+#[test]
+fn sound_requests_in_flight_beside_one_that_ends_servers_are_not_refused() {
+    run(async {
+        let mut crashing = Crashing::start("pool", "/stream/x").await;
+        let mut sound = Vec::new();
+        for number in 0..6 {
+            let client = crashing.gateways[number % crashing.gateways.len()].client();
+            sound.push(tokio::task::spawn_local(async move {
+                let mut served: u32 = 0;
+                for round in 0..60 {
+                    let id = format!("sound-{number}-{round}");
+                    let headers = [(names::REQUEST_ID, id.as_str()), ("x-item", "1")];
+                    let body = Bytes::from(format!("sound {number}"));
+                    let response = client.send(Method::POST, "/stream/x", &headers, body).await;
+                    // A stream that breaks off three times has used up its attempts.
+                    if let Ok(response) = response {
+                        assert_eq!(response.status, 200, "{id}");
+                        served += 1;
+                    }
+                    tokio::time::sleep(Duration::from_millis(20)).await;
+                }
+                served
+            }));
+        }
+        for _ in 0..20 {
+            crashing.send(FATAL).await;
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+        for client in sound {
+            let served = client.await.expect("the client ends");
+            assert!(served > 0);
+        }
+        for gateway in &crashing.gateways {
+            let refused = gateway.log_lines("refused, servers ended under this content");
+            let is_sound = |line: &serde_json::Value| {
+                line["request"]
+                    .as_str()
+                    .is_none_or(|id| id.starts_with("sound"))
+            };
+            assert!(!refused.iter().any(is_sound), "{refused:?}");
+        }
+    });
+}
--- a/crates/policy/src/connection/choice.rs
+++ b/crates/policy/src/connection/choice.rs
@@ -146,10 +146,11 @@
     candidates.len() - 1
 }
 
-/// Returns the rank of `host` for `prefix` by rendezvous hashing, which is never zero.
+/// Returns the rank of a server, named by its host or instance id, for `prefix` by rendezvous hashing.
+/// It is never zero.
 #[must_use]
-pub fn affinity(prefix: id::Fingerprint, host: &id::Host) -> u64 {
+pub fn affinity(prefix: id::Fingerprint, server: &str) -> u64 {
     let mut content = prefix.0.to_le_bytes().to_vec();
-    content.extend_from_slice(host.as_str().as_bytes());
+    content.extend_from_slice(server.as_bytes());
     id::fingerprint(&content).0 | 1
 }
--- a/crates/policy/src/entry/route.rs
+++ b/crates/policy/src/entry/route.rs
@@ -73,7 +73,8 @@
                     load: view.estimated_load(now),
                     slots: f64::from(view.load(now).map_or(1, |load| load.limit)),
                     is_remote: view.domain != *own_domain,
-                    affinity: prefix.map_or(0, |prefix| choice::affinity(prefix, &view.host)),
+                    affinity: prefix
+                        .map_or(0, |prefix| choice::affinity(prefix, view.host.as_str())),
                 };
                 (server, candidate)
             })
@@ -83,7 +84,7 @@
             // All entries choose the same server, whose agent refuses the content after one crash.
             let rank = |server: &ServerKey| {
                 let view = self.servers.get(*server);
-                view.map(|view| choice::affinity(fingerprint, &view.host))
+                view.map(|view| choice::affinity(fingerprint, view.host.as_str()))
             };
             return candidates.0.into_iter().max_by_key(rank);
         }
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -5,8 +5,11 @@
 
 use slotmap::SlotMap;
 use tamaracksail_model::backend::{Registration, State};
+use tamaracksail_model::id;
 use tamaracksail_model::time::Instant;
 
+use crate::connection::choice;
+
 slotmap::new_key_type! {
     /// A backend server, from its start to its end. A server that restarts gets a new key.
     pub struct ServerKey;
@@ -57,6 +60,8 @@
     backoff_until: Instant,
     /// Consecutive back-offs.
     failures: u32,
+    /// Requests that run alone on the server, or wait to do so.
+    trials: u32,
 }
 
 impl Server {
@@ -68,6 +73,7 @@
             load: None,
             backoff_until: Instant(0),
             failures: 0,
+            trials: 0,
         }
     }
 
@@ -134,7 +140,8 @@
     }
 
     /// Returns the ready server of `service` that is expected to respond first to a caller in
-    /// `domain`, leaving out those in `except`. Servers that back off after a failure come last.
+    /// `domain`, leaving out those in `except`. Servers that back off after a failure come last, and
+    /// before them those on which a request runs alone.
     /// Returns `None` if no such server is ready.
     #[must_use]
     pub fn choose(
@@ -152,15 +159,65 @@
                     && !except.contains(key)
             })
             .min_by(|(_, a), (_, b)| {
-                let is_backing_off = |server: &Server| now < server.backoff_until;
+                let rank = |server: &Server| (server.is_backing_off(now), server.trials > 0);
                 let latency = |server: &Server| server.expected_latency(now, domain);
-                is_backing_off(a)
-                    .cmp(&is_backing_off(b))
+                rank(a)
+                    .cmp(&rank(b))
                     .then(latency(a).total_cmp(&latency(b)))
             })
             .map(|(key, _)| key)
     }
 
+    /// Returns the server of `service` on which to run a request with this content alone, leaving
+    /// out those in `except`. All gateways choose the same server if they know of the same servers.
+    ///
+    /// Returns `None` if no such server is ready, or if less than half of the service's servers would
+    /// be left should this one end.
+    #[must_use]
+    pub fn choose_alone(
+        &self,
+        now: Instant,
+        service: &str,
+        fingerprint: id::Fingerprint,
+        except: &[ServerKey],
+    ) -> Option<ServerKey> {
+        let ready = || {
+            self.servers.iter().filter(|(_, server)| {
+                server.registration.service == service && server.registration.state == State::Ready
+            })
+        };
+        let running = || ready().filter(|(_, server)| !server.is_backing_off(now));
+        if running().count() < ready().count() / 2 + 1 {
+            return None;
+        }
+        running()
+            .filter(|(key, _)| !except.contains(key))
+            .max_by_key(|(_, server)| choice::affinity(fingerprint, &server.registration.instance))
+            .map(|(key, _)| key)
+    }
+
+    /// Makes other requests prefer other servers, until [`Self::end_trial`].
+    pub fn begin_trial(&mut self, key: ServerKey) {
+        if let Some(server) = self.servers.get_mut(key) {
+            server.trials += 1;
+        }
+    }
+
+    /// Ends the effect of [`Self::begin_trial`].
+    pub fn end_trial(&mut self, key: ServerKey) {
+        if let Some(server) = self.servers.get_mut(key) {
+            server.trials = server.trials.saturating_sub(1);
+        }
+    }
+
+    /// Whether no request of this gateway waits for a response of the server.
+    #[must_use]
+    pub fn is_idle(&self, key: ServerKey) -> bool {
+        self.servers
+            .get(key)
+            .is_none_or(|server| server.in_flight == 0)
+    }
+
     /// Returns the expected time until a server responds to a caller in `domain`.
     #[must_use]
     pub fn expected_latency(&self, now: Instant, key: ServerKey, domain: &str) -> Option<Duration> {
@@ -214,6 +271,10 @@
 }
 
 impl Server {
+    fn is_backing_off(&self, now: Instant) -> bool {
+        now < self.backoff_until
+    }
+
     /// Adds a sample to the moving average.
     fn record_latency(&mut self, latency: Duration) {
         self.latency_seconds +=
--- a/crates/policy/tests/suspects.rs
+++ b/crates/policy/tests/suspects.rs
@@ -1,7 +1,12 @@
 //! Which contents are suspected of ending servers, and where they may run.
 
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use tamaracksail_model::backend::{Registration, State};
 use tamaracksail_model::id::{Fingerprint, Host};
 use tamaracksail_model::time::Instant;
+use tamaracksail_policy::fleet::{Fleet, SendOutcome, ServerKey};
 use tamaracksail_policy::request::suspects::{SuspectTable, Verdict};
 
 const CONTENT: Fingerprint = Fingerprint(7);
@@ -57,3 +62,67 @@
     table.record(at(2), CONTENT, crash("c"), false);
     assert_eq!(table.crash_count(at(2), CONTENT), 1);
 }
+
+/// Returns a fleet of this many servers, and their keys.
+fn fleet(servers: usize) -> (Fleet, Vec<ServerKey>) {
+    let mut fleet = Fleet::default();
+    let mut keys = Vec::new();
+    for number in 0..servers {
+        fleet.register(Registration {
+            instance: format!("app-{number}"),
+            started_at_ms: Some(1),
+            service: "app".to_owned(),
+            address: ([127, 0, 0, 1], 1).into(),
+            domain: "d1".to_owned(),
+            slots: 4,
+            state: State::Ready,
+            models: BTreeMap::new(),
+        });
+        let key = fleet.choose(at(0), "app", "d1", &keys);
+        keys.push(key.expect("a server"));
+    }
+    (fleet, keys)
+}
+
+/// Returns how many servers remain in use after as many trials as are allowed, each of which ends its
+/// server.
+fn servers_left(count: usize) -> usize {
+    let (mut fleet, _) = fleet(count);
+    let mut ended = Vec::new();
+    while let Some(key) = fleet.choose_alone(at(1), "app", CONTENT, &ended) {
+        fleet.record_outcome(at(1), key, SendOutcome::Failed);
+        ended.push(key);
+    }
+    count - ended.len()
+}
+
+#[test]
+fn trials_leave_half_of_the_servers_in_use() {
+    let left: Vec<usize> = (1..=8).map(servers_left).collect();
+    assert_eq!(left, [0, 1, 1, 2, 2, 3, 3, 4]);
+}
+
+#[test]
+fn other_requests_avoid_a_server_on_which_a_request_runs_alone() {
+    let (mut fleet, keys) = fleet(3);
+    let alone = fleet.choose_alone(at(0), "app", CONTENT, &[]);
+    let alone = alone.expect("a server");
+    assert!(fleet.is_idle(alone));
+    fleet.begin_trial(alone);
+    fleet.record_sent(alone);
+    assert!(!fleet.is_idle(alone));
+    for _ in 0..20 {
+        let key = fleet.choose(at(0), "app", "d1", &[]).expect("a server");
+        assert_ne!(key, alone);
+        fleet.record_sent(key);
+    }
+    let others: Vec<ServerKey> = keys.into_iter().filter(|key| *key != alone).collect();
+    assert_eq!(fleet.choose(at(0), "app", "d1", &others), Some(alone));
+    fleet.end_trial(alone);
+    fleet.record_outcome(
+        at(0),
+        alone,
+        SendOutcome::Responded(Duration::from_millis(20)),
+    );
+    assert_eq!(fleet.choose(at(0), "app", "d1", &[]), Some(alone));
+}
