Send nothing more to a server that announces its departure

Cause: the header was not read, so a gateway cut off from service discovery went on sending. Change: the head of each response of a server is checked: to requests, items, load commands and reports. The server then counts as draining in the fleet and the scheduler until its process has restarted, also if its registration still says ready, is renewed, or lapses and comes back. Why it works: the mark belongs to the instance and the start of its process, not to the registration's record.

--- a/crates/gateway/src/batches/coordinator.rs
+++ b/crates/gateway/src/batches/coordinator.rs
@@ -131,6 +131,13 @@
         self.wake.notify_one();
     }
 
+    /// Starts no further items on a backend server.
+    pub fn drain_engine(&self, server: &Registration) {
+        self.scheduler
+            .borrow_mut()
+            .drain_engine(&server.instance, server.started_at_ms);
+    }
+
     /// Removes a backend server from the scheduler.
     pub fn remove_engine(&self, instance: &str) {
         self.scheduler.borrow_mut().remove_engine(now(), instance);
--- a/crates/gateway/src/batches/item_run.rs
+++ b/crates/gateway/src/batches/item_run.rs
@@ -16,6 +16,7 @@
 use tamaracksail_process::trace::SpanKind;
 
 use crate::gateway::{Gateway, now};
+use crate::version::observe_response;
 
 /// How long connecting to an engine may take. With a healthy engine it takes one round trip.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -109,6 +110,7 @@
         .await;
     let mut response = result.map_err(|error| broken(error.to_string()))?;
     let head = ResponseHead::parse(&response.head, Some(&item.id));
+    observe_response(gateway, registration, &head);
     let code = response.head.status;
     if head.is_not_run {
         return Err((Failure::Refused, format!("{code}: not run")));
--- a/crates/gateway/src/batches/orders.rs
+++ b/crates/gateway/src/batches/orders.rs
@@ -6,12 +6,13 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Method, Request, StatusCode};
-use tamaracksail_adapter::backend::RequestHeaders;
+use tamaracksail_adapter::backend::{RequestHeaders, ResponseHead};
 use tamaracksail_adapter::engine::{COMMAND_PATH, Command, REPORT_PATH, Report};
 use tamaracksail_model::backend::Registration;
 use tamaracksail_policy::batch::EngineKey;
 
 use crate::gateway::{Gateway, now};
+use crate::version::observe_response;
 
 /// How long connecting to an engine may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -197,6 +198,8 @@
             .send(registration.address, request, CONNECT_TIMEOUT)
             .await
             .map_err(|error| error.to_string())?;
+        let head = ResponseHead::parse(&response.head, None);
+        observe_response(gateway, registration, &head);
         let body = response
             .read(1 << 20)
             .await
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -20,6 +20,7 @@
 use super::content::Content;
 use super::trial::Trial;
 use crate::gateway::{Gateway, now};
+use crate::version::observe_response;
 
 /// The time limit on connecting to a backend server. A healthy connect takes one round trip.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -117,7 +118,11 @@
             .send(registration.address, request, CONNECT_TIMEOUT)
             .await;
         match response {
-            Ok(reply) => self.read_response(reply, content, id).await,
+            Ok(reply) => {
+                let response = ResponseHead::parse(&reply.head, (!id.is_empty()).then_some(id));
+                observe_response(&self.gateway, &registration, &response);
+                self.read_response(reply, response, content, id).await
+            }
             Err(error) => {
                 self.record_outcome(SendOutcome::Failed);
                 if error.is_unsent() {
@@ -132,10 +137,10 @@
     async fn read_response(
         self,
         mut reply: IncomingResponse,
+        response: ResponseHead,
         content: &Content,
         id: &str,
     ) -> Outcome {
-        let response = ResponseHead::parse(&reply.head, (!id.is_empty()).then_some(id));
         if let Some(load) = response.load {
             let mut fleet = self.gateway.fleet.borrow_mut();
             fleet.record_load(now(), self.key, load.running + load.waiting);
--- a/crates/gateway/src/version/mod.rs
+++ b/crates/gateway/src/version/mod.rs
@@ -5,6 +5,8 @@
 mod routes;
 mod servers;
 
+pub use servers::observe_response;
+
 use std::rc::Rc;
 
 use crate::gateway::Gateway;
--- a/crates/gateway/src/version/servers.rs
+++ b/crates/gateway/src/version/servers.rs
@@ -5,9 +5,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use tamaracksail_adapter::backend::ResponseHead;
 use tamaracksail_adapter::store::Object;
 use tamaracksail_adapter::{discovery, names};
-use tamaracksail_model::backend::State;
+use tamaracksail_model::backend::{Registration, State};
 
 use crate::gateway::{Gateway, now};
 use crate::store::{self, Event};
@@ -113,8 +114,8 @@
                 revision = object.revision;
                 "server registration"
             );
-            gateway.coordinator.update_engine(registration.clone());
-            gateway.fleet.borrow_mut().register(registration);
+            let registration = gateway.fleet.borrow_mut().register(registration);
+            gateway.coordinator.update_engine(registration);
         }
         Err(error) => {
             log::warn!(server = object.name.as_str(), error:%; "malformed server registration, server removed");
@@ -123,6 +124,15 @@
     }
 }
 
+/// Sends nothing more to a server if the head of one of its responses states that it is leaving.
+pub fn observe_response(gateway: &Gateway, server: &Registration, response: &ResponseHead) {
+    let is_leaving = response.state == State::Draining;
+    if is_leaving && gateway.fleet.borrow_mut().record_departure(server) {
+        log::info!(server = server.instance.as_str(); "server is leaving");
+        gateway.coordinator.drain_engine(server);
+    }
+}
+
 /// Removes a server and closes its idle connections.
 fn remove(gateway: &Rc<Gateway>, instance: &str) {
     let Some(registration) = gateway.fleet.borrow_mut().remove(instance) else {
--- a/crates/gateway/tests/batches.rs
+++ b/crates/gateway/tests/batches.rs
@@ -89,6 +89,32 @@
     });
 }
 
+#[test]
+fn no_item_starts_on_an_engine_that_announced_its_departure() {
+    run(async {
+        let (world, gateways) = start(1, 5, EVENT_INTERVAL).await;
+        let client = gateways[0].client();
+        client.submit("b1", &ITEMS, 1).await.expect("a response");
+        read_results(&client, "b1", ITEMS.len()).await;
+        world.engines[0].announce_departure();
+        client
+            .submit("b2", &["j0", "j1"], 1)
+            .await
+            .expect("a response");
+        read_results(&client, "b2", 2).await;
+        gateways[0].wait_for_log("server is leaving").await;
+        let before = world.engines[0].arrivals().len();
+        world.engines[0].register(&world.store, "pool", "ready");
+        for batch in ["b3", "b4"] {
+            let items: Vec<String> = (0..6).map(|item| format!("{batch}-{item}")).collect();
+            let items: Vec<&str> = items.iter().map(String::as_str).collect();
+            client.submit(batch, &items, 1).await.expect("a response");
+            assert_complete(&world, &read_results(&client, batch, 6).await, &items);
+        }
+        assert_eq!(world.engines[0].arrivals().len(), before);
+    });
+}
+
 #[test]
 fn an_impossible_item_and_one_that_fails_too_often_are_aborted() {
     run(async {
--- a/crates/gateway/tests/requests.rs
+++ b/crates/gateway/tests/requests.rs
@@ -141,6 +141,39 @@
     });
 }
 
+#[test]
+fn a_server_that_announces_its_departure_gets_no_more_requests_while_it_is_registered_as_ready() {
+    run(async {
+        let (world, gateway) = start().await;
+        let second_server = start_server("app-1", 5, EVENT_INTERVAL).await;
+        second_server.register(&world.store, "app", "ready");
+        world.app.announce_departure();
+        gateway.wait_for_log("routes in force").await;
+        common::wait_until("a response states the departure", async || {
+            let response = gateway.client().request("w", "/plain/x", "").await;
+            assert_eq!(response.expect("a response").status, 200);
+            !gateway.log_lines("server is leaving").is_empty()
+        })
+        .await;
+        let before = world.app.arrivals().len();
+        // A registration that is renewed, or back after it lapsed, changes nothing.
+        world.app.register(&world.store, "app", "ready");
+        world.store.remove_server(&world.app.instance);
+        gateway.wait_for_log("server removed").await;
+        world.app.register(&world.store, "app", "ready");
+        let third_server = start_server("app-2", 5, EVENT_INTERVAL).await;
+        third_server.register(&world.store, "app", "ready");
+        second_server.register(&world.store, "app", "draining");
+        common::wait_until("the third server is used", async || {
+            let response = gateway.client().request("n", "/plain/x", "").await;
+            assert_eq!(response.expect("a response").status, 200);
+            !third_server.arrivals().is_empty()
+        })
+        .await;
+        assert_eq!(world.app.arrivals().len(), before);
+    });
+}
+
 #[test]
 fn new_routes_come_into_force_and_malformed_ones_do_not() {
     run(async {
--- a/crates/policy/src/batch/pool.rs
+++ b/crates/policy/src/batch/pool.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use slotmap::SlotMap;
-use tamaracksail_model::backend::Registration;
+use tamaracksail_model::backend::{Registration, State};
 use tamaracksail_model::time::Instant;
 
 use super::engine::{Engine, EngineKey};
@@ -52,6 +52,16 @@
         None
     }
 
+    /// Marks an engine as draining, unless it has restarted since.
+    pub(crate) fn drain(&mut self, instance: &str, started_at_ms: Option<u64>) {
+        if let Some(key) = self.by_instance.get(instance) {
+            let registration = &mut self.engines[*key].registration;
+            if registration.started_at_ms == started_at_ms {
+                registration.state = State::Draining;
+            }
+        }
+    }
+
     /// Removes the id of an engine. Returns the engine's key; its runs must be moved before
     /// [`Self::drop_engine`].
     pub(crate) fn unregister(&mut self, instance: &str) -> Option<EngineKey> {
--- a/crates/policy/src/batch/scheduler.rs
+++ b/crates/policy/src/batch/scheduler.rs
@@ -72,6 +72,11 @@
         affinity::assign(self);
     }
 
+    /// Records that an engine is leaving: no further item starts on it.
+    pub fn drain_engine(&mut self, instance: &str, started_at_ms: Option<u64>) {
+        self.pool.drain(instance, started_at_ms);
+    }
+
     /// Removes an engine. Its items wait for other engines.
     pub fn remove_engine(&mut self, now: Instant, instance: &str) {
         if let Some(engine) = self.pool.unregister(instance) {
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -1,6 +1,6 @@
 //! The backend servers that requests may be sent to, and the choice among them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 use slotmap::SlotMap;
@@ -33,6 +33,10 @@
 /// What a request to another failure domain costs: a round trip, and bytes that are paid for.
 const CROSS_DOMAIN_COST: Duration = Duration::from_millis(8);
 
+/// The number of departures that are kept. Those of servers that have stopped are of no use, but are
+/// not told apart from those of servers that are missing in service discovery for a while.
+const MAX_DEPARTURES: usize = 1024;
+
 /// How sending a request to a server ended, as far as this tells something about the server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SendOutcome {
@@ -102,24 +106,52 @@
 pub struct Fleet {
     servers: SlotMap<ServerKey, Server>,
     by_instance: BTreeMap<String, ServerKey>,
+    /// Servers that announced that they are leaving: the instance id, and when the process started.
+    /// They count as draining, whatever service discovery says.
+    departures: VecDeque<(String, Option<u64>)>,
 }
 
 impl Fleet {
-    /// Adds a server, or updates its record. A server that restarted replaces its predecessor.
-    pub fn register(&mut self, registration: Registration) {
+    /// Adds a server, or updates its record, and returns the record that is in effect. A server that
+    /// restarted replaces its predecessor. One that announced that it is leaving is draining.
+    pub fn register(&mut self, mut registration: Registration) -> Registration {
+        if self.departures.contains(&departure(&registration)) {
+            registration.state = State::Draining;
+        }
+        let kept = registration.clone();
         if let Some(key) = self.by_instance.get(&registration.instance).copied() {
             let server = &mut self.servers[key];
             if server.registration.started_at_ms == registration.started_at_ms
                 && server.registration.address == registration.address
             {
                 server.registration = registration;
-                return;
+                return kept;
             }
             self.servers.remove(key);
         }
         let instance = registration.instance.clone();
         let key = self.servers.insert(Server::new(registration));
         self.by_instance.insert(instance, key);
+        kept
+    }
+
+    /// Records that a server announced that it is leaving. Returns whether that was not known.
+    pub fn record_departure(&mut self, server: &Registration) -> bool {
+        let departure = departure(server);
+        if self.departures.contains(&departure) {
+            return false;
+        }
+        if let Some(key) = self.by_instance.get(&server.instance) {
+            let registration = &mut self.servers[*key].registration;
+            if registration.started_at_ms == server.started_at_ms {
+                registration.state = State::Draining;
+            }
+        }
+        if self.departures.len() == MAX_DEPARTURES {
+            self.departures.pop_front();
+        }
+        self.departures.push_back(departure);
+        true
     }
 
     /// Removes a server and returns its record.
@@ -270,6 +302,10 @@
     }
 }
 
+fn departure(server: &Registration) -> (String, Option<u64>) {
+    (server.instance.clone(), server.started_at_ms)
+}
+
 impl Server {
     fn is_backing_off(&self, now: Instant) -> bool {
         now < self.backoff_until
