Test that an item under which engines ended is placed again

Report: elsewhere, an item under which several servers had died was never placed again after all was calm. Result: not so in the gateway: an_item_under_which_engines_ended_is_placed_again ends both engines six times under one item and then has a result for it. A run that breaks off is not counted as a failed attempt, and items are not recorded as suspect.

--- a/crates/gateway/tests/batches.rs
+++ b/crates/gateway/tests/batches.rs
@@ -115,6 +115,27 @@
     });
 }
 
+#[test]
+fn an_item_under_which_engines_ended_is_placed_again() {
+    run(async {
+        let (world, gateways) = start(2, 5, EVENT_INTERVAL).await;
+        for engine in &world.engines {
+            engine.end_under("i3", Duration::from_millis(100));
+        }
+        let client = gateways[0].client();
+        client.submit("b1", &ITEMS, 1).await.expect("a response");
+        wait_until("engines have ended six times", async || {
+            world.engines.iter().map(Engine::end_count).sum::<u64>() >= 6
+        })
+        .await;
+        for engine in &world.engines {
+            engine.stay_up();
+        }
+        let results = read_results(&client, "b1", ITEMS.len()).await;
+        assert_complete(&world, &results, &ITEMS);
+    });
+}
+
 #[test]
 fn an_impossible_item_and_one_that_fails_too_often_are_aborted() {
     run(async {
