Never refuse samples for the servers that crashed under them

What callers saw (reported of a system like ours, and found here): after a burst of crashes the samples of a group were refused for ten minutes, though all was calm and servers had room, so their step never became whole. Cause: entries and agents recorded the content of samples as suspect. All samples of a group have the same prompt and so the same fingerprint; two crashes made the whole group run alone, and a third one meanwhile had it refused. Samples are owed and don't crash servers by themselves. Evidence: a_sample_is_generated_after_servers_crashed_under_it; without the exemption the last response is not-run, where done is expected. Change: requests for samples carry the fingerprint OWED, which the table of suspects never records. Messages keep their form. An agent of an earlier build would still record that fingerprint while builds are mixed. Why it works: entries and agents decide by this table only.

--- a/crates/entry/src/sampling.rs
+++ b/crates/entry/src/sampling.rs
@@ -69,7 +69,7 @@
         class: Class::Training,
         once: false,
         key: None,
-        fingerprint: id::fingerprint(format!("{} {messages}", task.model).as_bytes()),
+        fingerprint: id::Fingerprint::OWED,
         // The samples of a group have the same prompt, so they are sent to servers that have it
         // in their prefix cache.
         prefix: Some(id::fingerprint(messages.as_bytes())),
--- a/crates/model/src/id.rs
+++ b/crates/model/src/id.rs
@@ -153,6 +153,12 @@
     }
 }
 
+impl Fingerprint {
+    /// The fingerprint of requests that are never suspected of crashing servers: samples for trainers
+    /// are owed, whatever happened to the servers that ran them.
+    pub const OWED: Self = Self(0);
+}
+
 /// The FNV-1a hash of no bytes.
 const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
 
--- a/crates/policy/src/request/suspects.rs
+++ b/crates/policy/src/request/suspects.rs
@@ -71,7 +71,7 @@
         );
     }
 
-    /// Adds a suspect that a peer reported.
+    /// Adds a suspect that a peer reported. Requests that are owed never become suspect.
     pub fn merge(&mut self, now: Instant, suspect: &Suspect) {
         self.expire(now);
         let expires = now.after(suspect.valid.min(SUSPECT_LIFETIME));
@@ -84,7 +84,7 @@
             .filter(|crash| !is_cleared(crash))
             .cloned()
             .collect();
-        if crashes.is_empty() {
+        if crashes.is_empty() || suspect.fingerprint == id::Fingerprint::OWED {
             return;
         }
         let record = self
--- a/crates/policy/tests/requests.rs
+++ b/crates/policy/tests/requests.rs
@@ -10,7 +10,7 @@
 use common::world::{DEADLINE, Delivery, Node, World};
 use proptest::prelude::*;
 use tamaracksail_model::id::Fingerprint;
-use tamaracksail_model::outcome::Outcome;
+use tamaracksail_model::outcome::{Class, Outcome};
 use tamaracksail_policy::agent::Event;
 use tamaracksail_policy::entry::FinalResponse;
 
@@ -340,3 +340,27 @@
         prop_assert_eq!(world.observer.violations(), Vec::<String>::new());
     }
 }
+
+#[test]
+fn a_sample_is_generated_after_servers_crashed_under_it() {
+    let mut world = World::new("engines", BTreeMap::new());
+    let send = |world: &mut World| {
+        let mut arrival = world.new_arrival(Fingerprint::OWED.0, false, false);
+        arrival.class = Class::Training;
+        let request = arrival.request;
+        world.send_request(0, arrival);
+        world.run_for(Duration::from_secs(2));
+        request
+    };
+    world.poison = Some(Fingerprint::OWED);
+    for _ in 0..6 {
+        send(&mut world);
+    }
+    assert!(world.crashes >= 3, "{} crashes", world.crashes);
+    world.poison = None;
+    world.run_for(DEADLINE);
+    let request = send(&mut world);
+    world.run_for(DEADLINE);
+    let responses = &world.observer.calls[&request].responses;
+    assert_eq!(responses[0].outcome, Outcome::Done);
+}
