Place an item again when no engine has the version of its text any more

What callers saw (reported of a system like ours, and found here): after a burst of crashes an item of a single-version batch was never placed again, though engines had room; it was aborted when its time was up. Cause: text of one version may only be continued by an engine with that version. Once the engines with it had crashed or loaded a newer one, no engine met the requirement, and the text was kept all the same. Change: text is discarded when no engine of the service holds its version and none will load it, since a newer one was announced or all engines hold newer ones. While no engine is known at all, it is kept. Why it works: engines load only the newest announced version, so such a version can't come back.

--- a/crates/policy/src/batch/dispatch.rs
+++ b/crates/policy/src/batch/dispatch.rs
@@ -37,6 +37,13 @@
         {
             continue;
         }
+        let required = requirements(scheduler, key);
+        let newest = required
+            .model
+            .and_then(|model| scheduler.announced_versions.get(model));
+        if scheduler.pool.has_lost_version(&required, newest.copied()) {
+            scheduler.tasks[key].discard_text();
+        }
         if let Some(engine) =
             scheduler
                 .pool
--- a/crates/policy/src/batch/pool.rs
+++ b/crates/policy/src/batch/pool.rs
@@ -93,6 +93,26 @@
         matches!((interval, median_ms), (Some(ms), Some(median)) if ms > median * SLOW_FACTOR)
     }
 
+    /// Whether only a version is allowed that no engine of the service holds or will load. `newest` is
+    /// the newest version that a trainer has announced: engines load no other, and none goes back.
+    pub(crate) fn has_lost_version(
+        &self,
+        requirements: &Requirements,
+        newest: Option<u64>,
+    ) -> bool {
+        let (Some(model), Some(version)) = (requirements.model, requirements.version) else {
+            return false;
+        };
+        let versions = || {
+            self.engines
+                .values()
+                .filter(|engine| engine.registration.service == requirements.service)
+                .filter_map(|engine| engine.version(model))
+        };
+        let is_superseded = newest > Some(version) || versions().all(|loaded| loaded > version);
+        is_superseded && versions().next().is_some() && versions().all(|loaded| loaded != version)
+    }
+
     /// Chooses an engine with a free slot for an item. Engines that are not slow come first, then
     /// those assigned to the item's model, then those with the lowest share of used slots.
     pub(crate) fn choose(
--- a/crates/policy/tests/common/engines.rs
+++ b/crates/policy/tests/common/engines.rs
@@ -132,6 +132,22 @@
     /// Submits a step: groups of items, given by their numbers of events. The items' hints are
     /// exact.
     pub fn submit(&mut self, id: &str, min_version: u64, target: usize, groups: &[(&str, &[u64])]) {
+        self.submit_with(id, min_version, target, groups, false);
+    }
+
+    /// Submits a step whose texts must each come from one version.
+    pub fn submit_single_version(&mut self, id: &str, target: usize, groups: &[(&str, &[u64])]) {
+        self.submit_with(id, 1, target, groups, true);
+    }
+
+    fn submit_with(
+        &mut self,
+        id: &str,
+        min_version: u64,
+        target: usize,
+        groups: &[(&str, &[u64])],
+        is_single_version: bool,
+    ) {
         let mut items = Vec::new();
         for (group, lengths) in groups {
             for (number, length) in lengths.iter().enumerate() {
@@ -155,7 +171,7 @@
             target_groups: Some(target),
             items,
             with_result: BTreeSet::new(),
-            is_single_version: false,
+            is_single_version,
             max_attempts: 3,
             expires: self.now.after(Duration::from_mins(1)),
         };
--- a/crates/policy/tests/scheduling.rs
+++ b/crates/policy/tests/scheduling.rs
@@ -321,3 +321,22 @@
         .collect();
     assert_eq!(items, ["h0.0"]);
 }
+
+#[test]
+fn an_item_whose_engines_crashed_is_placed_again_when_no_engine_has_its_version() {
+    let mut simulation = Simulation::new(2, 4, EVENT_INTERVAL);
+    simulation.submit_single_version("step-0", 1, &[("g0", &[20])]);
+    simulation.run_for(EVENT_INTERVAL * 5);
+    for name in ["e00", "e01"] {
+        simulation.crash(name);
+        simulation.scheduler.remove_engine(simulation.now, name);
+        simulation
+            .engines
+            .get_mut(name)
+            .expect("the engine is known")
+            .version = 2;
+        simulation.register(name, 4, State::Ready);
+    }
+    simulation.run_until_complete("step-0", 1);
+    assert_eq!(simulation.results["step-0"][0].versions, [2]);
+}
