Bound responses of servers that send bytes without end

What callers saw: a refusal with a body without end went to the client as the response, as status 503 without an end, and a stream got it too instead of a resumption elsewhere; a success without end was relayed for as long as the client read. Why it works: each state that a server's bytes can prolong now has a limit in bytes or time, and dropping the response closes its connection. Not covered: responses to agents.

--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -30,6 +30,12 @@
 /// can still go to another server.
 const MAX_BUFFERED_BYTES: usize = 256 * 1024;
 
+/// The longest body of a refusal that is read so that its connection can be used again.
+const MAX_DISCARDED_BYTES: usize = 4 << 10;
+
+/// How long the body of a refusal may take to arrive for that.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// The outcome of an attempt.
 #[derive(Debug)]
 pub enum Outcome {
@@ -155,6 +161,11 @@
             self.record_outcome(SendOutcome::Failed);
             return Outcome::Failed(format!("status {code}, not attested by the server"));
         }
+        if response.is_not_run {
+            self.record_outcome(SendOutcome::Refused);
+            reply.discard(&self.gateway.http, MAX_DISCARDED_BYTES, DISCARD_TIMEOUT);
+            return Outcome::NotRun(format!("status {code}, not run"));
+        }
         if self.is_stream && code.is_success() {
             self.record_outcome(SendOutcome::Responded(now().since(self.start)));
             return Outcome::Streaming(Bytes::new(), Box::new(reply), self.trial.take());
@@ -171,6 +182,10 @@
                     return Outcome::Failed(error.to_string());
                 }
             }
+            if body.len() > MAX_BUFFERED_BYTES && !code.is_success() {
+                self.record_outcome(SendOutcome::Failed);
+                return Outcome::Failed(format!("status {code}, the body is too long"));
+            }
             if body.len() > MAX_BUFFERED_BYTES {
                 self.record_outcome(SendOutcome::Responded(now().since(self.start)));
                 return Outcome::Streaming(body.into(), Box::new(reply), self.trial.take());
@@ -178,10 +193,6 @@
         }
         let head = reply.head.clone();
         reply.release(&self.gateway.http);
-        if response.is_not_run {
-            self.record_outcome(SendOutcome::Refused);
-            return Outcome::NotRun(format!("status {code}, not run"));
-        }
         let suspects = &self.gateway.suspects;
         suspects.record_response(|| content.fingerprint());
         self.record_outcome(if code == StatusCode::INTERNAL_SERVER_ERROR {
--- a/crates/gateway/src/request/forward.rs
+++ b/crates/gateway/src/request/forward.rs
@@ -1,7 +1,7 @@
 //! Forwarding of one request to backend servers, with retries and a hedged second attempt.
 
 use std::future::Future;
-use std::pin::Pin;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -38,6 +38,12 @@
 /// The number of chunks of a streamed response that are buffered for a slow client.
 pub(super) const MAX_BUFFERED_CHUNKS: usize = 4;
 
+/// How long after its deadline a response may still be relayed. Servers stop at the deadline.
+pub(super) const RELAY_MARGIN: Duration = Duration::from_millis(250);
+
+/// The problem of a response that was cut off.
+pub(super) const DEADLINE_PASSED: &str = "the deadline has passed";
+
 /// An attempt in progress, with the server it was sent to.
 type PendingAttempt<'a> = Pin<Box<dyn Future<Output = (ServerKey, Outcome)> + 'a>>;
 
@@ -314,8 +320,10 @@
         let gateway = Rc::clone(self.gateway);
         let content = self.content.clone();
         let broken = Break::new(&gateway, key, &content, self.id, trial.is_some());
+        let end = self.deadline.after(RELAY_MARGIN).since(now());
         actix_rt::spawn(async move {
             let _trial = trial;
+            let mut end = pin!(tokio::time::sleep(end));
             if sender.send(Ok(first)).await.is_err() {
                 return;
             }
@@ -323,6 +331,7 @@
                 let chunk = tokio::select! {
                     chunk = reply.next() => chunk,
                     () = sender.closed() => return,
+                    () = &mut end => Err(reply.body_error(DEADLINE_PASSED.to_owned())),
                 };
                 let chunk = match chunk {
                     Ok(None) => {
--- a/crates/gateway/src/request/streaming.rs
+++ b/crates/gateway/src/request/streaming.rs
@@ -16,12 +16,12 @@
 use super::attempt::{Attempt, Outcome};
 use super::breaks::Break;
 use super::content::Content;
-use super::forward::{MAX_BUFFERED_CHUNKS, client_response};
+use super::forward::{DEADLINE_PASSED, MAX_BUFFERED_CHUNKS, RELAY_MARGIN, client_response};
 use super::trial::Trial;
 use crate::connection::Body;
 use crate::gateway::{Gateway, now};
 
-/// How long a server may send nothing within a stream. Clients give up after two seconds.
+/// How long a server may send no event within a stream. Clients give up after two seconds.
 const STREAM_IDLE_TIMEOUT: Duration = Duration::from_millis(900);
 
 /// A streamed request and what is needed to resume it.
@@ -49,11 +49,17 @@
 pub fn relay(stream: Stream, reply: IncomingResponse) -> Response<Body> {
     let (sender, chunks) = mpsc::channel(MAX_BUFFERED_CHUNKS);
     let head = reply.head.clone();
+    let end = stream.deadline.after(RELAY_MARGIN).since(now());
+    let late = reply.body_error(DEADLINE_PASSED.to_owned());
     actix_rt::spawn(async move {
-        let closed = sender.clone();
+        let client = sender.clone();
         tokio::select! {
             () = stream.run(reply, sender) => {}
-            () = closed.closed() => {}
+            () = client.closed() => {}
+            () = tokio::time::sleep(end) => {
+                // Breaks the client's connection. A client that has disconnected needs no error.
+                drop(client.send(Err(late)).await);
+            }
         }
     });
     let body = Body::Chunks {
@@ -184,11 +190,13 @@
     let has_framed_end =
         reply.head.headers.contains_key("transfer-encoding") || reply.length().is_some();
     let mut parser = Parser::default();
+    let mut last_event = now();
     loop {
-        let chunk = tokio::time::timeout(STREAM_IDLE_TIMEOUT, reply.next())
+        let idle_limit = STREAM_IDLE_TIMEOUT.saturating_sub(now().since(last_event));
+        let chunk = tokio::time::timeout(idle_limit, reply.next())
             .await
             .map_err(|_| {
-                reply.body_error("the server sent nothing within the idle limit".to_owned())
+                reply.body_error("the server sent no event within the idle limit".to_owned())
             })??;
         let Some(chunk) = chunk else {
             break;
@@ -207,6 +215,7 @@
                 )));
             }
             *last = Some(event.id);
+            last_event = now();
             if client.send(Ok(event.raw)).await.is_err() {
                 return Err(reply.body_error("the client has disconnected".to_owned()));
             }
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -119,6 +119,15 @@
         code.is_some_and(|code| code.success())
     }
 
+    /// Returns the most memory that the process has had resident, in kilobytes.
+    pub fn peak_memory_kb(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = std::fs::read_to_string(path).expect("the process runs");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kilobytes = line.and_then(|line| line.trim().strip_suffix(" kB"));
+        kilobytes.expect("the peak").parse().expect("a number")
+    }
+
     /// Returns the log lines with an event so far.
     pub fn log_lines(&self, event: &str) -> Vec<Value> {
         let lines = self.lines.lock().expect("no reader panics");
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -15,6 +15,10 @@
 use crate::error::{Error, Stage};
 use crate::socket;
 
+/// The limit on the bytes of a response that are buffered, and so on its head. Heads are a few hundred
+/// bytes long.
+const MAX_BUFFERED_BYTES: usize = 64 << 10;
+
 /// A connection that carries one request at a time. Dropping it closes the socket immediately,
 /// which tells the peer that the request was abandoned.
 #[derive(Debug)]
@@ -50,6 +54,7 @@
         socket::set_options(&stream).map_err(|error| failed(error.to_string()))?;
         let (sender, connection) = http1::Builder::new()
             .title_case_headers(true)
+            .max_buf_size(MAX_BUFFERED_BYTES)
             .handshake(TokioIo::new(stream))
             .await
             .map_err(|error| failed(error.to_string()))?;
--- a/crates/http/src/response.rs
+++ b/crates/http/src/response.rs
@@ -1,5 +1,7 @@
 //! Responses whose bodies are still to be read.
 
+use std::time::Duration;
+
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
@@ -78,6 +80,20 @@
         })
     }
 
+    /// Reads the rest of a body that is of no use, up to `max_bytes` and for `limit` at the longest, and
+    /// returns the connection to the pool of `client`. Closes it if the body is longer.
+    pub fn discard(mut self, client: &Client, max_bytes: usize, limit: Duration) {
+        if self.length() == Some(0) {
+            return self.release(client);
+        }
+        let client = client.clone();
+        tokio::task::spawn_local(async move {
+            if let Ok(Ok(_)) = tokio::time::timeout(limit, self.read(max_bytes)).await {
+                self.release(&client);
+            }
+        });
+    }
+
     /// Returns the connection to the pool of `client`. To be called once the body has been read to
     /// its end.
     pub fn release(self, client: &Client) {
