Play a request under which servers end in the soak

Change: the soak's servers for plain requests end when they begin a given body and come back 0.6 s later, refusing connections meanwhile, as do servers of the event Crash. A client sends that body under new ids to random hosts during the faults, at an idempotent path and at one that is not. After the faults it goes to all hosts in turn: at most three servers may end under each path later than three seconds after the third. A sound request refused with a Retry-After of more than ten seconds is a violation. Servers that leave announce it in their responses.

--- a/crates/soak/src/clients.rs
+++ b/crates/soak/src/clients.rs
@@ -12,7 +12,7 @@
 use tamaracksail_http::Connection;
 use tokio::time::{sleep, timeout};
 
-use crate::world::{EVENTS_PER_STREAM, Host, World};
+use crate::world::{EVENTS_PER_STREAM, FATAL_BODY, Host, World};
 
 /// The time limit of a call by a client. It exceeds the five seconds that routes allow.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(7);
@@ -26,6 +26,12 @@
 /// The range of pauses between two calls of a client, in milliseconds.
 const PAUSE_MS: std::ops::Range<u64> = 10..90;
 
+/// The paths of the requests under which servers end: an idempotent one, and one that is not.
+pub const FATAL_PATHS: [&str; 2] = ["/plain/fatal", "/once/fatal"];
+
+/// The range of pauses between two requests under which servers end, in milliseconds.
+const FATAL_PAUSE_MS: std::ops::Range<u64> = 100..900;
+
 /// Returns a random host.
 fn random_host<'a>(world: &'a World, rng: &mut StdRng) -> &'a Host {
     &world.hosts[rng.random_range(0..world.hosts.len())]
@@ -84,6 +90,29 @@
     }
 }
 
+/// Sends the request under which servers end, again and again, each time under a new id.
+pub async fn fatal_client(world: Rc<World>, seed: u64) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut number = 0;
+    while !world.is_finished.get() {
+        number += 1;
+        let host = random_host(&world, &mut rng);
+        let path = FATAL_PATHS[rng.random_range(0..FATAL_PATHS.len())];
+        send_fatal(&world, host, &format!("fatal-{number}"), path).await;
+        sleep(Duration::from_millis(rng.random_range(FATAL_PAUSE_MS))).await;
+    }
+}
+
+/// Sends the request under which servers end. It must never succeed.
+pub async fn send_fatal(world: &World, host: &Host, id: &str, path: &str) {
+    let response = timeout(RESPONSE_TIMEOUT, host.client.request(id, path, FATAL_BODY)).await;
+    if let Ok(Ok(response)) = response
+        && response.status == 200
+    {
+        world.record_violation("own answer", &format!("{id} got {:?}", response.body));
+    }
+}
+
 /// Requests streams, and closes some of them early.
 pub async fn stream_client(world: Rc<World>, seed: u64, name: String) {
     let mut rng = StdRng::seed_from_u64(seed);
--- a/crates/soak/src/inject.rs
+++ b/crates/soak/src/inject.rs
@@ -176,7 +176,7 @@
         return;
     };
     engine.kill();
-    server.link.reset();
+    server.link.set_listening(false);
     sleep(duration).await;
     world.store.remove_server(&engine.instance);
     start_incarnation(world, number).await;
@@ -188,6 +188,7 @@
     let Some(engine) = server.begin_replacement() else {
         return;
     };
+    engine.announce_departure();
     engine.register_behind(
         server.link.address,
         &world.store,
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -11,6 +11,10 @@
 /// The statuses that guarantee that a request has not run and will not run later.
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
 
+/// The longest time after which a gateway may ask for a request again, in seconds, unless servers end
+/// under the request.
+const MAX_RETRY_AFTER_S: f64 = 10.0;
+
 /// An accepted batch, as clients observed it.
 #[derive(Clone, Debug, Default)]
 pub struct Batch {
@@ -63,6 +67,10 @@
         if is_non_idempotent && NOT_RUN_STATUSES.contains(&status) {
             self.not_run.insert(id.to_owned());
         }
+        let retry_after = response.and_then(Response::retry_after);
+        if retry_after > Some(MAX_RETRY_AFTER_S) {
+            self.record_violation("sound request", &format!("{id} was refused for long"));
+        }
         if let Some(response) = response.filter(|response| response.status == 200)
             && response.body != id.as_bytes()
         {
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -35,6 +35,15 @@
 /// The interval between two checks of a condition.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
 
+/// The number of servers that end under a request before it must be recognised.
+const ENDS_TO_RECOGNISE: usize = 3;
+
+/// The time after the last of these ends within which all hosts must recognise it.
+const RECOGNITION_TIME: Duration = Duration::from_secs(3);
+
+/// The number of servers that may end under it after that.
+const MAX_LATER_ENDS: usize = 3;
+
 /// The number of clients that send plain requests, and of clients that request streams.
 const CLIENTS_PER_KIND: u64 = 6;
 
@@ -129,6 +138,9 @@
             world.record_violation("soak", "the task of a client panicked");
         }
     }
+    for path in clients::FATAL_PATHS {
+        check_fatal_request(&world, path).await;
+    }
     watcher.abort();
     check_final_state(&world).await;
     Ok(report(&world))
@@ -160,6 +172,8 @@
         Rc::clone(world),
         seed + 300,
     )));
+    let world = Rc::clone(world);
+    tasks.push(spawn_local(clients::fatal_client(world, seed + 400)));
     tasks
 }
 
@@ -245,6 +259,35 @@
     false
 }
 
+/// Sends a request under which servers end until it has ended [`ENDS_TO_RECOGNISE`] servers, and
+/// checks that it hardly reaches servers after [`RECOGNITION_TIME`]. No faults are injected meanwhile.
+async fn check_fatal_request(world: &World, path: &str) {
+    let mut hosts = world.hosts.iter().cycle().enumerate();
+    let mut send = async || {
+        if let Some((number, host)) = hosts.next() {
+            clients::send_fatal(world, host, &format!("{path}-{number}"), path).await;
+            sleep(POLL_INTERVAL).await;
+        }
+    };
+    let deadline = Instant::now() + RECOVERY_TIMEOUT;
+    while world.fatal_count(path) < ENDS_TO_RECOGNISE {
+        if Instant::now() >= deadline {
+            return world.record_violation("soak", &format!("{path} ended too few servers"));
+        }
+        send().await;
+    }
+    sleep(RECOGNITION_TIME).await;
+    let before = world.fatal_count(path);
+    for _ in 0..world.hosts.len() * 3 {
+        send().await;
+    }
+    let later = world.fatal_count(path) - before;
+    if later > MAX_LATER_ENDS {
+        let detail = format!("{path} ended {later} servers after it had ended {before}");
+        world.record_violation("crashing request", &detail);
+    }
+}
+
 /// Reads all results again at every host, and checks the requests and load commands that reached
 /// the backend servers.
 async fn check_final_state(world: &World) {
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -20,6 +20,8 @@
     link: Link,
     /// The number of resets so far. A connection ends when it changes.
     resets: u64,
+    /// Whether new connections are accepted; else they are refused.
+    is_listening: bool,
 }
 
 /// A direction in which bytes are forwarded.
@@ -47,13 +49,9 @@
         let (state, watcher) = watch::channel(State {
             link: Link::Open,
             resets: 0,
+            is_listening: true,
         });
-        tokio::spawn(async move {
-            // A listener fails only if file descriptors run out, which fails the run anyway.
-            while let Ok((client, _)) = listener.accept().await {
-                tokio::spawn(forward(client, server, watcher.clone()));
-            }
-        });
+        tokio::spawn(accept(listener, address, server, watcher));
         Ok(Self { address, state })
     }
 
@@ -62,12 +60,51 @@
         self.state.send_modify(|state| state.link = link);
     }
 
+    /// Refuses new connections and resets all others, as a host does whose server has ended, or
+    /// accepts connections again.
+    pub fn set_listening(&self, is_listening: bool) {
+        self.state.send_modify(|state| {
+            state.is_listening = is_listening;
+            state.resets += u64::from(!is_listening);
+        });
+    }
+
     /// Resets all connections.
     pub fn reset(&self) {
         self.state.send_modify(|state| state.resets += 1);
     }
 }
 
+/// Accepts connections while the state says so.
+async fn accept(
+    mut listener: TcpListener,
+    address: SocketAddr,
+    server: SocketAddr,
+    mut state: watch::Receiver<State>,
+) {
+    let connections = state.clone();
+    loop {
+        tokio::select! {
+            // A listener fails only if file descriptors run out, which fails the run anyway.
+            Ok((client, _)) = listener.accept() => {
+                tokio::spawn(forward(client, server, connections.clone()));
+                continue;
+            }
+            stopped = state.wait_for(|state| !state.is_listening) => if stopped.is_err() {
+                return;
+            },
+        }
+        drop(listener);
+        if state.wait_for(|state| state.is_listening).await.is_err() {
+            return;
+        }
+        let Ok(again) = TcpListener::bind(address).await else {
+            return;
+        };
+        listener = again;
+    }
+}
+
 /// Forwards one connection until it ends or is reset.
 async fn forward(client: TcpStream, server: SocketAddr, mut state: watch::Receiver<State>) {
     let resets = state.borrow().resets;
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::path::Path;
+use std::rc::Rc;
 use std::time::Duration;
 
 use tamaracksail_adapter_standins::engine::Arrival;
@@ -16,6 +17,15 @@
 /// The number of events in the stream of each item and request.
 pub const EVENTS_PER_STREAM: u64 = 40;
 
+/// The service of plain requests.
+const APP: &str = "app";
+
+/// The body of the request under which each server for plain requests ends.
+pub const FATAL_BODY: &str = "fatal";
+
+/// How long such a server takes to start again.
+const DOWNTIME: Duration = Duration::from_millis(600);
+
 /// The time between two events.
 const EVENT_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -67,7 +77,7 @@
     /// The service to which it belongs.
     pub service: &'static str,
     /// The link from all hosts to the server.
-    pub link: Proxy,
+    pub link: Rc<Proxy>,
     /// The incarnations in order. Only the last one can be running.
     pub incarnations: RefCell<Vec<Engine>>,
     /// Whether an incarnation is ending and the next one has not started.
@@ -140,11 +150,11 @@
             let (name, service) = if number < engines {
                 (format!("engine-{number}"), "pool")
             } else {
-                (format!("app-{number}"), "app")
+                (format!("app-{number}"), APP)
             };
             let address = SocketAddr::new(address(), SERVER_PORT);
             servers.push(Server {
-                link: start_proxy(address).await?,
+                link: Rc::new(start_proxy(address).await?),
                 incarnations: RefCell::default(),
                 is_being_replaced: Cell::new(false),
                 name,
@@ -183,6 +193,16 @@
             Engine::start(&instance, server.address, EVENTS_PER_STREAM, EVENT_INTERVAL).await?;
         engine.set_version(self.announced_version.get());
         engine.register_behind(server.link.address, &self.store, server.service, "ready");
+        if server.service == APP {
+            engine.end_under(FATAL_BODY, DOWNTIME);
+        }
+        server.link.set_listening(true);
+        let (mut is_up, link) = (engine.is_up(), Rc::clone(&server.link));
+        tokio::task::spawn_local(async move {
+            while is_up.changed().await.is_ok() {
+                link.set_listening(*is_up.borrow_and_update());
+            }
+        });
         server.incarnations.borrow_mut().push(engine);
         Ok(())
     }
@@ -199,6 +219,16 @@
         arrivals
     }
 
+    /// Returns how often the request under which servers end has reached servers at a path.
+    #[must_use]
+    pub fn fatal_count(&self, path: &str) -> usize {
+        let arrivals = self.arrivals();
+        let fatal = arrivals
+            .iter()
+            .filter(|arrival| arrival.body == FATAL_BODY && arrival.call.ends_with(path));
+        fatal.count()
+    }
+
     /// Records the violation of a guarantee.
     pub fn record_violation(&self, guarantee: &str, detail: &str) {
         self.ledger.borrow_mut().record_violation(guarantee, detail);
