Remove expired suspects only at the revision that was read

What operators would see: suspects published in the same moment could be lost for restarted gateways, since the removal of an expired object named no revision. Cause: Client::remove removes an object at any revision. Result: expired_and_malformed_suspects_are_not_used_and_expired_ones_are_removed is new and passes; it does not cover the race.

--- a/crates/gateway/src/suspects/sharing.rs
+++ b/crates/gateway/src/suspects/sharing.rs
@@ -72,14 +72,16 @@
     }
 }
 
-/// Removes an object in which nothing is valid any more, as one of a host that no longer exists.
+/// Removes an object in which nothing is valid any more, as one of a host that no longer exists. Other
+/// gateways do so too, so it may be gone already.
 fn remove(gateway: &Rc<Gateway>, object: &Object) {
     let gateway = Rc::clone(gateway);
-    let host = object.name.clone();
+    let (host, revision) = (object.name.clone(), object.revision);
     actix_rt::spawn(async move {
-        let removed = gateway.store.remove(KIND, &host).await;
-        let outcome = removed.map_or_else(|error| error.to_string(), |()| "removed".to_owned());
-        log::info!(host, outcome; "expired suspects removed");
+        match gateway.store.remove_at(KIND, &host, revision).await {
+            Ok(()) => log::info!(host, revision; "expired suspects removed"),
+            Err(error) => log::info!(host, revision, error:%; "expired suspects not removed"),
+        }
     });
 }
 
--- a/crates/gateway/tests/crashing_requests.rs
+++ b/crates/gateway/tests/crashing_requests.rs
@@ -202,3 +202,30 @@
         }
     });
 }
+
+#[test]
+fn expired_and_malformed_suspects_are_not_used_and_expired_ones_are_removed() {
+    run(async {
+        let world = World::start(0, 5, EVENT_INTERVAL).await;
+        let expired = serde_json::json!({
+            "written_at_ms": 1_000,
+            "contents": [{
+                "fingerprint": "7", "servers": {"a": 1, "b": 1}, "is_alone": true, "valid_ms": 1_000,
+            }],
+        });
+        world.store.put("suspects", "gone", expired);
+        world
+            .store
+            .put("suspects", "other", serde_json::json!({"contents": 3}));
+        let gateway = Gateway::start("front-0", &world.store);
+        gateway.wait_until_ready().await;
+        let removed = gateway.wait_for_log("expired suspects removed").await;
+        assert_eq!(removed["host"], "gone");
+        let malformed = gateway
+            .wait_for_log("published suspects are malformed")
+            .await;
+        assert_eq!(malformed["host"], "other");
+        let response = gateway.client().request("r", "/plain/x", "").await;
+        assert_eq!(response.expect("a response").status, 200);
+    });
+}
