Publish each end of a server that restarts under its id

What callers saw: nothing; by reading: two ends of one server that had restarted under its id were published as one, so other gateways ran a content shared that should run alone. Cause: the published servers were a map from instance id to start, which keeps one start. Change: they are a set of pairs.

--- a/crates/gateway/src/suspects/publication.rs
+++ b/crates/gateway/src/suspects/publication.rs
@@ -1,6 +1,6 @@
 //! The object in which a gateway publishes the contents that it suspects.
 
-use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use serde_with::{DisplayFromStr, DurationMilliSeconds};
@@ -18,7 +18,7 @@
     /// The contents that one gateway suspects.
     pub struct Publication {
         /// When it was written, in milliseconds since the Unix epoch.
-        pub written_at_ms: u64,
+        written_at_ms: u64,
         contents: Vec<Content>,
     }
 }
@@ -32,7 +32,7 @@
         fingerprint: u64,
         /// The servers that ended, by instance id, and when their processes had started, in
         /// milliseconds since the Unix epoch.
-        servers: BTreeMap<String, u64>,
+        servers: BTreeSet<(String, u64)>,
         /// Whether one of them ran no other request of its gateway.
         is_alone: bool,
         /// How long the suspicion is valid after the object was written.
--- a/crates/gateway/tests/crashing_requests.rs
+++ b/crates/gateway/tests/crashing_requests.rs
@@ -210,7 +210,7 @@
         let expired = serde_json::json!({
             "written_at_ms": 1_000,
             "contents": [{
-                "fingerprint": "7", "servers": {"a": 1, "b": 1}, "is_alone": true, "valid_ms": 1_000,
+                "fingerprint": "7", "servers": [["a", 1], ["b", 1]], "is_alone": true, "valid_ms": 1_000,
             }],
         });
         world.store.put("suspects", "gone", expired);
