Start no trial before the check that follows another has ended

What callers saw: nothing; by reading: a second copy of a content could start on a server whose first trial had just broken off, before the gateway knew whether the server had ended, and on another one after that. Cause: the end of an attempt frees the server at once, and the check for its process takes a round trip more. Change: a server is on trial until the trial is dropped, which is after the check; a planned trial whose server is no longer registered chooses another.

--- a/crates/gateway/src/request/trial.rs
+++ b/crates/gateway/src/request/trial.rs
@@ -24,6 +24,7 @@
     gateway: Rc<Gateway>,
     /// The server.
     pub key: ServerKey,
+    has_started: bool,
 }
 
 impl Trial {
@@ -44,10 +45,16 @@
             if gateway.suspects.verdict(now(), fingerprint) == Verdict::Refused {
                 return None;
             }
-            trial = trial.or_else(|| Self::choose(gateway, service, content, tried));
-            let is_idle = |trial: &mut Self| gateway.fleet.borrow().is_idle(trial.key);
-            if let Some(trial) = trial.take_if(is_idle) {
-                return Some(trial);
+            let is_registered =
+                |trial: &Self| gateway.fleet.borrow().registration(trial.key).is_some();
+            trial = trial
+                .filter(is_registered)
+                .or_else(|| Self::choose(gateway, service, content, tried));
+            if let Some(planned) = &mut trial {
+                planned.has_started = gateway.fleet.borrow_mut().start_trial(planned.key);
+                if planned.has_started {
+                    return trial;
+                }
             }
             if now() >= limit {
                 return None;
@@ -69,16 +76,18 @@
                 |except: &[ServerKey]| fleet.choose_alone(now(), service, fingerprint, except);
             choose(tried).or_else(|| choose(&[]))?
         };
-        gateway.fleet.borrow_mut().begin_trial(key);
+        gateway.fleet.borrow_mut().plan_trial(key);
         Some(Self {
             gateway: Rc::clone(gateway),
             key,
+            has_started: false,
         })
     }
 }
 
 impl Drop for Trial {
     fn drop(&mut self) {
-        self.gateway.fleet.borrow_mut().end_trial(self.key);
+        let mut fleet = self.gateway.fleet.borrow_mut();
+        fleet.end_trial(self.key, self.has_started);
     }
 }
--- a/crates/gateway/src/suspects/sharing.rs
+++ b/crates/gateway/src/suspects/sharing.rs
@@ -10,8 +10,8 @@
 use crate::gateway::{Gateway, now, unix_millis};
 use crate::store::{self, Event};
 
-/// The delay before the first crash of a content is published. Most requests under which a server ends for another reason
-/// complete at another server within this time, which ends the suspicion.
+/// The delay before the first crash of a content is published. Most requests under which a server
+/// ends for another reason complete at another server within this time, which ends the suspicion.
 const PUBLISH_DELAY: Duration = Duration::from_millis(100);
 
 /// The time limit on a write.
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -66,6 +66,8 @@
     failures: u32,
     /// Requests that run alone on the server, or wait to do so.
     trials: u32,
+    /// Whether one of them runs.
+    is_on_trial: bool,
 }
 
 impl Server {
@@ -78,6 +80,7 @@
             backoff_until: Instant(0),
             failures: 0,
             trials: 0,
+            is_on_trial: false,
         }
     }
 
@@ -228,28 +231,33 @@
             .map(|(key, _)| key)
     }
 
-    /// Makes other requests prefer other servers, until [`Self::end_trial`].
-    pub fn begin_trial(&mut self, key: ServerKey) {
+    /// Makes other requests prefer other servers than one on which a request will run alone, until
+    /// [`Self::end_trial`].
+    pub fn plan_trial(&mut self, key: ServerKey) {
         if let Some(server) = self.servers.get_mut(key) {
             server.trials += 1;
         }
     }
 
-    /// Ends the effect of [`Self::begin_trial`].
-    pub fn end_trial(&mut self, key: ServerKey) {
+    /// Starts a planned trial, unless a request of this gateway waits for a response of the server or
+    /// another trial runs. Returns whether it started.
+    pub fn start_trial(&mut self, key: ServerKey) -> bool {
+        let Some(server) = self.servers.get_mut(key) else {
+            return false;
+        };
+        let may_start = server.in_flight == 0 && !server.is_on_trial;
+        server.is_on_trial |= may_start;
+        may_start
+    }
+
+    /// Ends a planned trial, which may have started.
+    pub fn end_trial(&mut self, key: ServerKey, has_started: bool) {
         if let Some(server) = self.servers.get_mut(key) {
             server.trials = server.trials.saturating_sub(1);
+            server.is_on_trial &= !has_started;
         }
     }
 
-    /// Whether no request of this gateway waits for a response of the server.
-    #[must_use]
-    pub fn is_idle(&self, key: ServerKey) -> bool {
-        self.servers
-            .get(key)
-            .is_none_or(|server| server.in_flight == 0)
-    }
-
     /// Returns the expected time until a server responds to a caller in `domain`.
     #[must_use]
     pub fn expected_latency(&self, now: Instant, key: ServerKey, domain: &str) -> Option<Duration> {
--- a/crates/policy/tests/suspects.rs
+++ b/crates/policy/tests/suspects.rs
@@ -107,10 +107,9 @@
     let (mut fleet, keys) = fleet(3);
     let alone = fleet.choose_alone(at(0), "app", CONTENT, &[]);
     let alone = alone.expect("a server");
-    assert!(fleet.is_idle(alone));
-    fleet.begin_trial(alone);
+    fleet.plan_trial(alone);
+    assert!(fleet.start_trial(alone));
     fleet.record_sent(alone);
-    assert!(!fleet.is_idle(alone));
     for _ in 0..20 {
         let key = fleet.choose(at(0), "app", "d1", &[]).expect("a server");
         assert_ne!(key, alone);
@@ -118,7 +117,7 @@
     }
     let others: Vec<ServerKey> = keys.into_iter().filter(|key| *key != alone).collect();
     assert_eq!(fleet.choose(at(0), "app", "d1", &others), Some(alone));
-    fleet.end_trial(alone);
+    fleet.end_trial(alone, true);
     fleet.record_outcome(
         at(0),
         alone,
@@ -126,3 +125,19 @@
     );
     assert_eq!(fleet.choose(at(0), "app", "d1", &[]), Some(alone));
 }
+
+#[test]
+fn a_trial_waits_for_other_requests_and_for_the_check_that_follows_another_trial() {
+    let (mut fleet, keys) = fleet(1);
+    fleet.record_sent(keys[0]);
+    fleet.plan_trial(keys[0]);
+    assert!(!fleet.start_trial(keys[0]));
+    fleet.record_outcome(at(0), keys[0], SendOutcome::Failed);
+    assert!(fleet.start_trial(keys[0]));
+    fleet.record_sent(keys[0]);
+    fleet.plan_trial(keys[0]);
+    fleet.record_outcome(at(0), keys[0], SendOutcome::Failed);
+    assert!(!fleet.start_trial(keys[0]));
+    fleet.end_trial(keys[0], true);
+    assert!(fleet.start_trial(keys[0]));
+}
