--- a/crates/soak/tests/seeds.rs
+++ b/crates/soak/tests/seeds.rs
@@ -8,7 +8,8 @@
 
 /// The seeds of the short soak. A seed whose run violated a guarantee is added here, with a line
 /// about the cause.
-const SEEDS: [u64; 2] = [1, 13];
+/// 5023: a stand-in server that was replaced while it was down came back at the address of the next.
+const SEEDS: [u64; 3] = [1, 13, 5023];
 
 /// The time during which faults are injected in a run, in seconds.
 const FAULT_SECONDS: &str = "10";
