Log and count what servers state about their request limits

Each change of a stated limit is now logged, and requests to servers with a limit are counted by cause (`_limited_sends{cause}`). A limit counts as ended only when a complete response to a request states none. Malformed values are logged and ignored. No request is sent differently.

--- a/crates/gateway/src/batches/item_run.rs
+++ b/crates/gateway/src/batches/item_run.rs
@@ -16,7 +16,8 @@
 use tamaracksail_process::trace::SpanKind;
 
 use crate::gateway::{Gateway, now};
-use crate::version::observe_response;
+use crate::limits::Cause;
+use crate::version::{Source, observe_response};
 
 /// How long connecting to an engine may take. With a healthy engine it takes one round trip.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -31,6 +32,13 @@
     version: Option<u64>,
 ) {
     let start = now();
+    let key = gateway
+        .fleet
+        .borrow()
+        .key_of(&registration.instance, registration.started_at_ms);
+    if let Some(key) = key {
+        Cause::Item.count(&gateway, key);
+    }
     let outcome = attempt(&gateway, run, &registration, &item, after, version).await;
     let coordinator = &gateway.coordinator;
     let metrics = &gateway.metrics;
@@ -110,7 +118,7 @@
         .await;
     let mut response = result.map_err(|error| broken(error.to_string()))?;
     let head = ResponseHead::parse(&response.head, Some(&item.id));
-    observe_response(gateway, registration, &head);
+    observe_response(gateway, registration, &head, Source::Request);
     let code = response.head.status;
     if head.is_not_run {
         return Err((Failure::Refused, format!("{code}: not run")));
--- a/crates/gateway/src/batches/orders.rs
+++ b/crates/gateway/src/batches/orders.rs
@@ -12,7 +12,7 @@
 use tamaracksail_policy::batch::EngineKey;
 
 use crate::gateway::{Gateway, now};
-use crate::version::observe_response;
+use crate::version::{Source, observe_response};
 
 /// How long connecting to an engine may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -199,7 +199,7 @@
             .await
             .map_err(|error| error.to_string())?;
         let head = ResponseHead::parse(&response.head, None);
-        observe_response(gateway, registration, &head);
+        observe_response(gateway, registration, &head, Source::Control);
         let body = response
             .read(1 << 20)
             .await
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -8,6 +8,7 @@
 mod batches;
 mod connection;
 mod gateway;
+mod limits;
 mod metrics;
 mod options;
 mod peer;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -19,6 +19,8 @@
     pub latency: Histogram,
     /// Attempts of requests at backend servers, by outcome.
     pub sends: IntCounterVec,
+    /// Requests sent to servers that state a request limit, by cause.
+    pub limited_sends: IntCounterVec,
     /// Responses that broke off, by the state of the server afterwards.
     pub broken_responses: IntCounterVec,
     /// Runs of items, by outcome.
@@ -80,6 +82,11 @@
                 "Attempts of requests at backend servers.",
                 &["outcome"],
             ),
+            limited_sends: counter(
+                "limited_sends",
+                "Requests sent to servers that state a request limit, by cause.",
+                &["cause"],
+            ),
             broken_responses: counter(
                 "broken_responses",
                 "Responses that broke off, by the state of the server afterwards.",
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -20,7 +20,7 @@
 use super::content::Content;
 use super::trial::Trial;
 use crate::gateway::{Gateway, now};
-use crate::version::observe_response;
+use crate::version::{Source, observe_response};
 
 /// The time limit on connecting to a backend server. A healthy connect takes one round trip.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -126,7 +126,7 @@
         match response {
             Ok(reply) => {
                 let response = ResponseHead::parse(&reply.head, (!id.is_empty()).then_some(id));
-                observe_response(&self.gateway, &registration, &response);
+                observe_response(&self.gateway, &registration, &response, Source::Request);
                 self.read_response(reply, response, content, id).await
             }
             Err(error) => {
--- a/crates/gateway/src/request/forward.rs
+++ b/crates/gateway/src/request/forward.rs
@@ -26,6 +26,7 @@
 use super::trial::Trial;
 use crate::connection::Body;
 use crate::gateway::{Gateway, now};
+use crate::limits::Cause;
 
 /// When clients should retry after all servers refused. Requests take tens of milliseconds, so a
 /// slot is free soon.
@@ -152,7 +153,7 @@
                     }
                 },
                 () = tokio::time::sleep(hedge_at.since(now())), if may_hedge && self.tried.len() == 1 => {
-                    if let Some(next) = self.next_shared_attempt() {
+                    if let Some(next) = self.next_shared_attempt(Cause::Hedge) {
                         log::info!(request = self.id; "request hedged to a second server");
                         pending.push(next);
                     }
@@ -212,20 +213,21 @@
             return None;
         }
         match self.verdict() {
-            Verdict::Unrestricted => return self.next_shared_attempt(),
+            Verdict::Unrestricted => return self.next_shared_attempt(self.cause()),
             Verdict::Refused => return None,
             Verdict::Alone => {}
         }
         let (gateway, tried) = (self.gateway, &self.tried);
         let trial = Trial::start(gateway, self.service, self.content, tried, self.deadline).await?;
+        let cause = self.cause();
         self.tried.push(trial.key);
         let is_stream = self.route.kind == Kind::Stream;
-        Some(self.send(Attempt::alone(gateway, trial, is_stream)))
+        Some(self.send(Attempt::alone(gateway, trial, is_stream), cause))
     }
 
     /// Starts an attempt at the best server, preferring servers not tried yet. Returns none if there
     /// is no server, no attempt is left or the deadline has passed.
-    fn next_shared_attempt(&mut self) -> Option<PendingAttempt<'a>> {
+    fn next_shared_attempt(&mut self, cause: Cause) -> Option<PendingAttempt<'a>> {
         let at = now();
         if !self.has_attempts() || at >= self.deadline {
             return None;
@@ -239,11 +241,21 @@
             choose(&self.tried).or_else(|| choose(&[]))?
         };
         self.tried.push(key);
-        Some(self.send(Attempt::new(gateway, key, self.route.kind == Kind::Stream)))
+        let is_stream = self.route.kind == Kind::Stream;
+        Some(self.send(Attempt::new(gateway, key, is_stream), cause))
+    }
+
+    fn cause(&self) -> Cause {
+        if self.tried.is_empty() {
+            Cause::First
+        } else {
+            Cause::Retry
+        }
     }
 
-    fn send(&self, attempt: Attempt) -> PendingAttempt<'a> {
+    fn send(&self, attempt: Attempt, cause: Cause) -> PendingAttempt<'a> {
         let key = attempt.key;
+        cause.count(self.gateway, key);
         if let Some(registration) = self.gateway.fleet.borrow().registration(key) {
             log::debug!(
                 request = self.id, server = registration.instance.as_str(), attempt = self.tried.len();
--- a/crates/gateway/src/request/streaming.rs
+++ b/crates/gateway/src/request/streaming.rs
@@ -20,6 +20,7 @@
 use super::trial::Trial;
 use crate::connection::Body;
 use crate::gateway::{Gateway, now};
+use crate::limits::Cause;
 
 /// How long a server may send no event within a stream. Clients give up after two seconds.
 const STREAM_IDLE_TIMEOUT: Duration = Duration::from_millis(900);
@@ -118,6 +119,7 @@
             self.trial = None;
             let attempt = self.next_attempt().await?;
             self.tried.push(attempt.key);
+            Cause::Resume.count(&self.gateway, attempt.key);
             let mut content = self.content.clone();
             let request_headers = RequestHeaders {
                 last_event: last,
--- a/crates/gateway/src/version/mod.rs
+++ b/crates/gateway/src/version/mod.rs
@@ -5,7 +5,7 @@
 mod routes;
 mod servers;
 
-pub use servers::observe_response;
+pub use servers::{Source, observe_response};
 
 use std::rc::Rc;
 
--- a/crates/gateway/src/version/servers.rs
+++ b/crates/gateway/src/version/servers.rs
@@ -9,6 +9,7 @@
 use tamaracksail_adapter::store::Object;
 use tamaracksail_adapter::{discovery, names};
 use tamaracksail_model::backend::{Registration, State};
+use tamaracksail_policy::limit::Observation;
 
 use crate::gateway::{Gateway, now};
 use crate::store::{self, Event};
@@ -124,8 +125,24 @@
     }
 }
 
-/// Sends nothing more to a server if the head of one of its responses states that it is leaving.
-pub fn observe_response(gateway: &Gateway, server: &Registration, response: &ResponseHead) {
+/// What a response was sent to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// A request of a client, or an item.
+    Request,
+    /// A load command, or a request for a report.
+    Control,
+}
+
+/// Sends nothing more to a server if the head of one of its responses states that it is leaving, and
+/// records its request limit.
+pub fn observe_response(
+    gateway: &Gateway,
+    server: &Registration,
+    response: &ResponseHead,
+    source: Source,
+) {
+    observe_limit(gateway, server, response, source);
     let is_leaving = response.state == State::Draining;
     if is_leaving && gateway.fleet.borrow_mut().record_departure(server) {
         log::info!(server = server.instance.as_str(); "server is leaving");
@@ -133,6 +150,41 @@
     }
 }
 
+/// Records the request limit that a response states. A limit has ended only if a complete response to
+/// a request states none: servers may leave it out of responses to control calls and of errors.
+fn observe_limit(
+    gateway: &Gateway,
+    server: &Registration,
+    response: &ResponseHead,
+    source: Source,
+) {
+    let limit = match &response.limit {
+        Ok(limit) => *limit,
+        Err(error) => {
+            log::warn!(server = server.instance.as_str(), error:%; "request limit ignored");
+            return;
+        }
+    };
+    let is_ended = source == Source::Request && response.is_attested && response.matches_request;
+    if limit.is_none() && !is_ended {
+        return;
+    }
+    let mut fleet = gateway.fleet.borrow_mut();
+    let Some(key) = fleet.key_of(&server.instance, server.started_at_ms) else {
+        return;
+    };
+    if !fleet.observe_limit(key, Observation { limit, at: now() }) {
+        return;
+    }
+    let server = server.instance.as_str();
+    match limit {
+        Some(limit) => {
+            log::info!(server, per_second = limit.per_second(); "server states a request limit");
+        }
+        None => log::info!(server; "server states no request limit any more"),
+    }
+}
+
 /// Removes a server and closes its idle connections.
 fn remove(gateway: &Rc<Gateway>, instance: &str) {
     let Some(registration) = gateway.fleet.borrow_mut().remove(instance) else {
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod manifest;
 pub mod object;
 pub mod outcome;
+pub mod rate;
 pub mod route;
 pub mod store;
 pub mod table;
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -9,6 +9,7 @@
 use tamaracksail_model::time::Instant;
 
 use crate::connection::choice;
+use crate::limit::{Limiter, Observation};
 
 slotmap::new_key_type! {
     /// A backend server, from its start to its end. A server that restarts gets a new key.
@@ -112,6 +113,7 @@
     /// Servers that announced that they are leaving: the instance id, and when the process started.
     /// They count as draining, whatever service discovery says.
     departures: VecDeque<(String, Option<u64>)>,
+    limiter: Limiter,
 }
 
 impl Fleet {
@@ -130,7 +132,7 @@
                 server.registration = registration;
                 return kept;
             }
-            self.servers.remove(key);
+            self.drop_server(key);
         }
         let instance = registration.instance.clone();
         let key = self.servers.insert(Server::new(registration));
@@ -160,9 +162,32 @@
     /// Removes a server and returns its record.
     pub fn remove(&mut self, instance: &str) -> Option<Registration> {
         let key = self.by_instance.remove(instance)?;
+        self.drop_server(key)
+    }
+
+    fn drop_server(&mut self, key: ServerKey) -> Option<Registration> {
+        self.limiter.remove(key);
         self.servers.remove(key).map(|server| server.registration)
     }
 
+    /// Returns the server process that a record describes, if it is registered.
+    #[must_use]
+    pub fn key_of(&self, instance: &str, started_at_ms: Option<u64>) -> Option<ServerKey> {
+        let key = *self.by_instance.get(instance)?;
+        (self.servers[key].registration.started_at_ms == started_at_ms).then_some(key)
+    }
+
+    /// Returns the request limits of the servers.
+    #[must_use]
+    pub fn limiter(&self) -> &Limiter {
+        &self.limiter
+    }
+
+    /// Records what a server stated about its request limit. Returns whether the limit changed.
+    pub fn observe_limit(&mut self, key: ServerKey, observation: Observation) -> bool {
+        self.limiter.observe(key, observation)
+    }
+
     /// Returns the ids of all servers.
     pub fn instances(&self) -> impl Iterator<Item = &String> {
         self.by_instance.keys()
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -16,6 +16,7 @@
 //! platform's store, uses:
 //! - [`fleet::Fleet`]: the choice of a backend server for a request;
 //! - [`batch::Scheduler`]: the items of batches, their results and the weights of engines;
+//! - [`limit::Limiter`]: the request limits that backend servers state;
 //! - [`lease::Lease`]: which process is the scheduling gateway.
 //!
 //! The modules that they share are grouped by the lifetime of their state: [`request`],
@@ -29,6 +30,7 @@
 pub mod entry;
 pub mod fleet;
 pub mod lease;
+pub mod limit;
 pub mod process;
 pub mod request;
 pub mod version;
