Keep to the request limits that servers state, over all gateways

Callers and back ends saw: a server that states how many requests per second it accepts got as many as any other.

The class: a quantity that a resource states for all its users was left to each user.

Change: each request to a server with a limit needs a permit. The holder of the scheduling lease grants permits out of a token bucket per server, to its own requests and items and to peers that ask; a permit is valid for 0.5 s. A request without one goes to another server; if there is none it waits for up to half of its route's objective, 0.5 s at most, or is refused at once with the time at which a permit will be free, one client after the other. Hedges only use what is free, retries, resumed streams and requests that run alone need a permit each. A new holder starts with empty buckets; one whose lease has lapsed grants half. Gateways that reach no holder use half of the limits together, in turns that expire. The holder publishes stated limits in the store, so that processes which start or take over know them before they send.

Why it works: all permits of a server come from one bucket, so their number does not depend on the number of gateways. In any four seconds a server gets at most 5.5 L requests (4.5 L + 1 if L is below 1); 6 L + 5 are allowed.

--- a/crates/gateway/src/batches/coordinator.rs
+++ b/crates/gateway/src/batches/coordinator.rs
@@ -22,6 +22,7 @@
 use super::schema;
 use super::{item_run, lease_loop, orders, partial_texts, result_writer};
 use crate::gateway::{Gateway, now, peer_address};
+use crate::limits;
 
 /// The longest time between two scheduling passes while batches are open: a fraction of the silence
 /// after which an engine counts as stuck, and of the delay for which results are coalesced.
@@ -39,6 +40,17 @@
 /// continues with what does not need the lease.
 const LEASE_DURATION: Duration = Duration::from_secs(2);
 
+/// How this process holds the scheduling lease.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Tenure {
+    /// The lease is valid.
+    Held,
+    /// The lease has expired while the store is unreachable, and no other holder is known.
+    Lapsed,
+    /// It does not hold the lease.
+    None,
+}
+
 /// Process-wide state of batch scheduling.
 #[derive(Debug)]
 pub struct Coordinator {
@@ -154,6 +166,18 @@
         }
     }
 
+    /// Returns how this process holds the lease.
+    pub fn tenure(&self) -> Tenure {
+        let lease = self.lease.borrow();
+        if lease.fence(now()).is_some() {
+            Tenure::Held
+        } else if self.is_scheduling.get() && lease.is_last_known_holder() {
+            Tenure::Lapsed
+        } else {
+            Tenure::None
+        }
+    }
+
     /// Returns the fencing token while load commands may be sent.
     pub(super) fn command_fence(&self) -> Option<u64> {
         let fence = self.lease.borrow().command_fence(now());
@@ -336,6 +360,8 @@
             coordinator.stop_scheduling("the lease was lost");
             continue;
         }
+        limits::refresh_authority(&gateway);
+        set_budgets(&gateway);
         let may_command = coordinator.command_fence().is_some();
         let actions = coordinator.scheduler.borrow_mut().poll(now(), may_command);
         for action in actions {
@@ -344,6 +370,25 @@
     }
 }
 
+/// Uses a permit for a run, if its engine states a request limit.
+fn use_permit(gateway: &Gateway, engine: &Registration) {
+    let mut fleet = gateway.fleet.borrow_mut();
+    if let Some(key) = fleet.key_of(&engine.instance, engine.started_at_ms) {
+        fleet.limiter_mut().take(now(), key);
+    }
+}
+
+/// Sets how many runs the scheduler may start on engines that state a request limit.
+fn set_budgets(gateway: &Gateway) {
+    let fleet = gateway.fleet.borrow();
+    let budget = |engine: &Registration| {
+        let key = fleet.key_of(&engine.instance, engine.started_at_ms)?;
+        fleet.limiter().budget(now(), key)
+    };
+    let mut scheduler = gateway.coordinator.scheduler.borrow_mut();
+    scheduler.set_budgets(budget);
+}
+
 /// Carries out an action of the scheduler.
 fn perform(gateway: &Rc<Gateway>, action: Action) {
     let coordinator = &gateway.coordinator;
@@ -366,6 +411,7 @@
             let Some(registration) = registration else {
                 return;
             };
+            use_permit(gateway, &registration);
             let batch_ids = coordinator.batch_ids.borrow();
             let batch = batch
                 .and_then(|batch| batch_ids.get(&batch))
--- a/crates/gateway/src/batches/lease_loop.rs
+++ b/crates/gateway/src/batches/lease_loop.rs
@@ -1,5 +1,6 @@
 //! Acquires and renews the scheduling lease while there is work.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -345,6 +346,20 @@
     read_lease(gateway).await.is_ok()
 }
 
+/// Returns the address of the lease holder as far as it is known.
+pub fn known_holder(gateway: &Gateway) -> Option<SocketAddr> {
+    let lease = gateway.coordinator.lease.borrow();
+    lease.record().and_then(|record| record.address)
+}
+
+/// Returns the address of the lease holder, which is read from the store if none is known.
+pub async fn find_holder(gateway: &Gateway) -> Option<SocketAddr> {
+    if known_holder(gateway).is_none() {
+        try_read_lease(gateway).await;
+    }
+    known_holder(gateway)
+}
+
 /// Reads the lease, and logs a failure to do so.
 async fn try_read_lease(gateway: &Gateway) {
     if let Err(error) = read_lease(gateway).await {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -12,9 +12,11 @@
 use tamaracksail_model::table::Table;
 use tamaracksail_model::time::Instant;
 use tamaracksail_policy::fleet::Fleet;
+use tamaracksail_policy::limit::Limiter;
 use tamaracksail_process::trace::{Span, SpanKind, TRACEPARENT, Tracer};
 
 use crate::batches::Coordinator;
+use crate::limits::Limits;
 use crate::metrics::Metrics;
 use crate::options::Options;
 use crate::store::Availability;
@@ -41,6 +43,8 @@
     pub table: RefCell<Option<Rc<Table>>>,
     /// The backend servers.
     pub fleet: RefCell<Fleet>,
+    /// The state of the servers' request limits.
+    pub limits: Limits,
     /// The contents of requests under which servers ended.
     pub suspects: Suspects,
     /// Whether the list of backend servers has been read.
@@ -72,7 +76,8 @@
             store_availability: Availability::default(),
             settings: RefCell::new(settings),
             table: RefCell::new(None),
-            fleet: RefCell::new(Fleet::default()),
+            fleet: RefCell::new(Fleet::new(Limiter::new(rand::random()))),
+            limits: Limits::default(),
             suspects: Suspects::default(),
             has_server_list: Cell::new(false),
             stopping_since: Cell::new(None),
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -50,6 +50,7 @@
         }
         version::watch_all(&gateway);
         suspects::share(&gateway);
+        limits::share(&gateway);
         batches::start(&gateway);
         stop::serve_until_stopped(&gateway).await;
         if let Some(tracer) = &gateway.tracer {
--- a/crates/gateway/src/peer/server.rs
+++ b/crates/gateway/src/peer/server.rs
@@ -21,6 +21,7 @@
 use crate::batches::Submission;
 use crate::connection::Body;
 use crate::gateway::Gateway;
+use crate::limits;
 use crate::request::{empty_response, response_with_body};
 
 /// Listens on the host's first internal port.
@@ -110,6 +111,15 @@
         PeerRequest::Item { batch, item } => {
             batches::item_body_for_peer(gateway, &batch, &item).await
         }
+        PeerRequest::Permits {
+            sender,
+            servers,
+            count,
+            max_wait_ms,
+        } => {
+            let max_wait = Duration::from_millis(max_wait_ms);
+            limits::grant_for_peer(gateway, sender, &servers, count, max_wait)
+        }
         PeerRequest::Drafts { part, parts } => PeerResponse::Drafts {
             partial_texts: gateway.coordinator.partial_texts(part, parts),
             groups: gateway.coordinator.past_groups(),
--- a/crates/gateway/src/request/forward.rs
+++ b/crates/gateway/src/request/forward.rs
@@ -26,7 +26,7 @@
 use super::trial::Trial;
 use crate::connection::Body;
 use crate::gateway::{Gateway, now};
-use crate::limits::Cause;
+use crate::limits::{self, Candidates, Cause};
 
 /// When clients should retry after all servers refused. Requests take tens of milliseconds, so a
 /// slot is free soon.
@@ -36,6 +36,13 @@
 /// second server.
 const HEDGE_AFTER_SHARE: f64 = 0.5;
 
+/// The share of the route's latency objective for which a request waits for a permit.
+const PERMIT_WAIT_SHARE: f64 = 0.5;
+
+/// The longest time for which a request waits for a permit. One that would wait longer is refused at
+/// once.
+pub(super) const MAX_PERMIT_WAIT: Duration = Duration::from_millis(500);
+
 /// The number of chunks of a streamed response that are buffered for a slow client.
 pub(super) const MAX_BUFFERED_CHUNKS: usize = 4;
 
@@ -60,6 +67,8 @@
     tried: Vec<ServerKey>,
     /// Whether an attempt failed in such a way that the server may have executed the request.
     may_have_run: bool,
+    /// When the client should retry, set once the request limits of all servers were used up.
+    limit_retry_after: Option<Duration>,
 }
 
 /// Forwards a request and returns the response for the client.
@@ -85,6 +94,7 @@
         deadline,
         tried: Vec::new(),
         may_have_run: false,
+        limit_retry_after: None,
     };
     let response = forwarding.run().await;
     let latency = now().since(arrival);
@@ -153,7 +163,7 @@
                     }
                 },
                 () = tokio::time::sleep(hedge_at.since(now())), if may_hedge && self.tried.len() == 1 => {
-                    if let Some(next) = self.next_shared_attempt(Cause::Hedge) {
+                    if let Some(next) = self.hedge() {
                         log::info!(request = self.id; "request hedged to a second server");
                         pending.push(next);
                     }
@@ -213,7 +223,7 @@
             return None;
         }
         match self.verdict() {
-            Verdict::Unrestricted => return self.next_shared_attempt(self.cause()),
+            Verdict::Unrestricted => return self.next_shared_attempt().await,
             Verdict::Refused => return None,
             Verdict::Alone => {}
         }
@@ -226,23 +236,51 @@
     }
 
     /// Starts an attempt at the best server, preferring servers not tried yet. Returns none if there
-    /// is no server, no attempt is left or the deadline has passed.
-    fn next_shared_attempt(&mut self, cause: Cause) -> Option<PendingAttempt<'a>> {
-        let at = now();
-        if !self.has_attempts() || at >= self.deadline {
+    /// is no server that may take a request within its limit.
+    async fn next_shared_attempt(&mut self) -> Option<PendingAttempt<'a>> {
+        let objective_share = self.route.objective.mul_f64(PERMIT_WAIT_SHARE);
+        let max_wait = objective_share
+            .min(MAX_PERMIT_WAIT)
+            .min(self.deadline.since(now()));
+        let candidates = Candidates {
+            service: self.service,
+            avoided: &self.tried,
+            excluded: &[],
+        };
+        match limits::acquire(self.gateway, candidates, max_wait).await {
+            Ok(key) => Some(self.start(key, self.cause())),
+            Err(retry_after) => {
+                self.limit_retry_after = retry_after;
+                None
+            }
+        }
+    }
+
+    /// Starts a second attempt at the best server that may take a request now. Returns none if there
+    /// is no server or no attempt is left.
+    fn hedge(&mut self) -> Option<PendingAttempt<'a>> {
+        if !self.has_attempts() {
             return None;
         }
-        let gateway = self.gateway;
+        let (at, gateway) = (now(), self.gateway);
+        limits::refresh_authority(gateway);
         let key = {
             let settings = gateway.settings.borrow();
-            let fleet = gateway.fleet.borrow();
+            let mut fleet = gateway.fleet.borrow_mut();
             let choose =
                 |except: &[ServerKey]| fleet.choose(at, self.service, &settings.domain, except);
-            choose(&self.tried).or_else(|| choose(&[]))?
+            let key = choose(&self.tried).or_else(|| choose(&[]))?;
+            fleet.limiter_mut().take(at, key);
+            key
         };
+        Some(self.start(key, Cause::Hedge))
+    }
+
+    /// Starts an attempt at a server.
+    fn start(&mut self, key: ServerKey, cause: Cause) -> PendingAttempt<'a> {
         self.tried.push(key);
         let is_stream = self.route.kind == Kind::Stream;
-        Some(self.send(Attempt::new(gateway, key, is_stream), cause))
+        self.send(Attempt::new(self.gateway, key, is_stream), cause)
     }
 
     fn cause(&self) -> Cause {
@@ -307,6 +345,14 @@
             );
             return retry_later(validity);
         }
+        if let Some(retry_after) = self.limit_retry_after {
+            log::info!(
+                request = self.id, service = self.service, sends = self.tried.len(),
+                retry_after_ms = retry_after.as_millis(), outcome = "not run";
+                "refused, the request limits of all servers are used up"
+            );
+            return retry_later(retry_after);
+        }
         log::info!(
             request = self.id, service = self.service, sends = self.tried.len(),
             outcome = "not run"; "refused"
--- a/crates/gateway/src/request/streaming.rs
+++ b/crates/gateway/src/request/streaming.rs
@@ -16,11 +16,13 @@
 use super::attempt::{Attempt, Outcome};
 use super::breaks::Break;
 use super::content::Content;
-use super::forward::{DEADLINE_PASSED, MAX_BUFFERED_CHUNKS, RELAY_MARGIN, client_response};
+use super::forward::{
+    DEADLINE_PASSED, MAX_BUFFERED_CHUNKS, MAX_PERMIT_WAIT, RELAY_MARGIN, client_response,
+};
 use super::trial::Trial;
 use crate::connection::Body;
 use crate::gateway::{Gateway, now};
-use crate::limits::Cause;
+use crate::limits::{self, Candidates, Cause};
 
 /// How long a server may send no event within a stream. Clients give up after two seconds.
 const STREAM_IDLE_TIMEOUT: Duration = Duration::from_millis(900);
@@ -166,15 +168,15 @@
                 return Some(Attempt::alone(gateway, trial, true));
             }
         }
-        let key = {
-            let settings = gateway.settings.borrow();
-            let fleet = gateway.fleet.borrow();
-            let choose =
-                |except: &[ServerKey]| fleet.choose(now(), &self.service, &settings.domain, except);
-            // With every server tried, any but the one that broke off just now will do.
-            let just_broken = tried.last().copied();
-            choose(tried).or_else(|| choose(just_broken.as_slice()))?
+        // With every server tried, any but the one that broke off just now will do.
+        let just_broken = tried.last().copied();
+        let candidates = Candidates {
+            service: &self.service,
+            avoided: tried,
+            excluded: just_broken.as_slice(),
         };
+        let max_wait = MAX_PERMIT_WAIT.min(self.deadline.since(now()));
+        let key = limits::acquire(gateway, candidates, max_wait).await.ok()?;
         Some(Attempt::new(gateway, key, true))
     }
 }
--- a/crates/gateway/src/request/trial.rs
+++ b/crates/gateway/src/request/trial.rs
@@ -9,6 +9,7 @@
 
 use super::content::Content;
 use crate::gateway::{Gateway, now};
+use crate::limits;
 
 /// How long a request waits for a server that may run it alone. Servers back off for half a second
 /// after the first failure.
@@ -53,7 +54,9 @@
             if let Some(planned) = &mut trial {
                 planned.has_started = gateway.fleet.borrow_mut().start_trial(planned.key);
                 if planned.has_started {
-                    return trial;
+                    let key = planned.key;
+                    let permit = limits::acquire_for(gateway, service, key, limit.since(now()));
+                    return permit.await.ok().and(trial);
                 }
             }
             if now() >= limit {
--- a/crates/gateway/src/version/servers.rs
+++ b/crates/gateway/src/version/servers.rs
@@ -173,9 +173,12 @@
     let Some(key) = fleet.key_of(&server.instance, server.started_at_ms) else {
         return;
     };
-    if !fleet.observe_limit(key, Observation { limit, at: now() }) {
+    let at = now();
+    let observation = Observation { limit, at };
+    if !fleet.limiter_mut().observe(at, key, observation) {
         return;
     }
+    gateway.limits.record_change();
     let server = server.instance.as_str();
     match limit {
         Some(limit) => {
--- a/crates/gateway/tests/request_limits.rs
+++ b/crates/gateway/tests/request_limits.rs
@@ -111,7 +111,7 @@
             let peak = limit::peak(&server.arrivals(), from);
             let allowed = limit::allowed(per_second);
             assert!(
-                peak as f64 <= allowed,
+                peak <= allowed,
                 "server {number} states {per_second} a second and got {peak} requests in four \
                  seconds, {allowed} are allowed"
             );
@@ -124,7 +124,8 @@
         let limits: f64 = self.servers.iter().filter_map(Engine::limit).sum();
         let arrivals = self.servers.iter().flat_map(Engine::arrivals);
         let count = arrivals.filter(|arrival| arrival.at >= from).count();
-        let share = count as f64 / (limits * seconds);
+        let count = u32::try_from(count).expect("a small number");
+        let share = f64::from(count) / (limits * seconds);
         assert!(share >= MIN_USE, "{share:.2} of the limits was used");
     }
 }
--- a/crates/policy/src/batch/dispatch.rs
+++ b/crates/policy/src/batch/dispatch.rs
@@ -91,7 +91,7 @@
     task.stage = Stage::Running(run);
     let batch = &scheduler.batches[task.batch];
     let chosen = &mut scheduler.pool.engines[engine];
-    chosen.running += 1;
+    chosen.record_start();
     let loaded = batch
         .model
         .as_deref()
--- a/crates/policy/src/batch/engine.rs
+++ b/crates/policy/src/batch/engine.rs
@@ -51,6 +51,9 @@
     pub(crate) loading: Option<Loading>,
     /// The model whose versions the engine follows.
     pub(crate) assigned_model: Option<String>,
+    /// The number of runs that may start before the budget is set again; `None` if the engine has
+    /// no request limit.
+    pub(crate) budget: Option<u32>,
 }
 
 impl Engine {
@@ -63,6 +66,7 @@
             failures: 0,
             loading: None,
             assigned_model: None,
+            budget: None,
         }
     }
 
@@ -78,9 +82,17 @@
             && now >= self.backoff_until
     }
 
-    /// Returns the number of free slots.
+    /// Returns the number of runs that may start now: the free slots, as far as the request limit
+    /// allows.
     pub(crate) fn free_slots(&self) -> u32 {
-        self.registration.slots.saturating_sub(self.running)
+        let free = self.registration.slots.saturating_sub(self.running);
+        self.budget.map_or(free, |budget| free.min(budget))
+    }
+
+    /// Records that a run starts.
+    pub(crate) fn record_start(&mut self) {
+        self.running += 1;
+        self.budget = self.budget.map(|budget| budget.saturating_sub(1));
     }
 
     /// Records the time between two events.
--- a/crates/policy/src/batch/pool.rs
+++ b/crates/policy/src/batch/pool.rs
@@ -62,6 +62,14 @@
         }
     }
 
+    /// Sets how many runs may start on each engine until the next call. `budget` returns `None` for
+    /// an engine without a request limit.
+    pub(crate) fn set_budgets(&mut self, budget: impl Fn(&Registration) -> Option<u32>) {
+        for engine in self.engines.values_mut() {
+            engine.budget = budget(&engine.registration);
+        }
+    }
+
     /// Removes the id of an engine. Returns the engine's key; its runs must be moved before
     /// [`Self::drop_engine`].
     pub(crate) fn unregister(&mut self, instance: &str) -> Option<EngineKey> {
--- a/crates/policy/src/batch/scheduler.rs
+++ b/crates/policy/src/batch/scheduler.rs
@@ -247,6 +247,12 @@
         }
     }
 
+    /// Sets how many runs may start on each engine until the next call. `budget` returns `None` for
+    /// an engine without a request limit.
+    pub fn set_budgets(&mut self, budget: impl Fn(&Registration) -> Option<u32>) {
+        self.pool.set_budgets(budget);
+    }
+
     /// Runs the scheduling passes and returns the actions to take. Engines are commanded to load
     /// weights only if `may_command` is set.
     pub fn poll(&mut self, now: Instant, may_command: bool) -> Vec<Action> {
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -1,5 +1,6 @@
 //! The backend servers that requests may be sent to, and the choice among them.
 
+use std::cmp::Ordering;
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
@@ -9,7 +10,7 @@
 use tamaracksail_model::time::Instant;
 
 use crate::connection::choice;
-use crate::limit::{Limiter, Observation};
+use crate::limit::Limiter;
 
 slotmap::new_key_type! {
     /// A backend server, from its start to its end. A server that restarts gets a new key.
@@ -34,6 +35,9 @@
 /// What a request to another failure domain costs: a round trip, and bytes that are paid for.
 const CROSS_DOMAIN_COST: Duration = Duration::from_millis(8);
 
+/// What a permit for a server with a request limit costs: a round trip to the gateway that grants it.
+const PERMIT_COST: Duration = Duration::from_millis(8);
+
 /// The number of departures that are kept. Those of servers that have stopped are of no use, but are
 /// not told apart from those of servers that are missing in service discovery for a while.
 const MAX_DEPARTURES: usize = 1024;
@@ -117,6 +121,15 @@
 }
 
 impl Fleet {
+    /// Returns a fleet without servers, with this limiter.
+    #[must_use]
+    pub fn new(limiter: Limiter) -> Self {
+        Self {
+            limiter,
+            ..Self::default()
+        }
+    }
+
     /// Adds a server, or updates its record, and returns the record that is in effect. A server that
     /// restarted replaces its predecessor. One that announced that it is leaving is draining.
     pub fn register(&mut self, mut registration: Registration) -> Registration {
@@ -183,9 +196,9 @@
         &self.limiter
     }
 
-    /// Records what a server stated about its request limit. Returns whether the limit changed.
-    pub fn observe_limit(&mut self, key: ServerKey, observation: Observation) -> bool {
-        self.limiter.observe(key, observation)
+    /// Returns the request limits of the servers.
+    pub fn limiter_mut(&mut self) -> &mut Limiter {
+        &mut self.limiter
     }
 
     /// Returns the ids of all servers.
@@ -200,9 +213,10 @@
     }
 
     /// Returns the ready server of `service` that is expected to respond first to a caller in
-    /// `domain`, leaving out those in `except`. Servers that back off after a failure come last, and
-    /// before them those on which a request runs alone.
-    /// Returns `None` if no such server is ready.
+    /// `domain`, leaving out those in `except` and those whose request limit allows no request now.
+    /// Servers that back off after a failure come last, and before them those on which a request
+    /// runs alone.
+    /// Returns `None` if there is no such server.
     #[must_use]
     pub fn choose(
         &self,
@@ -211,21 +225,49 @@
         domain: &str,
         except: &[ServerKey],
     ) -> Option<ServerKey> {
-        self.servers
-            .iter()
-            .filter(|(key, server)| {
-                server.registration.service == service
-                    && server.registration.state == State::Ready
-                    && !except.contains(key)
-            })
-            .min_by(|(_, a), (_, b)| {
-                let rank = |server: &Server| (server.is_backing_off(now), server.trials > 0);
-                let latency = |server: &Server| server.expected_latency(now, domain);
-                rank(a)
-                    .cmp(&rank(b))
-                    .then(latency(a).total_cmp(&latency(b)))
-            })
+        self.ready(service, except)
+            .filter(|(key, _)| self.limiter.allows(now, *key))
+            .min_by(|(_, a), (_, b)| compare(a.rank(now, domain), b.rank(now, domain)))
+            .map(|(key, _)| key)
+    }
+
+    /// Returns the ready servers of `service` that could take a request of a caller in `domain` if
+    /// they had a permit, leaving out those in `except` and those that would not respond before
+    /// `otherwise`, a server that needs none.
+    #[must_use]
+    pub fn needing_permit(
+        &self,
+        now: Instant,
+        service: &str,
+        domain: &str,
+        except: &[ServerKey],
+        otherwise: Option<ServerKey>,
+    ) -> Vec<ServerKey> {
+        let other_rank = otherwise
+            .and_then(|key| self.servers.get(key))
+            .map(|server| server.rank(now, domain));
+        let is_better = |server: &Server| {
+            let (is_reluctant, latency) = server.rank(now, domain);
+            let rank = (is_reluctant, latency + PERMIT_COST.as_secs_f64());
+            other_rank.is_none_or(|other| compare(rank, other).is_lt())
+        };
+        self.ready(service, except)
+            .filter(|(key, server)| !self.limiter.allows(now, *key) && is_better(server))
             .map(|(key, _)| key)
+            .collect()
+    }
+
+    /// Returns the ready servers of `service`, leaving out those in `except`.
+    fn ready(
+        &self,
+        service: &str,
+        except: &[ServerKey],
+    ) -> impl Iterator<Item = (ServerKey, &Server)> {
+        self.servers.iter().filter(move |(key, server)| {
+            server.registration.service == service
+                && server.registration.state == State::Ready
+                && !except.contains(key)
+        })
     }
 
     /// Returns the server of `service` on which to run a request with this content alone, leaving
@@ -241,11 +283,7 @@
         fingerprint: id::Fingerprint,
         except: &[ServerKey],
     ) -> Option<ServerKey> {
-        let ready = || {
-            self.servers.iter().filter(|(_, server)| {
-                server.registration.service == service && server.registration.state == State::Ready
-            })
-        };
+        let ready = || self.ready(service, &[]);
         let running = || ready().filter(|(_, server)| !server.is_backing_off(now));
         if running().count() < ready().count() / 2 + 1 {
             return None;
@@ -335,11 +373,24 @@
     }
 }
 
+/// The order in which servers are chosen: whether the server is used only if no other is, by
+/// severity, and the expected number of seconds until a response.
+type Rank = ((bool, bool), f64);
+
+fn compare(a: Rank, b: Rank) -> Ordering {
+    a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))
+}
+
 fn departure(server: &Registration) -> (String, Option<u64>) {
     (server.instance.clone(), server.started_at_ms)
 }
 
 impl Server {
+    fn rank(&self, now: Instant, domain: &str) -> Rank {
+        let reluctance = (self.is_backing_off(now), self.trials > 0);
+        (reluctance, self.expected_latency(now, domain))
+    }
+
     fn is_backing_off(&self, now: Instant) -> bool {
         now < self.backoff_until
     }
--- a/crates/policy/src/limit/mod.rs
+++ b/crates/policy/src/limit/mod.rs
@@ -1,10 +1,24 @@
 //! Request limits of backend servers.
 //!
 //! A server may state in its responses how many requests per second it accepts from all gateways
-//! together. [`Limiter`] keeps what servers have stated.
+//! together. Each request to such a server needs a permit. One gateway, the holder of the scheduling
+//! lease, grants permits out of a token bucket per server; the others ask it for them. A gateway
+//! that reaches no such gateway uses a fixed share of the limits, which depends on the number of
+//! gateways.
+//!
+//! In any four seconds a server with a limit of `L` requests per second gets at most `5.5 L`
+//! requests while one gateway grants permits, or `4.5 L + 1` if `L` is less than 1: `4 L` that the
+//! bucket gains, `L` or 1 that it held, and `L / 2` in permits that were granted before and used
+//! later. Gateways that do not reach the one that grants permits use half of the limits together.
 
+mod authority;
+mod bucket;
+mod demand;
 mod limiter;
 mod observation;
+mod permits;
+mod share;
 
-pub use limiter::Limiter;
+pub use authority::Authority;
+pub use limiter::{Grant, Limiter, PERMIT_VALIDITY};
 pub use observation::Observation;
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -1,10 +1,43 @@
 //! Messages between gateways.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bytes::Bytes;
+use serde_with::DurationMilliSeconds;
 use tamaracksail_model::batch::{ItemResult, PartialText};
 use tamaracksail_model::plain;
+use tamaracksail_model::rate::Rate;
+
+plain! {
+    /// What a backend server stated about its request limit.
+    #[serde_as]
+    pub struct ServerLimit {
+        /// The server's instance id.
+        pub instance: String,
+        /// When the server's process started, in milliseconds since the Unix epoch, if it states it.
+        pub started_at_ms: Option<u64>,
+        /// The limit; `None` if the server states none any more.
+        pub limit: Option<Rate>,
+        /// How long ago the server stated it.
+        #[serde_as(as = "DurationMilliSeconds<u64>")]
+        pub age_ms: Duration,
+    }
+}
+
+plain! {
+    /// Permits for requests to a backend server.
+    #[serde_as]
+    pub struct Permits {
+        /// The position of the server in the request.
+        pub server: usize,
+        /// The number of requests.
+        pub count: u32,
+        /// The time until the permits become valid.
+        #[serde_as(as = "DurationMilliSeconds<u64>")]
+        pub delay_ms: Duration,
+    }
+}
 
 plain! {
     /// A request to another gateway, the peer.
@@ -71,6 +104,17 @@
             /// The number of parts that the texts are split into.
             parts: usize,
         },
+        /// Asks the lease holder for permits for requests to any of some backend servers.
+        Permits {
+            /// The address at which peers reach the sender.
+            sender: SocketAddr,
+            /// The servers, and what the sender knows of their limits.
+            servers: Vec<ServerLimit>,
+            /// The number of permits wanted. Zero only tells the peer of the limits.
+            count: u32,
+            /// How long the sender waits for a permit, in milliseconds.
+            max_wait_ms: u64,
+        },
     }
 }
 
@@ -121,5 +165,18 @@
             /// Groups that later batches may submit again.
             groups: Vec<String>,
         },
+        /// Permits for requests to backend servers.
+        Permits {
+            /// The permits; none if the request is refused.
+            permits: Vec<Permits>,
+            /// When to ask again if the request is refused, in milliseconds.
+            retry_after_ms: u64,
+            /// What the peer knows of the servers in the request.
+            servers: Vec<ServerLimit>,
+            /// The number of gateways that ask for permits.
+            gateways: u32,
+        },
+        /// The peer grants no permits.
+        NotGranting,
     }
 }
