State request limits in the soak, and check that gateways keep to them

Servers of the soak state limits at random times, from a generator of their own so that a seed keeps its other events. After the faults all servers state two requests a second, clients press on all hosts while one is stopped and restarted, and no server may get more than the platform's rule allows, nor nothing at all.

--- a/crates/soak/src/clients.rs
+++ b/crates/soak/src/clients.rs
@@ -113,6 +113,23 @@
     }
 }
 
+/// Sends a request that may be repeated, and requests a stream, at the same time.
+pub async fn press(world: &World, host: &Host, id: &str) {
+    let stream_id = format!("{id}-stream");
+    let (response, stream) = tokio::join!(
+        timeout(RESPONSE_TIMEOUT, host.client.request(id, "/plain/x", id)),
+        timeout(
+            RESPONSE_TIMEOUT,
+            host.client.stream(&stream_id, "/stream/x")
+        ),
+    );
+    let mut ledger = world.ledger.borrow_mut();
+    let response = response.ok().and_then(Result::ok);
+    ledger.record_request(id, false, response.as_ref());
+    let stream = stream.ok().and_then(Result::ok);
+    ledger.record_stream(&stream_id, EVENTS_PER_STREAM, stream.as_ref());
+}
+
 /// Requests streams, and closes some of them early.
 pub async fn stream_client(world: Rc<World>, seed: u64, name: String) {
     let mut rng = StdRng::seed_from_u64(seed);
--- a/crates/soak/src/inject.rs
+++ b/crates/soak/src/inject.rs
@@ -86,6 +86,13 @@
             world.routes_version.set(version);
             world.store.put_routes(settings::routes(version));
         }
+        Event::Limit(server, tenths) => {
+            if let Some(engine) = world.servers[server].current() {
+                engine.state_limit(Some(f64::from(tenths) / 10.0));
+                sleep(duration).await;
+                engine.state_limit(None);
+            }
+        }
         // The other events send signals to processes.
         _ => {}
     }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -12,6 +12,7 @@
 mod clients;
 mod inject;
 mod ledger;
+mod limits;
 pub mod plan;
 mod process;
 mod proxy;
@@ -141,6 +142,7 @@
     for path in clients::FATAL_PATHS {
         check_fatal_request(&world, path).await;
     }
+    limits::check(&world).await;
     watcher.abort();
     check_final_state(&world).await;
     Ok(report(&world))
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -12,6 +12,12 @@
 /// The mean time between the starts of two events. Most events last longer, so that they overlap.
 const MEAN_FAULT_INTERVAL: Duration = Duration::from_millis(1100);
 
+/// The mean time between two statements of a request limit.
+const MEAN_LIMIT_INTERVAL: Duration = Duration::from_millis(2500);
+
+/// Makes the seed of the request limits differ from that of the other events.
+const LIMIT_SEED_MASK: u64 = 0x6c69_6d69_7473;
+
 /// The state of a network link.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Link {
@@ -82,6 +88,8 @@
     Fail(usize),
     /// The operator writes a new version of the routes.
     Routes,
+    /// A server states a request limit, in tenths of a request per second.
+    Limit(usize, u32),
 }
 
 /// An event and its time.
@@ -120,10 +128,30 @@
             });
             at += MEAN_FAULT_INTERVAL.mul_f64(rng.random_range(0.0..2.0));
         }
+        events.extend(draw_limits(seed, length, servers));
+        events.sort_by_key(|event| event.at);
         Self { events }
     }
 }
 
+/// Draws the request limits that servers state. They have a generator of their own, so that a seed
+/// keeps its other events.
+fn draw_limits(seed: u64, length: Duration, servers: usize) -> Vec<ScheduledEvent> {
+    let mut rng = StdRng::seed_from_u64(seed ^ LIMIT_SEED_MASK);
+    let mut events = Vec::new();
+    let mut at = Duration::ZERO;
+    while at < length {
+        let tenths = rng.random_range(5..300);
+        events.push(ScheduledEvent {
+            at,
+            duration: Duration::from_millis(rng.random_range(1000..8000)),
+            event: Event::Limit(rng.random_range(0..servers), tenths),
+        });
+        at += MEAN_LIMIT_INTERVAL.mul_f64(rng.random_range(0.0..2.0));
+    }
+    events
+}
+
 fn draw_event(rng: &mut StdRng, hosts: usize, servers: usize) -> Event {
     let host = rng.random_range(0..hosts);
     let server = rng.random_range(0..servers);
