--- a/crates/gateway/src/batches/coordinator.rs
+++ b/crates/gateway/src/batches/coordinator.rs
@@ -398,6 +398,7 @@
             engine,
             item,
             after,
+            began_at,
             version,
             ..
         } => {
@@ -416,8 +417,14 @@
             let batch = batch
                 .and_then(|batch| batch_ids.get(&batch))
                 .map(String::as_str);
+            let software = registration.software.as_str();
+            let began_at = began_at.as_deref().filter(|_| after.is_some());
+            if after.is_some() {
+                gateway.metrics.record_continuation(began_at, software);
+            }
             log::info!(
-                item = item.id.as_str(), batch, run, server = registration.instance.as_str(), after;
+                item = item.id.as_str(), batch, run, server = registration.instance.as_str(), after,
+                software, began_at;
                 "item sent"
             );
             drop(batch_ids);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -21,6 +21,9 @@
     pub sends: IntCounterVec,
     /// Requests sent to servers that state a request limit, by cause.
     pub limited_sends: IntCounterVec,
+    /// Texts and streams that continue at another server, by whether its software has the version of
+    /// the server that began them.
+    pub continuations: IntCounterVec,
     /// Responses that broke off, by the state of the server afterwards.
     pub broken_responses: IntCounterVec,
     /// Runs of items, by outcome.
@@ -87,6 +90,11 @@
                 "Requests sent to servers that state a request limit, by cause.",
                 &["cause"],
             ),
+            continuations: counter(
+                "continuations",
+                "Texts and streams that continue at another server, by its software version.",
+                &["software"],
+            ),
             broken_responses: counter(
                 "broken_responses",
                 "Responses that broke off, by the state of the server afterwards.",
@@ -112,6 +120,17 @@
         tamaracksail_process::metrics::render(&self.registry)
     }
 
+    /// Counts a text or stream that was begun by a server with the software version `began_at` and
+    /// continues at one with `software`.
+    pub fn record_continuation(&self, began_at: Option<&str>, software: &str) {
+        let label = match began_at {
+            Some(began_at) if began_at == software => "same",
+            Some(_) => "other",
+            None => "unknown",
+        };
+        self.continuations.with_label_values(&[label]).inc();
+    }
+
     /// Counts a response to a client and records its latency.
     pub fn record_response(&self, kind: &str, status: u16, latency: Duration) {
         self.responses
--- a/crates/gateway/src/request/forward.rs
+++ b/crates/gateway/src/request/forward.rs
@@ -84,6 +84,9 @@
         log::warn!(request = id, route = route.name.as_str(), outcome = "not run"; "request refused, route has no target");
         return retry_later(UNAVAILABLE_RETRY_AFTER);
     };
+    if let Some(resumes) = ingress::resumed_attempt(&content.head.headers) {
+        log::info!(request = id, resumes; "client resumes a stream");
+    }
     let span = gateway.span("request", SpanKind::Server, &mut content.head.headers);
     let forwarding = Forwarding {
         gateway,
@@ -148,7 +151,7 @@
                         return client_response(head, Body::full(body));
                     }
                     Outcome::Streaming(_, reply, trial) if self.is_resumable() => {
-                        return streaming::relay(self.into_stream(trial), *reply);
+                        return streaming::relay(self.into_stream(key, trial), *reply);
                     }
                     Outcome::Streaming(first, reply, trial) => {
                         return self.relay_chunks(key, first, *reply, trial);
@@ -183,8 +186,14 @@
     }
 
     /// Hands the request over to the relay of a resumable stream.
-    fn into_stream(self, trial: Option<Trial>) -> Stream {
+    fn into_stream(self, key: ServerKey, trial: Option<Trial>) -> Stream {
+        let fleet = self.gateway.fleet.borrow();
+        let began_at = fleet
+            .registration(key)
+            .map(|registration| registration.software.clone());
+        drop(fleet);
         Stream {
+            began_at,
             gateway: Rc::clone(self.gateway),
             service: self.service.to_owned(),
             content: self.content.clone(),
--- a/crates/gateway/src/request/streaming.rs
+++ b/crates/gateway/src/request/streaming.rs
@@ -33,6 +33,8 @@
     pub gateway: Rc<Gateway>,
     /// The service whose servers can continue the stream.
     pub service: String,
+    /// The version of the software of the server that began the stream, if it is still known.
+    pub began_at: Option<String>,
     /// The client's request.
     pub content: Content,
     /// Set while the request runs alone.
@@ -135,7 +137,7 @@
             match outcome {
                 Outcome::Streaming(_, reply, trial) => {
                     self.trial = trial;
-                    log::info!(request = self.id.as_str(), after = last; "stream resumed");
+                    self.log_continuation(last);
                     return Some(*reply);
                 }
                 Outcome::Complete(head, _) => {
@@ -152,6 +154,21 @@
         None
     }
 
+    fn log_continuation(&self, last: Option<u64>) {
+        let fleet = self.gateway.fleet.borrow();
+        let server = self.tried.last().and_then(|key| fleet.registration(*key));
+        let Some(server) = server else {
+            return;
+        };
+        let (began_at, software) = (self.began_at.as_deref(), server.software.as_str());
+        self.gateway.metrics.record_continuation(began_at, software);
+        log::info!(
+            request = self.id.as_str(), after = last, server = server.instance.as_str(), began_at,
+            software;
+            "stream resumed"
+        );
+    }
+
     /// Returns an attempt at another server. Returns none if there is no server, or if the request may
     /// not run since servers ended under its content.
     async fn next_attempt(&self) -> Option<Attempt> {
--- a/crates/model/src/backend.rs
+++ b/crates/model/src/backend.rs
@@ -24,6 +24,9 @@
         pub started_at_ms: Option<u64>,
         /// The service that it belongs to.
         pub service: String,
+        /// The version of its software. A stream may only continue at a server with the version of
+        /// the one that began it.
+        pub software: String,
         /// The address on which it listens.
         pub address: SocketAddr,
         /// Its failure domain.
--- a/crates/model/src/batch.rs
+++ b/crates/model/src/batch.rs
@@ -76,6 +76,9 @@
         pub versions: BTreeSet<u64>,
         /// Whether the text is complete.
         pub is_whole: bool,
+        /// The version of the software of the server that generated the events.
+        #[serde(default)]
+        pub software: Option<String>,
     }
 }
 
--- a/crates/model/src/checkpoint.rs
+++ b/crates/model/src/checkpoint.rs
@@ -33,5 +33,8 @@
         pub data: String,
         /// The versions of the weights that generated the text up to the end of this segment.
         pub versions: BTreeSet<u64>,
+        /// The version of the software of the server that generated the text.
+        #[serde(default)]
+        pub software: Option<String>,
     }
 }
--- a/crates/policy/src/batch/action.rs
+++ b/crates/policy/src/batch/action.rs
@@ -23,6 +23,8 @@
         item: Rc<Item>,
         /// The id of the last event received from earlier runs.
         after: Option<u64>,
+        /// The version of the software that generated the text so far.
+        began_at: Option<String>,
         /// The only version that may generate, if the whole text must come from one version.
         version: Option<u64>,
     },
--- a/crates/policy/src/batch/checkpointing.rs
+++ b/crates/policy/src/batch/checkpointing.rs
@@ -89,6 +89,7 @@
             last,
             data: data.to_owned(),
             versions: task.text.versions.clone(),
+            software: task.text.software.clone(),
         });
         task.saved = Some(SavedText {
             series,
@@ -167,6 +168,7 @@
             partial_text.data.push_str(&segment.data);
             partial_text.last = Some(segment.last);
             partial_text.versions = segment.versions;
+            partial_text.software = segment.software;
         }
         let known = partial_texts.get(&item).and_then(|known| known.last);
         if partial_text.last > known {
--- a/crates/policy/src/batch/dispatch.rs
+++ b/crates/policy/src/batch/dispatch.rs
@@ -113,6 +113,7 @@
         engine,
         item: Rc::clone(&task.item),
         after: task.text.last,
+        began_at: task.text.software.clone(),
         version: if batch.is_single_version {
             loaded
         } else {
--- a/crates/policy/src/batch/reports.rs
+++ b/crates/policy/src/batch/reports.rs
@@ -64,6 +64,10 @@
         run_failed(scheduler, now, run_id, Failure::Broken);
         return false;
     }
+    if task.text.last.is_none() {
+        let engine = scheduler.pool.engines.get(engine);
+        task.text.software = engine.map(|engine| engine.registration.software.clone());
+    }
     task.text.push(id, data, generated_by);
     if let Some(engine) = scheduler.pool.engines.get_mut(engine) {
         engine.record_success();
--- a/crates/policy/tests/common/engines.rs
+++ b/crates/policy/tests/common/engines.rs
@@ -120,6 +120,7 @@
             instance: name.to_owned(),
             started_at_ms: Some(1),
             service: "pool".to_owned(),
+            software: "v1".to_owned(),
             address: ([127, 0, 0, 1], 1).into(),
             domain: "here".to_owned(),
             slots,
--- a/crates/policy/tests/fleet.rs
+++ b/crates/policy/tests/fleet.rs
@@ -12,6 +12,7 @@
         instance: instance.to_owned(),
         started_at_ms: Some(1),
         service: "app".to_owned(),
+        software: "v1".to_owned(),
         address: ([127, 0, 0, 1], 1).into(),
         domain: domain.to_owned(),
         slots: 4,
--- a/crates/policy/tests/limits.rs
+++ b/crates/policy/tests/limits.rs
@@ -23,6 +23,7 @@
         instance: instance.to_owned(),
         started_at_ms: Some(1),
         service: "app".to_owned(),
+        software: "v1".to_owned(),
         address: ([127, 0, 0, 1], 1).into(),
         domain: "d1".to_owned(),
         slots: 4,
--- a/crates/policy/tests/saving.rs
+++ b/crates/policy/tests/saving.rs
@@ -81,6 +81,7 @@
         last,
         data: data.to_owned(),
         versions: [1].into(),
+        software: Some("v1".to_owned()),
     }
 }
 
--- a/crates/policy/tests/weights.rs
+++ b/crates/policy/tests/weights.rs
@@ -15,6 +15,7 @@
         instance: format!("e{number}"),
         started_at_ms: Some(1),
         service: "pool".to_owned(),
+        software: "v1".to_owned(),
         address: ([127, 0, 0, 1], number).into(),
         domain: "here".to_owned(),
         slots: 4,
