Continue texts and streams only at the software version that began them

Trainers and callers saw: texts and streams with events of servers of two software versions, which do not fit together.

Whatever continues a run, be it the next attempt within a response, an item that broke off, moved or was saved, or the engine that takes the items of one that loads weights, was placed at any server of the service.

Change: a query for a server may name the software version; streams name that of the server that began them, items that of their text, through checkpoints and handovers. A text whose version has no ready engine any more starts over, as does one that an older build saved without a version. Engines give their items away before a load only to engines of their version. New runs go to any version.

Why it works: a run that continues is sent to servers registered with the version of the first event, or nowhere.

--- a/crates/gateway/src/limits/acquisition.rs
+++ b/crates/gateway/src/limits/acquisition.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use tamaracksail_model::time::Instant;
-use tamaracksail_policy::fleet::ServerKey;
+use tamaracksail_policy::fleet::{Query, ServerKey};
 use tamaracksail_policy::limit::{Authority, Grant, Observation};
 use tamaracksail_wire::peer::{
     Permits, Request as PeerRequest, Response as PeerResponse, ServerLimit,
@@ -39,12 +39,26 @@
 pub struct Candidates<'a> {
     /// The service that the servers belong to.
     pub service: &'a str,
+    /// The only version of their software, for a stream that servers with this version have begun.
+    pub software: Option<&'a str>,
     /// Servers that are used only if there is no other.
     pub avoided: &'a [ServerKey],
     /// Servers that are not used.
     pub excluded: &'a [ServerKey],
 }
 
+impl<'a> Candidates<'a> {
+    /// Returns the query for servers that are not in `except`, for a caller in `domain`.
+    pub fn query(self, domain: &'a str, except: &'a [ServerKey]) -> Query<'a> {
+        Query {
+            service: self.service,
+            software: self.software,
+            domain,
+            except,
+        }
+    }
+}
+
 /// Chooses a server for a request, and uses a permit if the server has a limit. Waits up to `max_wait`
 /// for a permit if no server can do without.
 ///
@@ -105,11 +119,11 @@
 fn choose(gateway: &Gateway, candidates: Candidates) -> (Option<ServerKey>, Vec<ServerKey>) {
     let settings = gateway.settings.borrow();
     let fleet = gateway.fleet.borrow();
-    let (at, service, domain) = (now(), candidates.service, settings.domain.as_str());
+    let at = now();
     let choose = |except: &[ServerKey]| {
-        let best = fleet.choose(at, service, domain, except);
-        let limited = fleet.needing_permit(at, service, domain, except, best);
-        (best, limited)
+        let query = candidates.query(&settings.domain, except);
+        let best = fleet.choose(at, query);
+        (best, fleet.needing_permit(at, query, best))
     };
     match choose(candidates.avoided) {
         (None, limited) if limited.is_empty() => choose(candidates.excluded),
--- a/crates/gateway/src/request/forward.rs
+++ b/crates/gateway/src/request/forward.rs
@@ -236,8 +236,8 @@
             Verdict::Refused => return None,
             Verdict::Alone => {}
         }
-        let (gateway, tried) = (self.gateway, &self.tried);
-        let trial = Trial::start(gateway, self.service, self.content, tried, self.deadline).await?;
+        let gateway = self.gateway;
+        let trial = Trial::start(gateway, self.candidates(), self.content, self.deadline).await?;
         let cause = self.cause();
         self.tried.push(trial.key);
         let is_stream = self.route.kind == Kind::Stream;
@@ -251,12 +251,7 @@
         let max_wait = objective_share
             .min(MAX_PERMIT_WAIT)
             .min(self.deadline.since(now()));
-        let candidates = Candidates {
-            service: self.service,
-            avoided: &self.tried,
-            excluded: &[],
-        };
-        match limits::acquire(self.gateway, candidates, max_wait).await {
+        match limits::acquire(self.gateway, self.candidates(), max_wait).await {
             Ok(key) => Some(self.start(key, self.cause())),
             Err(retry_after) => {
                 self.limit_retry_after = retry_after;
@@ -265,6 +260,16 @@
         }
     }
 
+    /// The servers that may take the request. Those not tried yet are preferred.
+    fn candidates(&self) -> Candidates<'_> {
+        Candidates {
+            service: self.service,
+            software: None,
+            avoided: &self.tried,
+            excluded: &[],
+        }
+    }
+
     /// Starts a second attempt at the best server that may take a request now. Returns none if there
     /// is no server or no attempt is left.
     fn hedge(&mut self) -> Option<PendingAttempt<'a>> {
@@ -276,8 +281,9 @@
         let key = {
             let settings = gateway.settings.borrow();
             let mut fleet = gateway.fleet.borrow_mut();
+            let candidates = self.candidates();
             let choose =
-                |except: &[ServerKey]| fleet.choose(at, self.service, &settings.domain, except);
+                |except: &[ServerKey]| fleet.choose(at, candidates.query(&settings.domain, except));
             let key = choose(&self.tried).or_else(|| choose(&[]))?;
             fleet.limiter_mut().take(at, key);
             key
--- a/crates/gateway/src/request/streaming.rs
+++ b/crates/gateway/src/request/streaming.rs
@@ -172,7 +172,15 @@
     /// Returns an attempt at another server. Returns none if there is no server, or if the request may
     /// not run since servers ended under its content.
     async fn next_attempt(&self) -> Option<Attempt> {
-        let (gateway, tried) = (&self.gateway, &self.tried);
+        let gateway = &self.gateway;
+        // With every server tried, any but the one that broke off just now will do.
+        let just_broken = self.tried.last().copied();
+        let candidates = Candidates {
+            service: &self.service,
+            software: Some(self.began_at.as_deref()?),
+            avoided: &self.tried,
+            excluded: just_broken.as_slice(),
+        };
         match gateway
             .suspects
             .verdict(now(), || self.content.fingerprint())
@@ -180,18 +188,10 @@
             Verdict::Unrestricted => {}
             Verdict::Refused => return None,
             Verdict::Alone => {
-                let (service, content) = (&self.service, &self.content);
-                let trial = Trial::start(gateway, service, content, tried, self.deadline).await?;
+                let trial = Trial::start(gateway, candidates, &self.content, self.deadline).await?;
                 return Some(Attempt::alone(gateway, trial, true));
             }
         }
-        // With every server tried, any but the one that broke off just now will do.
-        let just_broken = tried.last().copied();
-        let candidates = Candidates {
-            service: &self.service,
-            avoided: tried,
-            excluded: just_broken.as_slice(),
-        };
         let max_wait = MAX_PERMIT_WAIT.min(self.deadline.since(now()));
         let key = limits::acquire(gateway, candidates, max_wait).await.ok()?;
         Some(Attempt::new(gateway, key, true))
--- a/crates/gateway/src/request/trial.rs
+++ b/crates/gateway/src/request/trial.rs
@@ -9,7 +9,7 @@
 
 use super::content::Content;
 use crate::gateway::{Gateway, now};
-use crate::limits;
+use crate::limits::{self, Candidates};
 
 /// How long a request waits for a server that may run it alone. Servers back off for half a second
 /// after the first failure.
@@ -29,14 +29,12 @@
 }
 
 impl Trial {
-    /// Waits for a server of `service`, not in `tried` if there is another, that has no request of
-    /// this gateway in flight. Returns `None` if there is none in time, or if the content is refused
-    /// meanwhile.
+    /// Waits for one of `candidates` that has no request of this gateway in flight. Returns `None` if
+    /// there is none in time, or if the content is refused meanwhile.
     pub async fn start(
         gateway: &Rc<Gateway>,
-        service: &str,
+        candidates: Candidates<'_>,
         content: &Content,
-        tried: &[ServerKey],
         deadline: Instant,
     ) -> Option<Self> {
         let limit = now().after(MAX_WAIT).min(deadline);
@@ -50,12 +48,13 @@
                 |trial: &Self| gateway.fleet.borrow().registration(trial.key).is_some();
             trial = trial
                 .filter(is_registered)
-                .or_else(|| Self::choose(gateway, service, content, tried));
+                .or_else(|| Self::choose(gateway, candidates, content));
             if let Some(planned) = &mut trial {
                 planned.has_started = gateway.fleet.borrow_mut().start_trial(planned.key);
                 if planned.has_started {
                     let key = planned.key;
-                    let permit = limits::acquire_for(gateway, service, key, limit.since(now()));
+                    let permit =
+                        limits::acquire_for(gateway, candidates.service, key, limit.since(now()));
                     return permit.await.ok().and(trial);
                 }
             }
@@ -68,16 +67,17 @@
 
     fn choose(
         gateway: &Rc<Gateway>,
-        service: &str,
+        candidates: Candidates<'_>,
         content: &Content,
-        tried: &[ServerKey],
     ) -> Option<Self> {
         let fingerprint = content.fingerprint();
         let key = {
-            let fleet = gateway.fleet.borrow();
-            let choose =
-                |except: &[ServerKey]| fleet.choose_alone(now(), service, fingerprint, except);
-            choose(tried).or_else(|| choose(&[]))?
+            let (settings, fleet) = (gateway.settings.borrow(), gateway.fleet.borrow());
+            let choose = |except: &[ServerKey]| {
+                let query = candidates.query(&settings.domain, except);
+                fleet.choose_alone(now(), query, fingerprint)
+            };
+            choose(candidates.avoided).or_else(|| choose(&[]))?
         };
         gateway.fleet.borrow_mut().plan_trial(key);
         Some(Self {
--- a/crates/model/src/batch.rs
+++ b/crates/model/src/batch.rs
@@ -92,6 +92,13 @@
         }
     }
 
+    /// Whether it isn't known which version of the software generated the text, so that no server can
+    /// continue it. Text that an older build has saved does not name the version.
+    #[must_use]
+    pub fn is_of_unknown_software(&self) -> bool {
+        self.last.is_some() && self.software.is_none()
+    }
+
     /// Whether the text may be used by a batch that accepts versions from `min_version` on, and
     /// only one of them if `is_single_version` is set.
     #[must_use]
--- a/crates/policy/src/batch/dispatch.rs
+++ b/crates/policy/src/batch/dispatch.rs
@@ -41,7 +41,10 @@
         let newest = required
             .model
             .and_then(|model| scheduler.announced_versions.get(model));
-        if scheduler.pool.has_lost_version(&required, newest.copied()) {
+        if scheduler.pool.has_lost_version(&required, newest.copied())
+            || scheduler.pool.has_lost_software(&required)
+            || scheduler.tasks[key].text.is_of_unknown_software()
+        {
             scheduler.tasks[key].discard_text();
         }
         if let Some(engine) =
@@ -80,6 +83,7 @@
         model: batch.model.as_deref(),
         min_version,
         version,
+        software: task.text.software.as_deref(),
     }
 }
 
--- a/crates/policy/src/batch/pool.rs
+++ b/crates/policy/src/batch/pool.rs
@@ -20,6 +20,8 @@
     pub(crate) min_version: Option<u64>,
     /// The only version allowed, if the text must come from one.
     pub(crate) version: Option<u64>,
+    /// The only version of the software allowed, if the item has text.
+    pub(crate) software: Option<&'a str>,
 }
 
 /// All engines.
@@ -121,6 +123,18 @@
         is_superseded && versions().next().is_some() && versions().all(|loaded| loaded != version)
     }
 
+    /// Whether only a version of the software is allowed with which no engine of the service is ready.
+    pub(crate) fn has_lost_software(&self, requirements: &Requirements) -> bool {
+        requirements.software.is_some_and(|software| {
+            !self.engines.values().any(|engine| {
+                let registration = &engine.registration;
+                registration.service == requirements.service
+                    && registration.software == software
+                    && registration.state == State::Ready
+            })
+        })
+    }
+
     /// Chooses an engine with a free slot for an item. Engines that are not slow come first, then
     /// those assigned to the item's model, then those with the lowest share of used slots.
     pub(crate) fn choose(
@@ -159,5 +173,8 @@
     let is_exact = requirements
         .version
         .is_none_or(|version| loaded == Some(version));
-    is_new_enough && is_exact
+    let is_compatible = requirements
+        .software
+        .is_none_or(|software| engine.registration.software == software);
+    is_new_enough && is_exact && is_compatible
 }
--- a/crates/policy/src/batch/weights.rs
+++ b/crates/policy/src/batch/weights.rs
@@ -194,7 +194,7 @@
         .filter(|(other, engine)| {
             *other != key && engine.accepts_work(now) && engine.assigned_model.is_some()
         })
-        .filter(|(_, engine)| is_as_new(engine, &scheduler.pool.engines[key]))
+        .filter(|(_, engine)| can_continue(engine, &scheduler.pool.engines[key]))
         .map(|(_, engine)| engine.free_slots() as usize)
         .sum();
     let is_movable = runs
@@ -219,9 +219,12 @@
     true
 }
 
-/// Whether an engine holds a version at least as new as another's, of the other's assigned
-/// model.
-fn is_as_new(engine: &Engine, other: &Engine) -> bool {
+/// Whether an engine can continue the items of another: its software has the same version, and the
+/// weights of the other's assigned model are at least as new.
+fn can_continue(engine: &Engine, other: &Engine) -> bool {
+    if engine.registration.software != other.registration.software {
+        return false;
+    }
     let model = other.assigned_model.as_deref().unwrap_or_default();
     engine.version(model) >= other.version(model)
 }
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -55,6 +55,19 @@
     Abandoned(Duration),
 }
 
+/// What a request requires of a server.
+#[derive(Clone, Copy, Debug)]
+pub struct Query<'a> {
+    /// The service that the server must belong to.
+    pub service: &'a str,
+    /// The only version of its software, for a stream that servers with this version have begun.
+    pub software: Option<&'a str>,
+    /// The failure domain of the caller.
+    pub domain: &'a str,
+    /// Servers that are left out.
+    pub except: &'a [ServerKey],
+}
+
 /// One backend server.
 #[derive(Clone, Debug)]
 pub struct Server {
@@ -212,66 +225,56 @@
         self.servers.get(key).map(|server| &server.registration)
     }
 
-    /// Returns the ready server of `service` that is expected to respond first to a caller in
-    /// `domain`, leaving out those in `except` and those whose request limit allows no request now.
-    /// Servers that back off after a failure come last, and before them those on which a request
-    /// runs alone.
+    /// Returns the ready server that is expected to respond first, leaving out those whose request
+    /// limit allows no request now. Servers that back off after a failure come last, and before them
+    /// those on which a request runs alone.
     /// Returns `None` if there is no such server.
     #[must_use]
-    pub fn choose(
-        &self,
-        now: Instant,
-        service: &str,
-        domain: &str,
-        except: &[ServerKey],
-    ) -> Option<ServerKey> {
-        self.ready(service, except)
+    pub fn choose(&self, now: Instant, query: Query) -> Option<ServerKey> {
+        self.ready(query)
             .filter(|(key, _)| self.limiter.allows(now, *key))
-            .min_by(|(_, a), (_, b)| compare(a.rank(now, domain), b.rank(now, domain)))
+            .min_by(|(_, a), (_, b)| compare(a.rank(now, query.domain), b.rank(now, query.domain)))
             .map(|(key, _)| key)
     }
 
-    /// Returns the ready servers of `service` that could take a request of a caller in `domain` if
-    /// they had a permit, leaving out those in `except` and those that would not respond before
-    /// `otherwise`, a server that needs none.
+    /// Returns the ready servers that could take a request if they had a permit, leaving out those
+    /// that would not respond before `otherwise`, a server that needs none.
     #[must_use]
     pub fn needing_permit(
         &self,
         now: Instant,
-        service: &str,
-        domain: &str,
-        except: &[ServerKey],
+        query: Query,
         otherwise: Option<ServerKey>,
     ) -> Vec<ServerKey> {
         let other_rank = otherwise
             .and_then(|key| self.servers.get(key))
-            .map(|server| server.rank(now, domain));
+            .map(|server| server.rank(now, query.domain));
         let is_better = |server: &Server| {
-            let (is_reluctant, latency) = server.rank(now, domain);
-            let rank = (is_reluctant, latency + PERMIT_COST.as_secs_f64());
+            let (reluctance, latency) = server.rank(now, query.domain);
+            let rank = (reluctance, latency + PERMIT_COST.as_secs_f64());
             other_rank.is_none_or(|other| compare(rank, other).is_lt())
         };
-        self.ready(service, except)
+        self.ready(query)
             .filter(|(key, server)| !self.limiter.allows(now, *key) && is_better(server))
             .map(|(key, _)| key)
             .collect()
     }
 
-    /// Returns the ready servers of `service`, leaving out those in `except`.
-    fn ready(
-        &self,
-        service: &str,
-        except: &[ServerKey],
-    ) -> impl Iterator<Item = (ServerKey, &Server)> {
+    /// Returns the ready servers that a request may be sent to.
+    fn ready<'a>(&'a self, query: Query<'a>) -> impl Iterator<Item = (ServerKey, &'a Server)> {
         self.servers.iter().filter(move |(key, server)| {
-            server.registration.service == service
-                && server.registration.state == State::Ready
-                && !except.contains(key)
+            let registration = &server.registration;
+            registration.service == query.service
+                && registration.state == State::Ready
+                && query
+                    .software
+                    .is_none_or(|software| registration.software == software)
+                && !query.except.contains(key)
         })
     }
 
-    /// Returns the server of `service` on which to run a request with this content alone, leaving
-    /// out those in `except`. All gateways choose the same server if they know of the same servers.
+    /// Returns the server on which to run a request with this content alone. All gateways choose the
+    /// same server if they know of the same servers.
     ///
     /// Returns `None` if no such server is ready, or if less than half of the service's servers would
     /// be left should this one end.
@@ -279,17 +282,21 @@
     pub fn choose_alone(
         &self,
         now: Instant,
-        service: &str,
+        query: Query,
         fingerprint: id::Fingerprint,
-        except: &[ServerKey],
     ) -> Option<ServerKey> {
-        let ready = || self.ready(service, &[]);
-        let running = || ready().filter(|(_, server)| !server.is_backing_off(now));
-        if running().count() < ready().count() / 2 + 1 {
+        let all = Query {
+            software: None,
+            except: &[],
+            ..query
+        };
+        let is_running = |server: &Server| !server.is_backing_off(now);
+        let running = self.ready(all).filter(|(_, server)| is_running(server));
+        if running.count() < self.ready(all).count() / 2 + 1 {
             return None;
         }
-        running()
-            .filter(|(key, _)| !except.contains(key))
+        self.ready(query)
+            .filter(|(_, server)| is_running(server))
             .max_by_key(|(_, server)| choice::affinity(fingerprint, &server.registration.instance))
             .map(|(key, _)| key)
     }
--- a/crates/policy/tests/common/engines.rs
+++ b/crates/policy/tests/common/engines.rs
@@ -33,6 +33,8 @@
     pub is_silent: bool,
     /// The version of its weights.
     pub version: u64,
+    /// The version of its software.
+    pub software: &'static str,
     /// When the load in progress ends, its version, and the engine's key in the scheduler.
     loading: Option<(Instant, u64, EngineKey)>,
 }
@@ -73,6 +75,8 @@
     submissions: BTreeMap<String, Submission>,
     /// The version that generated each event, by item.
     generated_by: BTreeMap<String, BTreeMap<u64, u64>>,
+    /// The version of the software that began the present text, by item.
+    began_at: BTreeMap<String, &'static str>,
     /// The stored checkpoints, by their index in the ring.
     checkpoints: BTreeMap<u64, Checkpoint>,
     /// The fencing token of the scheduler.
@@ -97,6 +101,7 @@
             writes: Vec::new(),
             submissions: BTreeMap::new(),
             generated_by: BTreeMap::new(),
+            began_at: BTreeMap::new(),
             checkpoints: BTreeMap::new(),
             fence: 1,
         };
@@ -106,6 +111,7 @@
                 event_interval,
                 is_silent: false,
                 version: 1,
+                software: "v1",
                 loading: None,
             };
             simulation.engines.insert(name.clone(), engine);
@@ -120,7 +126,7 @@
             instance: name.to_owned(),
             started_at_ms: Some(1),
             service: "pool".to_owned(),
-            software: "v1".to_owned(),
+            software: self.engines[name].software.to_owned(),
             address: ([127, 0, 0, 1], 1).into(),
             domain: "here".to_owned(),
             slots,
@@ -425,6 +431,11 @@
                 let next = after.unwrap_or(0) + 1;
                 let due_at = self.now.after(event_interval);
                 let item = item.id.clone();
+                let software = self.engines[&engine].software;
+                if after.is_none() {
+                    self.began_at.insert(item.clone(), software);
+                }
+                assert_eq!(self.began_at[&item], software, "{item} changes software");
                 let started = Run {
                     engine,
                     item,
--- a/crates/policy/tests/fleet.rs
+++ b/crates/policy/tests/fleet.rs
@@ -5,7 +5,7 @@
 
 use tamaracksail_model::backend::{Registration, State};
 use tamaracksail_model::time::Instant;
-use tamaracksail_policy::fleet::{Fleet, SendOutcome, ServerKey};
+use tamaracksail_policy::fleet::{Fleet, Query, SendOutcome, ServerKey};
 
 fn registration(instance: &str, domain: &str) -> Registration {
     Registration {
@@ -33,8 +33,18 @@
     Instant::from_millis(10_000 + millis)
 }
 
+/// Returns the query for a server of the service for a caller in the domain `d1`.
+fn query(except: &[ServerKey]) -> Query<'_> {
+    Query {
+        service: "app",
+        software: None,
+        domain: "d1",
+        except,
+    }
+}
+
 fn choose(fleet: &Fleet, now: Instant) -> (ServerKey, String) {
-    let key = fleet.choose(now, "app", "d1", &[]).expect("a server");
+    let key = fleet.choose(now, query(&[])).expect("a server");
     (
         key,
         fleet
--- a/crates/policy/tests/limits.rs
+++ b/crates/policy/tests/limits.rs
@@ -8,7 +8,7 @@
 use tamaracksail_model::backend::{Registration, State};
 use tamaracksail_model::rate::Rate;
 use tamaracksail_model::time::Instant;
-use tamaracksail_policy::fleet::{Fleet, ServerKey};
+use tamaracksail_policy::fleet::{Fleet, Query, ServerKey};
 use tamaracksail_policy::limit::{Authority, Grant, Limiter, Observation, PERMIT_VALIDITY};
 
 /// The time over which the platform counts requests.
@@ -52,6 +52,16 @@
     fleet.limiter_mut().observe(now, key, observation);
 }
 
+/// Returns the query for a server of the service for a caller in the domain `d1`.
+fn query(except: &[ServerKey]) -> Query<'_> {
+    Query {
+        service: "app",
+        software: None,
+        domain: "d1",
+        except,
+    }
+}
+
 /// Returns the largest number of requests in any window.
 fn peak(mut sent: Vec<Instant>) -> usize {
     sent.sort_unstable();
@@ -148,18 +158,18 @@
     let (mut fleet, keys) = gateway(&[Some(2.0), None], 0.0);
     let limiter = fleet.limiter_mut();
     limiter.set_authority(at(0), Authority::Peer);
-    let chosen = fleet.choose(at(0), "app", "d1", &[]);
+    let chosen = fleet.choose(at(0), query(&[]));
     assert_eq!(chosen, Some(keys[1]));
-    let needing = |fleet: &Fleet| fleet.needing_permit(at(0), "app", "d1", &[], chosen);
+    let needing = |fleet: &Fleet| fleet.needing_permit(at(0), query(&[]), chosen);
     assert!(needing(&fleet).is_empty());
     for _ in 0..4 {
         fleet.record_sent(keys[1]);
     }
     assert_eq!(needing(&fleet), [keys[0]]);
     fleet.limiter_mut().add_permits(at(0), keys[0], 1);
-    assert_eq!(fleet.choose(at(0), "app", "d1", &[]), Some(keys[0]));
+    assert_eq!(fleet.choose(at(0), query(&[])), Some(keys[0]));
     let expired = at(0).after(PERMIT_VALIDITY);
-    assert_eq!(fleet.choose(expired, "app", "d1", &[]), Some(keys[1]));
+    assert_eq!(fleet.choose(expired, query(&[])), Some(keys[1]));
 }
 
 #[test]
--- a/crates/policy/tests/scheduling.rs
+++ b/crates/policy/tests/scheduling.rs
@@ -138,6 +138,37 @@
     assert!(took < Duration::from_millis(1500), "{took:?}");
 }
 
+/// Sets the version of an engine's software.
+fn set_software(simulation: &mut Simulation, name: &str, software: &'static str) {
+    let engine = simulation.engines.get_mut(name);
+    engine.expect("the engine exists").software = software;
+    simulation.register(name, 4, State::Ready);
+}
+
+#[test]
+fn text_continues_at_engines_with_the_software_that_began_it_and_starts_over_without_any() {
+    let mut simulation = Simulation::new(4, 4, EVENT_INTERVAL);
+    for name in ["e01", "e02"] {
+        set_software(&mut simulation, name, "v2");
+    }
+    simulation.submit("s", 1, 2, &[("g0", &[50, 50]), ("g1", &[50, 50])]);
+    simulation.run_for(Duration::from_secs(1));
+    for name in ["e00", "e02"] {
+        simulation.register(name, 4, State::Draining);
+        simulation.crash(name);
+    }
+    // Half of the text exists already; all of it takes two seconds.
+    let took = simulation.run_until_complete("s", 2);
+    assert!(took < Duration::from_millis(1500), "{took:?}");
+    simulation.submit("t", 1, 2, &[("h0", &[50, 50]), ("h1", &[50, 50])]);
+    simulation.run_for(Duration::from_secs(1));
+    simulation.register("e03", 4, State::Draining);
+    simulation.crash("e03");
+    let took = simulation.run_until_complete("t", 2);
+    assert!(took > Duration::from_millis(1900), "{took:?}");
+    assert!(took < Duration::from_millis(2500), "{took:?}");
+}
+
 #[test]
 fn an_item_waits_until_an_engine_has_loaded_its_version() {
     let mut simulation = Simulation::new(3, 4, EVENT_INTERVAL);
--- a/crates/policy/tests/suspects.rs
+++ b/crates/policy/tests/suspects.rs
@@ -6,7 +6,7 @@
 use tamaracksail_model::backend::{Registration, State};
 use tamaracksail_model::id::{Fingerprint, Host};
 use tamaracksail_model::time::Instant;
-use tamaracksail_policy::fleet::{Fleet, SendOutcome, ServerKey};
+use tamaracksail_policy::fleet::{Fleet, Query, SendOutcome, ServerKey};
 use tamaracksail_policy::request::suspects::{SuspectTable, Verdict};
 
 const CONTENT: Fingerprint = Fingerprint(7);
@@ -19,6 +19,16 @@
     (Host::from(server), 1)
 }
 
+/// Returns the query for a server of the service for a caller in the domain `d1`.
+fn query(except: &[ServerKey]) -> Query<'_> {
+    Query {
+        service: "app",
+        software: None,
+        domain: "d1",
+        except,
+    }
+}
+
 #[test]
 fn content_runs_alone_after_two_crashes_and_is_refused_after_a_crash_alone() {
     let mut table = SuspectTable::default();
@@ -79,7 +89,7 @@
             state: State::Ready,
             models: BTreeMap::new(),
         });
-        let key = fleet.choose(at(0), "app", "d1", &keys);
+        let key = fleet.choose(at(0), query(&keys));
         keys.push(key.expect("a server"));
     }
     (fleet, keys)
@@ -90,7 +100,7 @@
 fn servers_left(count: usize) -> usize {
     let (mut fleet, _) = fleet(count);
     let mut ended = Vec::new();
-    while let Some(key) = fleet.choose_alone(at(1), "app", CONTENT, &ended) {
+    while let Some(key) = fleet.choose_alone(at(1), query(&ended), CONTENT) {
         fleet.record_outcome(at(1), key, SendOutcome::Failed);
         ended.push(key);
     }
@@ -106,25 +116,25 @@
 #[test]
 fn other_requests_avoid_a_server_on_which_a_request_runs_alone() {
     let (mut fleet, keys) = fleet(3);
-    let alone = fleet.choose_alone(at(0), "app", CONTENT, &[]);
+    let alone = fleet.choose_alone(at(0), query(&[]), CONTENT);
     let alone = alone.expect("a server");
     fleet.plan_trial(alone);
     assert!(fleet.start_trial(alone));
     fleet.record_sent(alone);
     for _ in 0..20 {
-        let key = fleet.choose(at(0), "app", "d1", &[]).expect("a server");
+        let key = fleet.choose(at(0), query(&[])).expect("a server");
         assert_ne!(key, alone);
         fleet.record_sent(key);
     }
     let others: Vec<ServerKey> = keys.into_iter().filter(|key| *key != alone).collect();
-    assert_eq!(fleet.choose(at(0), "app", "d1", &others), Some(alone));
+    assert_eq!(fleet.choose(at(0), query(&others)), Some(alone));
     fleet.end_trial(alone, true);
     fleet.record_outcome(
         at(0),
         alone,
         SendOutcome::Responded(Duration::from_millis(20)),
     );
-    assert_eq!(fleet.choose(at(0), "app", "d1", &[]), Some(alone));
+    assert_eq!(fleet.choose(at(0), query(&[])), Some(alone));
 }
 
 #[test]
