Take a server registered with other software for another process

A server may come back under its id with new software. Both the servers of requests and the engines of items now also compare the software version; runs of the earlier process end.

Evidence: the test in fleet.rs failed before (the same key for both) and passes. The one in scheduling.rs was only run with the change.

--- a/crates/model/src/backend.rs
+++ b/crates/model/src/backend.rs
@@ -39,3 +39,13 @@
         pub models: BTreeMap<String, u64>,
     }
 }
+
+impl Registration {
+    /// Whether this and `other`, two records of one server, describe the same process.
+    #[must_use]
+    pub fn is_same_process(&self, other: &Self) -> bool {
+        self.started_at_ms == other.started_at_ms
+            && self.address == other.address
+            && self.software == other.software
+    }
+}
--- a/crates/policy/src/batch/pool.rs
+++ b/crates/policy/src/batch/pool.rs
@@ -37,9 +37,7 @@
     pub(crate) fn register(&mut self, registration: Registration) -> Option<EngineKey> {
         if let Some(key) = self.by_instance.get(&registration.instance).copied() {
             let engine = &mut self.engines[key];
-            if engine.registration.started_at_ms == registration.started_at_ms
-                && engine.registration.address == registration.address
-            {
+            if engine.registration.is_same_process(&registration) {
                 engine.registration = registration;
                 return None;
             }
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -152,9 +152,7 @@
         let kept = registration.clone();
         if let Some(key) = self.by_instance.get(&registration.instance).copied() {
             let server = &mut self.servers[key];
-            if server.registration.started_at_ms == registration.started_at_ms
-                && server.registration.address == registration.address
-            {
+            if server.registration.is_same_process(&registration) {
                 server.registration = registration;
                 return kept;
             }
--- a/crates/policy/tests/fleet.rs
+++ b/crates/policy/tests/fleet.rs
@@ -137,3 +137,19 @@
     assert_ne!(choose(&fleet, at(100)).1, "near");
     assert_eq!(choose(&fleet, at(400)).1, "near");
 }
+
+#[test]
+fn a_record_with_another_software_version_is_not_taken_for_the_process_before_it() {
+    let mut fleet = Fleet::default();
+    let mut record = registration("near", "d1");
+    record.started_at_ms = None;
+    fleet.register(record.clone());
+    let (before, _) = choose(&fleet, at(0));
+    record.slots = 8;
+    fleet.register(record.clone());
+    assert_eq!(choose(&fleet, at(0)).0, before);
+    record.software = "v2".to_owned();
+    fleet.register(record);
+    assert_ne!(choose(&fleet, at(0)).0, before);
+    assert_eq!(fleet.registration(before), None);
+}
--- a/crates/policy/tests/scheduling.rs
+++ b/crates/policy/tests/scheduling.rs
@@ -169,6 +169,17 @@
     assert!(took < Duration::from_millis(2500), "{took:?}");
 }
 
+#[test]
+fn runs_of_an_engine_that_is_registered_with_other_software_are_ended() {
+    let mut simulation = Simulation::new(2, 4, EVENT_INTERVAL);
+    simulation.submit("s", 1, 1, &[("g0", &[50, 50])]);
+    simulation.run_for(Duration::from_secs(1));
+    set_software(&mut simulation, "e00", "v2");
+    let took = simulation.run_until_complete("s", 1);
+    assert!(took < Duration::from_millis(1500), "{took:?}");
+    assert_eq!(simulation.stops.get("the engine is gone"), Some(&1));
+}
+
 #[test]
 fn an_item_waits_until_an_engine_has_loaded_its_version() {
     let mut simulation = Simulation::new(3, 4, EVENT_INTERVAL);
