Continue a stream that a client takes up only where it began

Change: a gateway keeps the service and software version of each resumable stream that begins there, by the attempt's id. While the service has, or had within 20 s, servers of several versions, it sends them to two other gateways, which rendezvous hashing chooses; streams that began before the second version appeared follow at once. A request that resumes a stream is looked up at four, and sent only to servers of that version. If nobody knows the stream, it goes on only at the one version that the service has had for 20 s, as this gateway saw while the store answers; else it is refused as not run. Gateways find each other by objects `gateways/HOST`, written once a start while a route has resumable streams.

Why it works: a stream continues on positive knowledge only. Copies that are lost make it be refused, not mixed, so no event waits for a copy; two copies and the gateway itself must be gone for that.

Cost: while versions differ, one message to each of two gateways for the streams that begin within 10 ms, about 100 bytes a stream; four small messages for each stream that is taken up; else nothing. Memory: 65,536 origins at most, of some 150 bytes. Store: a write at each start and a watch for each gateway, only with resumable streams.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -20,6 +20,7 @@
 use crate::metrics::Metrics;
 use crate::options::Options;
 use crate::store::Availability;
+use crate::streams::Streams;
 use crate::suspects::Suspects;
 
 /// The state of the process, shared by all tasks of its one thread.
@@ -45,6 +46,8 @@
     pub fleet: RefCell<Fleet>,
     /// The state of the servers' request limits.
     pub limits: Limits,
+    /// The origins of streams.
+    pub streams: Streams,
     /// The contents of requests under which servers ended.
     pub suspects: Suspects,
     /// Whether the list of backend servers has been read.
@@ -78,6 +81,7 @@
             table: RefCell::new(None),
             fleet: RefCell::new(Fleet::new(Limiter::new(rand::random()))),
             limits: Limits::default(),
+            streams: Streams::default(),
             suspects: Suspects::default(),
             has_server_list: Cell::new(false),
             stopping_since: Cell::new(None),
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -15,6 +15,7 @@
 mod request;
 mod stop;
 mod store;
+mod streams;
 mod suspects;
 mod version;
 
@@ -51,6 +52,7 @@
         version::watch_all(&gateway);
         suspects::share(&gateway);
         limits::share(&gateway);
+        actix_rt::spawn(streams::run(Rc::clone(&gateway)));
         batches::start(&gateway);
         stop::serve_until_stopped(&gateway).await;
         if let Some(tracer) = &gateway.tracer {
--- a/crates/gateway/src/peer/server.rs
+++ b/crates/gateway/src/peer/server.rs
@@ -23,6 +23,7 @@
 use crate::gateway::Gateway;
 use crate::limits;
 use crate::request::{empty_response, response_with_body};
+use crate::streams;
 
 /// Listens on the host's first internal port.
 ///
@@ -120,6 +121,11 @@
             let max_wait = Duration::from_millis(max_wait_ms);
             limits::grant_for_peer(gateway, sender, &servers, count, max_wait)
         }
+        PeerRequest::KeepOrigins { origins } => {
+            streams::copy(gateway, origins);
+            PeerResponse::Kept
+        }
+        PeerRequest::FindOrigin { attempt } => streams::origin_for_peer(gateway, attempt),
         PeerRequest::Drafts { part, parts } => PeerResponse::Drafts {
             partial_texts: gateway.coordinator.partial_texts(part, parts),
             groups: gateway.coordinator.past_groups(),
--- a/crates/gateway/src/request/forward.rs
+++ b/crates/gateway/src/request/forward.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
+use hyper::header::HeaderMap;
 use hyper::{Response, StatusCode};
 use tamaracksail_adapter::ingress;
 use tamaracksail_model::route::{Kind, Route};
@@ -27,6 +28,7 @@
 use crate::connection::Body;
 use crate::gateway::{Gateway, now};
 use crate::limits::{self, Candidates, Cause};
+use crate::streams;
 
 /// When clients should retry after all servers refused. Requests take tens of milliseconds, so a
 /// slot is free soon.
@@ -60,6 +62,8 @@
     gateway: &'a Rc<Gateway>,
     route: &'a Route,
     service: &'a str,
+    /// The version of the software that began the stream that the request resumes.
+    software: Option<&'a str>,
     content: &'a Content,
     id: &'a str,
     deadline: Instant,
@@ -71,6 +75,24 @@
     limit_retry_after: Option<Duration>,
 }
 
+/// A stream that a request resumes.
+struct Resumed {
+    /// The id of the client attempt that brought its first event, if the request names it.
+    attempt: Option<String>,
+}
+
+impl Resumed {
+    /// Returns the stream that a request on `route` resumes; none if it begins one.
+    fn parse(route: &Route, headers: &HeaderMap) -> Option<Self> {
+        if route.kind != Kind::Stream || !route.is_resumable {
+            return None;
+        }
+        let attempt = ingress::resumed_attempt(headers).map(str::to_owned);
+        let is_resumed = attempt.is_some() || ingress::has_last_event(headers);
+        is_resumed.then_some(Self { attempt })
+    }
+}
+
 /// Forwards a request and returns the response for the client.
 pub async fn forward(
     gateway: &Rc<Gateway>,
@@ -84,14 +106,35 @@
         log::warn!(request = id, route = route.name.as_str(), outcome = "not run"; "request refused, route has no target");
         return retry_later(UNAVAILABLE_RETRY_AFTER);
     };
-    if let Some(resumes) = ingress::resumed_attempt(&content.head.headers) {
-        log::info!(request = id, resumes; "client resumes a stream");
+    let mut service = target.service.clone();
+    let mut software = None;
+    if let Some(resumed) = Resumed::parse(route, &content.head.headers) {
+        let origin = streams::find(gateway, resumed.attempt.as_deref(), &service).await;
+        let origin = origin.filter(|origin| {
+            let targets = &mut route.targets.iter();
+            targets.any(|target| target.service == origin.service)
+        });
+        let Some(origin) = origin else {
+            log::info!(
+                request = id, resumes = resumed.attempt.as_deref(), outcome = "not run";
+                "refused, it is not known where the stream began"
+            );
+            return retry_later(UNAVAILABLE_RETRY_AFTER);
+        };
+        log::info!(
+            request = id, resumes = resumed.attempt.as_deref(), service = origin.service.as_str(),
+            software = origin.software.as_str();
+            "client resumes a stream"
+        );
+        service = origin.service;
+        software = Some(origin.software);
     }
     let span = gateway.span("request", SpanKind::Server, &mut content.head.headers);
     let forwarding = Forwarding {
         gateway,
         route,
-        service: &target.service,
+        service: &service,
+        software: software.as_deref(),
         content: &content,
         id,
         deadline,
@@ -192,6 +235,9 @@
             .registration(key)
             .map(|registration| registration.software.clone());
         drop(fleet);
+        if let (Some(began_at), None) = (&began_at, self.software) {
+            streams::begin(self.gateway, self.id, self.service, began_at);
+        }
         Stream {
             began_at,
             gateway: Rc::clone(self.gateway),
@@ -264,7 +310,7 @@
     fn candidates(&self) -> Candidates<'_> {
         Candidates {
             service: self.service,
-            software: None,
+            software: self.software,
             avoided: &self.tried,
             excluded: &[],
         }
--- /dev/null
+++ b/crates/gateway/src/streams/membership.rs
@@ -0,0 +1,104 @@
+//! The other gateways, as they register in the platform's store.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tamaracksail_adapter::store::Object;
+use tamaracksail_model::plain;
+
+use crate::gateway::Gateway;
+use crate::store::{self, Event};
+
+/// The kind of these objects. Each has the name of the gateway's host.
+const KIND: &str = "gateways";
+
+/// The pause before a failed registration is retried.
+const RETRY_DELAY: Duration = Duration::from_millis(500);
+
+/// The pause after a change, so that changes in quick succession cost one call.
+const WATCH_DEBOUNCE: Duration = Duration::from_millis(500);
+
+plain! {
+    /// The record of a gateway.
+    struct Record {
+        /// The address at which it accepts requests of its peers.
+        address: SocketAddr,
+    }
+}
+
+/// Registers this gateway and starts to watch the others, once for the process.
+pub fn join(gateway: &Rc<Gateway>) {
+    if gateway.streams.has_joined.replace(true) {
+        return;
+    }
+    actix_rt::spawn(register(Rc::clone(gateway)));
+    actix_rt::spawn(watch(Rc::clone(gateway)));
+}
+
+async fn register(gateway: Rc<Gateway>) {
+    let host = gateway.settings.borrow().host.clone();
+    let record = Record {
+        address: gateway.peer_address(),
+    };
+    while let Err(error) = gateway.store.put(KIND, &host, &record).await {
+        log::warn!(error:%; "gateway not registered");
+        gateway.store_availability.pause(RETRY_DELAY).await;
+    }
+    log::info!(address:% = record.address; "gateway registered");
+}
+
+async fn watch(gateway: Rc<Gateway>) {
+    let members = &gateway.streams.members;
+    store::watch_kind(
+        gateway.store.clone(),
+        gateway.store_availability.clone(),
+        KIND,
+        WATCH_DEBOUNCE,
+        |event| match event {
+            Event::All(objects) => {
+                let hosts: Vec<&str> = objects.iter().map(|object| &*object.name).collect();
+                members.borrow_mut().retain(&hosts);
+                for object in objects {
+                    add(&gateway, object);
+                }
+            }
+            Event::Changed(object) => add(&gateway, object),
+            Event::Removed(object) => members.borrow_mut().remove(&object.name),
+            Event::StoreFailed => {}
+        },
+    )
+    .await;
+}
+
+fn add(gateway: &Gateway, object: &Object) {
+    let host = object.name.as_str();
+    if host == gateway.settings.borrow().host {
+        return;
+    }
+    let mut members = gateway.streams.members.borrow_mut();
+    match object.spec::<Record>() {
+        Ok(record) => members.register(host, record.address, object.revision),
+        Err(error) => {
+            log::warn!(host, error:%; "malformed record of a gateway ignored");
+            members.remove(host);
+        }
+    }
+}
+
+/// Records that a gateway did not respond, and removes its record if it has not for long.
+pub(super) fn record_failure(gateway: &Rc<Gateway>, address: SocketAddr) {
+    let mut members = gateway.streams.members.borrow_mut();
+    let Some((host, revision)) = members.record_failure(crate::gateway::now(), address) else {
+        return;
+    };
+    let gateway = Rc::clone(gateway);
+    actix_rt::spawn(async move {
+        match gateway.store.remove_at(KIND, &host, revision).await {
+            Ok(()) => log::info!(host, revision; "record of a lost gateway removed"),
+            Err(error) => {
+                log::info!(host, revision, error:%; "record of a lost gateway not removed");
+            }
+        }
+    });
+}
--- a/crates/gateway/src/version/routes.rs
+++ b/crates/gateway/src/version/routes.rs
@@ -5,9 +5,11 @@
 
 use tamaracksail_adapter::store::Object;
 use tamaracksail_adapter::{manifest, names};
+use tamaracksail_model::route::{Kind, Route};
 
 use crate::gateway::Gateway;
 use crate::store::{self, Event};
+use crate::streams;
 
 /// Watches the routes and puts new versions into force.
 pub async fn watch(gateway: Rc<Gateway>) {
@@ -28,7 +30,7 @@
 }
 
 /// Puts the routes of an object into force if they are valid and newer.
-fn apply(gateway: &Gateway, object: &Object) {
+fn apply(gateway: &Rc<Gateway>, object: &Object) {
     if object.name != names::ROUTES_NAME {
         return;
     }
@@ -45,6 +47,10 @@
         log::debug!(version, in_force; "routes not newer, ignored");
         return;
     }
+    let is_resumable = |route: &Route| route.kind == Kind::Stream && route.is_resumable;
+    if table.routes().any(is_resumable) {
+        streams::join(gateway);
+    }
     *gateway.table.borrow_mut() = Some(Rc::new(table));
     gateway
         .metrics
--- a/crates/gateway/src/version/servers.rs
+++ b/crates/gateway/src/version/servers.rs
@@ -13,6 +13,7 @@
 
 use crate::gateway::{Gateway, now};
 use crate::store::{self, Event};
+use crate::streams;
 
 /// How long a registration that disappeared in an outage of the store is still used. Running
 /// servers register again within about two seconds after the outage.
@@ -56,6 +57,7 @@
                     remove_later(&gateway, &pending_removals, instance, REMOVAL_GRACE);
                 }
                 gateway.has_server_list.set(true);
+                gateway.streams.record_list();
             }
             Event::Changed(object) => {
                 pending_removals.borrow_mut().remove(&object.name);
@@ -115,6 +117,11 @@
                 revision = object.revision;
                 "server registration"
             );
+            let before = gateway.fleet.borrow().registered(&registration.instance);
+            if let Some(before) = before {
+                streams::record_server(gateway, &before);
+            }
+            streams::record_server(gateway, &registration);
             let registration = gateway.fleet.borrow_mut().register(registration);
             gateway.coordinator.update_engine(registration);
         }
@@ -193,6 +200,7 @@
     let Some(registration) = gateway.fleet.borrow_mut().remove(instance) else {
         return;
     };
+    streams::record_server(gateway, &registration);
     log::info!(server = instance, service = registration.service.as_str(); "server removed");
     gateway.http.close_idle(registration.address);
     gateway.coordinator.remove_engine(instance);
--- a/crates/model/src/id.rs
+++ b/crates/model/src/id.rs
@@ -162,6 +162,17 @@
 /// The FNV-1a hash of no bytes.
 const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
 
+impl Fingerprint {
+    /// Returns a number that is spread evenly also for fingerprints of similar content, by the
+    /// finalizer of `SplitMix64`.
+    #[must_use]
+    pub fn spread(self) -> u64 {
+        let mixed = (self.0 ^ (self.0 >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        let mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        mixed ^ (mixed >> 31)
+    }
+}
+
 /// Computes the FNV-1a hash of `content`, which is the same on every host.
 #[must_use]
 pub fn fingerprint(content: &[u8]) -> Fingerprint {
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -217,6 +217,18 @@
         self.by_instance.keys()
     }
 
+    /// Returns the records of all servers.
+    pub fn registrations(&self) -> impl Iterator<Item = &Registration> {
+        self.servers.values().map(|server| &server.registration)
+    }
+
+    /// Returns the record of the server that is registered under an id.
+    #[must_use]
+    pub fn registered(&self, instance: &str) -> Option<Registration> {
+        let key = *self.by_instance.get(instance)?;
+        self.registration(key).cloned()
+    }
+
     /// Returns the record of a server.
     #[must_use]
     pub fn registration(&self, key: ServerKey) -> Option<&Registration> {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -17,6 +17,7 @@
 //! - [`fleet::Fleet`]: the choice of a backend server for a request;
 //! - [`batch::Scheduler`]: the items of batches, their results and the weights of engines;
 //! - [`limit::Limiter`]: the request limits that backend servers state;
+//! - [`streams`]: where streams began that clients take up at any gateway;
 //! - [`lease::Lease`]: which process is the scheduling gateway.
 //!
 //! The modules that they share are grouped by the lifetime of their state: [`request`],
@@ -33,6 +34,7 @@
 pub mod limit;
 pub mod process;
 pub mod request;
+pub mod streams;
 pub mod version;
 
 pub use tamaracksail_model::store;
--- /dev/null
+++ b/crates/policy/src/streams/versions.rs
@@ -0,0 +1,64 @@
+//! The software versions of each service, over time.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use tamaracksail_model::backend::Registration;
+use tamaracksail_model::time::Instant;
+
+/// How long a service must have had servers of one version only until every stream that a client may
+/// take up began there. Longer than a stream lasts, and than a server serves requests after its
+/// registration has ended.
+const SETTLE_TIME: Duration = Duration::from_secs(20);
+
+/// The software versions that were registered, by service and version, and when last.
+#[derive(Clone, Debug, Default)]
+pub struct Versions {
+    /// Since when registrations are observed.
+    observed_since: Option<Instant>,
+    last_seen: BTreeMap<(String, String), Instant>,
+}
+
+impl Versions {
+    /// Records that all registrations have been read.
+    pub fn record_list(&mut self, now: Instant) {
+        self.observed_since.get_or_insert(now);
+    }
+
+    /// Records that a server is or was registered until now. Returns whether the service has other
+    /// versions, and this one was not known.
+    pub fn record(&mut self, now: Instant, server: &Registration) -> bool {
+        let key = (server.service.clone(), server.software.clone());
+        let is_new = self.last_seen.insert(key, now).is_none();
+        let mut of_service = self
+            .last_seen
+            .keys()
+            .filter(|(service, _)| *service == server.service);
+        is_new && of_service.nth(1).is_some()
+    }
+
+    /// Returns the only version that servers of `service` have had for long enough, given all
+    /// servers that are registered now.
+    #[must_use]
+    pub fn settled<'a>(
+        &self,
+        now: Instant,
+        service: &str,
+        registered: impl Iterator<Item = &'a Registration>,
+    ) -> Option<&'a str> {
+        let mut versions: Vec<&str> = registered
+            .filter(|server| server.service == service)
+            .map(|server| server.software.as_str())
+            .collect();
+        versions.sort_unstable();
+        versions.dedup();
+        let [version] = versions[..] else {
+            return None;
+        };
+        let observed_for = now.since(self.observed_since?);
+        let had_other = self.last_seen.iter().any(|((of, other), at)| {
+            of == service && other != version && now.since(*at) < SETTLE_TIME
+        });
+        (observed_for >= SETTLE_TIME && !had_other).then_some(version)
+    }
+}
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -39,6 +39,18 @@
     }
 }
 
+plain! {
+    /// Where a stream began.
+    pub struct StreamOrigin {
+        /// The id of the client attempt that brought the first event.
+        pub attempt: String,
+        /// The service.
+        pub service: String,
+        /// The version of the server's software.
+        pub software: String,
+    }
+}
+
 plain! {
     /// A request to another gateway, the peer.
     pub enum Request {
@@ -115,6 +127,16 @@
             /// How long the sender waits for a permit, in milliseconds.
             max_wait_ms: u64,
         },
+        /// Asks the peer to keep copies of the origins of streams.
+        KeepOrigins {
+            /// The origins.
+            origins: Vec<StreamOrigin>,
+        },
+        /// Asks for the origin of a stream.
+        FindOrigin {
+            /// The id of the client attempt that brought the first event.
+            attempt: String,
+        },
     }
 }
 
@@ -137,7 +159,7 @@
             /// The address of the gateway that the peer left the lease to, if any.
             successor: Option<SocketAddr>,
         },
-        /// The batch, or its end, is stored.
+        /// The batch or its end is stored, or copies of origins are kept.
         Kept,
         /// The batch is not stored and will not be, or its end is not stored.
         NotKept,
@@ -178,5 +200,10 @@
         },
         /// The peer grants no permits.
         NotGranting,
+        /// The origin of a stream; none if the peer does not know it.
+        Origin {
+            /// The origin.
+            origin: Option<StreamOrigin>,
+        },
     }
 }
