Confirm that a server is still the registered process before a text continues there

Callers and trainers saw: a server that restarted under its id with new software, and whose new record gateways had not read yet, got runs of texts and streams that the old software had begun.

Change: a request that continues a text or a stream is sent on a connection on which the server has just reported when its process started. If that is not the registered start, nothing is sent, and the run goes elsewhere. Servers that do not report it, or are registered without, are trusted. Runs that begin are sent as before.

Why it works: a connection does not outlive its process, so the process that reported is the one that gets the request.

--- a/crates/gateway/src/batches/item_run.rs
+++ b/crates/gateway/src/batches/item_run.rs
@@ -8,7 +8,7 @@
 use hyper::{Request, StatusCode};
 use tamaracksail_adapter::backend::{RequestHeaders, ResponseHead};
 use tamaracksail_adapter::event::Parser;
-use tamaracksail_adapter::{Malformed, names};
+use tamaracksail_adapter::{Malformed, ingress, names};
 use tamaracksail_http::IncomingResponse;
 use tamaracksail_model::backend::Registration;
 use tamaracksail_model::batch::Item;
@@ -17,7 +17,7 @@
 
 use crate::gateway::{Gateway, now};
 use crate::limits::Cause;
-use crate::version::{Source, observe_response};
+use crate::version::{self, Source, observe_response};
 
 /// How long connecting to an engine may take. With a healthy engine it takes one round trip.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -112,10 +112,15 @@
     request: Request<Full<bytes::Bytes>>,
 ) -> Result<(), Problem> {
     let broken = |problem: String| (Failure::Broken, problem);
-    let result = gateway
-        .http
-        .send(registration.address, request, CONNECT_TIMEOUT)
-        .await;
+    let is_continuation = ingress::has_last_event(request.headers());
+    let result = version::send(
+        gateway,
+        registration,
+        request,
+        is_continuation,
+        CONNECT_TIMEOUT,
+    )
+    .await;
     let mut response = result.map_err(|error| broken(error.to_string()))?;
     let head = ResponseHead::parse(&response.head, Some(&item.id));
     observe_response(gateway, registration, &head, Source::Request);
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -20,7 +20,7 @@
 use super::content::Content;
 use super::trial::Trial;
 use crate::gateway::{Gateway, now};
-use crate::version::{Source, observe_response};
+use crate::version::{self, Source, observe_response};
 
 /// The time limit on connecting to a backend server. A healthy connect takes one round trip.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -118,11 +118,15 @@
         *request.method_mut() = head.method.clone();
         *request.uri_mut() = head.uri.clone();
         *request.headers_mut() = headers;
-        let response = self
-            .gateway
-            .http
-            .send(registration.address, request, CONNECT_TIMEOUT)
-            .await;
+        let is_continuation = ingress::has_last_event(request.headers());
+        let response = version::send(
+            &self.gateway,
+            &registration,
+            request,
+            is_continuation,
+            CONNECT_TIMEOUT,
+        )
+        .await;
         match response {
             Ok(reply) => {
                 let response = ResponseHead::parse(&reply.head, (!id.is_empty()).then_some(id));
--- /dev/null
+++ b/crates/gateway/src/version/confirmation.rs
@@ -0,0 +1,115 @@
+//! The check that a server is still the process that is registered.
+//!
+//! A server may restart under its id with other software, and its new record takes time to arrive. What a
+//! server of one software version began must not continue at the new process.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Method, Request, StatusCode};
+use tamaracksail_adapter::backend::RequestHeaders;
+use tamaracksail_adapter::engine::{REPORT_PATH, Report};
+use tamaracksail_http::{Connection, Error, IncomingResponse};
+use tamaracksail_model::backend::Registration;
+
+use crate::gateway::Gateway;
+
+/// How long the server may take to report its state.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// The largest report.
+const MAX_REPORT_BYTES: usize = 1 << 20;
+
+/// Why a request that continues a stream or a text was not sent, or has no response.
+#[derive(Debug, thiserror::Error)]
+pub enum Failure {
+    /// The server did not report its state, or another process did. The request was not sent.
+    #[error("server {instance}: {problem}")]
+    Unconfirmed {
+        /// The server's instance id.
+        instance: String,
+        /// What happened.
+        problem: String,
+    },
+    /// The request failed.
+    #[error(transparent)]
+    Request(#[from] Error),
+}
+
+impl Failure {
+    /// Returns whether the request was not sent.
+    pub fn is_unsent(&self) -> bool {
+        match self {
+            Self::Unconfirmed { .. } => true,
+            Self::Request(error) => error.is_unsent(),
+        }
+    }
+}
+
+/// Sends a request to a server. One that continues a stream or a text (`is_continuation`) is sent on a
+/// connection on which the server has reported that its process is the registered one.
+///
+/// # Errors
+/// See [`Failure`].
+pub async fn send(
+    gateway: &Gateway,
+    server: &Registration,
+    request: Request<Full<Bytes>>,
+    is_continuation: bool,
+    connect_timeout: Duration,
+) -> Result<IncomingResponse, Failure> {
+    if !is_continuation || server.started_at_ms.is_none() {
+        let response = gateway.http.send(server.address, request, connect_timeout);
+        return Ok(response.await?);
+    }
+    let unconfirmed = |problem: String| Failure::Unconfirmed {
+        instance: server.instance.clone(),
+        problem,
+    };
+    let confirmed = confirm(gateway, server, connect_timeout);
+    let connection = tokio::time::timeout(connect_timeout + REPORT_TIMEOUT, confirmed)
+        .await
+        .map_err(|_| unconfirmed("no report in time".to_owned()))?
+        .map_err(unconfirmed)?;
+    Ok(connection.request(request).await?)
+}
+
+/// Returns a connection to the registered process of a server. A server that does not report when its
+/// process started is trusted.
+async fn confirm(
+    gateway: &Gateway,
+    server: &Registration,
+    connect_timeout: Duration,
+) -> Result<Connection, String> {
+    let mut request = Request::builder()
+        .method(Method::GET)
+        .uri(REPORT_PATH)
+        .header("host", server.address.to_string())
+        .body(Full::default())
+        .map_err(|error| error.to_string())?;
+    let request_headers = RequestHeaders {
+        instance: Some(&server.instance),
+        ..RequestHeaders::default()
+    };
+    request_headers
+        .write(request.headers_mut())
+        .map_err(|error| error.to_string())?;
+    let response = gateway.http.send(server.address, request, connect_timeout);
+    let mut response = response.await.map_err(|error| error.to_string())?;
+    let body = response.read(MAX_REPORT_BYTES).await;
+    let body = body.map_err(|error| error.to_string())?;
+    let code = response.head.status;
+    let started_at_ms = match Report::parse(&body) {
+        _ if code == StatusCode::MISDIRECTED_REQUEST => {
+            return Err("another server answers".to_owned());
+        }
+        Ok(report) if code == StatusCode::OK => report.started_at_ms,
+        _ => None,
+    };
+    if started_at_ms.is_some() && started_at_ms != server.started_at_ms {
+        return Err("the process has restarted".to_owned());
+    }
+    let connection = response.into_connection().await;
+    connection.ok_or_else(|| "the server closed the connection".to_owned())
+}
--- a/crates/gateway/src/version/mod.rs
+++ b/crates/gateway/src/version/mod.rs
@@ -1,10 +1,12 @@
 //! Watches of what changes while the process runs: routes, backend servers and requests to retire
 //! a host.
 
+mod confirmation;
 mod retirements;
 mod routes;
 mod servers;
 
+pub use confirmation::send;
 pub use servers::{Source, observe_response};
 
 use std::rc::Rc;
--- a/crates/gateway/tests/software_versions.rs
+++ b/crates/gateway/tests/software_versions.rs
@@ -224,3 +224,47 @@
         assert_eq!(mixed_results(&results), Vec::<&str>::new());
     });
 }
+
+/// Restarts an engine with new software, under its id, while gateways do not read its new record.
+async fn restart_unnoticed(world: &World, number: usize) {
+    // After a change of any record, gateways wait before they watch again.
+    world.app.register(&world.store, "app", "draining");
+    tokio::time::sleep(EVENT_INTERVAL).await;
+    world.engines[number].restart_with("v3", Duration::from_millis(10));
+    tokio::time::sleep(EVENT_INTERVAL).await;
+}
+
+#[test]
+fn texts_do_not_continue_at_a_server_whose_new_software_is_not_registered_yet() {
+    run(async {
+        let (world, gateways) = start(1, EVENTS).await;
+        // Of each software version, one engine is left.
+        for number in [0, 1, 2, 3] {
+            world.store.remove_server(&world.engines[number].instance);
+        }
+        tokio::time::sleep(START_DELAY * 2).await;
+        let client = gateways[0].client();
+        let ids = ["i0", "i1", "i2", "i3"];
+        let response = client.submit("b1", &ids, 1).await.expect("a response");
+        assert_eq!(response.status, 202);
+        tokio::time::sleep(EVENT_INTERVAL * 8).await;
+        restart_unnoticed(&world, 4).await;
+        let results = read_results(&client, "b1", ids.len()).await;
+        assert_eq!(mixed_results(&results), Vec::<&str>::new());
+    });
+}
+
+#[test]
+fn streams_do_not_continue_at_a_server_whose_new_software_is_not_registered_yet() {
+    run(async {
+        let (world, gateways) = start(2, EVENTS).await;
+        for number in [0, 1, 2, 3] {
+            world.store.remove_server(&world.engines[number].instance);
+        }
+        tokio::time::sleep(START_DELAY * 2).await;
+        let parts = begin_streams(&[&gateways[0]], EVENT_INTERVAL * 8).await;
+        restart_unnoticed(&world, 4).await;
+        let (_, mixed) = take_up(&gateways[1].client(), parts).await;
+        assert_eq!(mixed, 0);
+    });
+}
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -40,19 +40,14 @@
         connect_timeout: Duration,
     ) -> Result<IncomingResponse, Error> {
         let idle = self.take_idle(peer);
-        if let Some(mut connection) = idle {
-            match connection.send(request.clone()).await {
-                Ok(response) => {
-                    let (head, body) = response.into_parts();
-                    return Ok(IncomingResponse::new(head, body, connection));
-                }
+        if let Some(connection) = idle {
+            match connection.request(request.clone()).await {
                 Err(error) if error.is_unsent() => {}
-                Err(error) => return Err(error),
+                outcome => return outcome,
             }
         }
-        let mut connection = Connection::open(peer, connect_timeout).await?;
-        let (head, body) = connection.send(request).await?.into_parts();
-        Ok(IncomingResponse::new(head, body, connection))
+        let connection = Connection::open(peer, connect_timeout).await?;
+        connection.request(request).await
     }
 
     /// Closes the idle connections to a peer.
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -13,6 +13,7 @@
 use tokio::task::AbortHandle;
 
 use crate::error::{Error, Stage};
+use crate::response::IncomingResponse;
 use crate::socket;
 
 /// The limit on the bytes of a response that are buffered, and so on its head. Heads are a few hundred
@@ -86,6 +87,18 @@
         self.sender.ready().await.is_ok()
     }
 
+    /// Sends a request and returns its response, which holds the connection.
+    ///
+    /// # Errors
+    /// As [`Self::send`].
+    pub async fn request(
+        mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<IncomingResponse, Error> {
+        let (head, body) = self.send(request).await?.into_parts();
+        Ok(IncomingResponse::new(head, body, self))
+    }
+
     /// Sends a request and waits for the head of the response.
     ///
     /// # Errors
--- a/crates/http/src/response.rs
+++ b/crates/http/src/response.rs
@@ -100,6 +100,13 @@
         client.store_idle(self.connection);
     }
 
+    /// Returns the connection for a further request, once the body has been read to its end. Returns
+    /// `None` if the peer closes it.
+    pub async fn into_connection(self) -> Option<Connection> {
+        let mut connection = self.connection;
+        connection.is_reusable().await.then_some(connection)
+    }
+
     /// Creates an error that concerns the body of this response.
     #[must_use]
     pub fn body_error(&self, problem: String) -> Error {
