Ask for permits of sixteen servers at a time

A gateway that needs a permit named all servers of the service with a limit in its request: at 600 servers some 40 KB, sent and decoded for each request while all state limits. It now names sixteen at random.

--- a/crates/gateway/src/limits/acquisition.rs
+++ b/crates/gateway/src/limits/acquisition.rs
@@ -28,6 +28,9 @@
 /// mostly taken the lease by then.
 const UNREACHABLE_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// The number of servers that a request for permits names.
+const MAX_SERVERS_ASKED: usize = 16;
+
 /// The shortest time until permits are asked for again after a refusal.
 const MIN_REFUSAL: Duration = Duration::from_millis(20);
 
@@ -182,6 +185,7 @@
     timeout: Duration,
 ) -> Result<ServerKey, Duration> {
     let at = now();
+    let servers = &sample(servers)[..];
     let count = {
         let fleet = gateway.fleet.borrow();
         fleet.limiter().expected_demand(at, servers)
@@ -223,6 +227,13 @@
     take_allowed(gateway, servers).ok_or(UNREACHABLE_RETRY_AFTER)
 }
 
+/// Returns servers at random if there are many. Together, gateways ask for permits for all of them.
+fn sample(servers: &[ServerKey]) -> Vec<ServerKey> {
+    let start = rand::random_range(0..servers.len().max(1));
+    let rotated = servers[start..].iter().chain(&servers[..start]);
+    rotated.copied().take(MAX_SERVERS_ASKED).collect()
+}
+
 /// Sends a request to the lease holder. Returns its response, or `None` if `holder` is not known, does
 /// not respond or grants no permits.
 pub(super) async fn call_holder(
