Keep the lease while only its holder uses permits

Callers of a service all of whose servers state limits saw, every ten seconds, refusals for up to a second, where only one gateway had requests and no batch was open: the lease that gives the right to grant permits is wanted for ten seconds after a batch or a peer asked for it, and the holder's own requests did not count. The lease lapsed, and the next holder, the same process, began with empty buckets. Found by reading; the new test failed before ("source of permits changed" once more within 16 s).

Each permit that the holder needs itself now extends the wish for the lease. A gateway that observes a limit and knows of no holder also asks for the lease at once, instead of with its first request that needs a permit.

--- a/crates/gateway/src/limits/acquisition.rs
+++ b/crates/gateway/src/limits/acquisition.rs
@@ -135,7 +135,15 @@
 }
 
 fn take(gateway: &Gateway, key: ServerKey) {
-    gateway.fleet.borrow_mut().limiter_mut().take(now(), key);
+    let mut fleet = gateway.fleet.borrow_mut();
+    let limiter = fleet.limiter_mut();
+    limiter.take(now(), key);
+    let is_own = matches!(limiter.authority(), Authority::Own { .. });
+    if is_own && limiter.limit(key).is_some() {
+        drop(fleet);
+        // While this process uses permits, it keeps the right to grant them.
+        batches::request_lease(gateway);
+    }
 }
 
 /// Gets a permit for one of `servers`, which belong to `service` and allow no request now.
@@ -152,6 +160,7 @@
     let authority = gateway.fleet.borrow().limiter().authority();
     match authority {
         Authority::Own { .. } => {
+            batches::request_lease(gateway);
             let grant = {
                 let mut fleet = gateway.fleet.borrow_mut();
                 fleet.limiter_mut().grant(now(), servers, 1, max_wait)
--- a/crates/gateway/src/version/servers.rs
+++ b/crates/gateway/src/version/servers.rs
@@ -11,6 +11,7 @@
 use tamaracksail_model::backend::{Registration, State};
 use tamaracksail_policy::limit::Observation;
 
+use crate::batches;
 use crate::gateway::{Gateway, now};
 use crate::store::{self, Event};
 use crate::streams;
@@ -185,7 +186,12 @@
     if !fleet.limiter_mut().observe(at, key, observation) {
         return;
     }
+    drop(fleet);
     gateway.limits.record_change();
+    if limit.is_some() && batches::known_holder(gateway).is_none() {
+        // Requests will need a process that grants permits.
+        batches::request_lease(gateway);
+    }
     let server = server.instance.as_str();
     match limit {
         Some(limit) => {
--- a/crates/gateway/tests/request_limits.rs
+++ b/crates/gateway/tests/request_limits.rs
@@ -317,3 +317,16 @@
         assert_eq!(tally.refused, 0);
     });
 }
+
+#[test]
+fn the_only_gateway_that_uses_permits_keeps_the_right_to_grant_them() {
+    run(async {
+        let limited = Limited::start(1, "app", "/plain/x", &[Some(4.0)]).await;
+        let interval = Duration::from_millis(100);
+        limited.press(interval, Duration::from_secs(3)).await;
+        let changes = |gateway: &Gateway| gateway.log_lines("source of permits changed").len();
+        let before = changes(&limited.gateways[0]);
+        limited.press(interval, Duration::from_secs(16)).await;
+        assert_eq!(changes(&limited.gateways[0]), before);
+    });
+}
