Start texts over that an engine began between its restart and its new record

A run that begins at an engine which has restarted under its id, before its new record is read, is noted with the software of the old process. The text could have continued at an engine of the old version once the record arrived and the engine's runs were moved.

When the record of a new process arrives, texts that runs in progress on the engine have begun start over; texts that continued there were confirmed to be at the registered process and are kept.

--- a/crates/policy/src/batch/dispatch.rs
+++ b/crates/policy/src/batch/dispatch.rs
@@ -108,6 +108,7 @@
             engine,
             last_progress: now,
             event_count: 0,
+            begins_text: task.text.last.is_none(),
             version: loaded,
         },
     );
@@ -168,6 +169,17 @@
     Some(run)
 }
 
+/// Discards the texts that runs of an engine began, which turns out to have restarted: they may come
+/// from the new process, whose software may be another.
+pub(super) fn discard_uncertain_texts(scheduler: &mut Scheduler, engine: EngineKey) {
+    let runs = scheduler.runs.values();
+    let uncertain = runs.filter(|run| run.engine == engine && run.begins_text);
+    let keys: Vec<TaskKey> = uncertain.map(|run| run.task).collect();
+    for key in keys {
+        scheduler.tasks[key].discard_text();
+    }
+}
+
 /// Stops all runs of an engine and removes it.
 pub(super) fn evict_engine(scheduler: &mut Scheduler, now: Instant, engine: EngineKey) {
     let runs: Vec<u64> = scheduler
--- a/crates/policy/src/batch/run.rs
+++ b/crates/policy/src/batch/run.rs
@@ -23,6 +23,8 @@
     /// When the last event came or, before the first, when the response or the run started.
     pub(crate) last_progress: Instant,
     pub(crate) event_count: u64,
+    /// Whether the text begins with this run.
+    pub(crate) begins_text: bool,
     /// The version of the weights that generates the events, if it is known.
     pub(crate) version: Option<u64>,
 }
--- a/crates/policy/src/batch/scheduler.rs
+++ b/crates/policy/src/batch/scheduler.rs
@@ -67,6 +67,7 @@
     /// Adds or updates an engine.
     pub fn register_engine(&mut self, now: Instant, registration: Registration) {
         if let Some(earlier) = self.pool.register(registration) {
+            dispatch::discard_uncertain_texts(self, earlier);
             dispatch::evict_engine(self, now, earlier);
         }
         affinity::assign(self);
