--- a/crates/gateway/src/batches/coordinator.rs
+++ b/crates/gateway/src/batches/coordinator.rs
@@ -381,12 +381,13 @@
 /// Sets how many runs the scheduler may start on engines that state a request limit.
 fn set_budgets(gateway: &Gateway) {
     let fleet = gateway.fleet.borrow();
-    let budget = |engine: &Registration| {
-        let key = fleet.key_of(&engine.instance, engine.started_at_ms)?;
-        fleet.limiter().budget(now(), key)
-    };
+    let limiter = fleet.limiter();
+    let budgets = limiter.observed().filter_map(|key| {
+        let instance = fleet.registration(key)?.instance.as_str();
+        Some((instance, limiter.budget(now(), key)?))
+    });
     let mut scheduler = gateway.coordinator.scheduler.borrow_mut();
-    scheduler.set_budgets(budget);
+    scheduler.set_budgets(budgets);
 }
 
 /// Carries out an action of the scheduler.
--- a/crates/policy/src/batch/pool.rs
+++ b/crates/policy/src/batch/pool.rs
@@ -29,6 +29,8 @@
 pub(crate) struct Pool {
     pub(crate) engines: SlotMap<EngineKey, Engine>,
     by_instance: BTreeMap<String, EngineKey>,
+    /// The engines that have a budget.
+    limited: Vec<EngineKey>,
 }
 
 impl Pool {
@@ -62,11 +64,19 @@
         }
     }
 
-    /// Sets how many runs may start on each engine until the next call. `budget` returns `None` for
-    /// an engine without a request limit.
-    pub(crate) fn set_budgets(&mut self, budget: impl Fn(&Registration) -> Option<u32>) {
-        for engine in self.engines.values_mut() {
-            engine.budget = budget(&engine.registration);
+    /// Sets how many runs may start on engines with a request limit until the next call. All other
+    /// engines have none.
+    pub(crate) fn set_budgets<'a>(&mut self, budgets: impl Iterator<Item = (&'a str, u32)>) {
+        for key in std::mem::take(&mut self.limited) {
+            if let Some(engine) = self.engines.get_mut(key) {
+                engine.budget = None;
+            }
+        }
+        for (instance, budget) in budgets {
+            if let Some(key) = self.by_instance.get(instance).copied() {
+                self.engines[key].budget = Some(budget);
+                self.limited.push(key);
+            }
         }
     }
 
--- a/crates/policy/src/batch/scheduler.rs
+++ b/crates/policy/src/batch/scheduler.rs
@@ -248,10 +248,10 @@
         }
     }
 
-    /// Sets how many runs may start on each engine until the next call. `budget` returns `None` for
-    /// an engine without a request limit.
-    pub fn set_budgets(&mut self, budget: impl Fn(&Registration) -> Option<u32>) {
-        self.pool.set_budgets(budget);
+    /// Sets how many runs may start on engines with a request limit until the next call, by instance
+    /// id. All other engines have none.
+    pub fn set_budgets<'a>(&mut self, budgets: impl Iterator<Item = (&'a str, u32)>) {
+        self.pool.set_budgets(budgets);
     }
 
     /// Runs the scheduling passes and returns the actions to take. Engines are commanded to load
