Log abandoned attempts, and responses that end a suspicion

To tell apart whether gateways never knew of an end or forgot it. An attempt's execution is an object of its own from the send to the response's end, with the record of the server at the send, so that dropping it is seen. Logs only; what is recorded has not changed, except that a server that was removed meanwhile is checked too.

--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -16,8 +16,8 @@
 use tamaracksail_policy::fleet::{SendOutcome, ServerKey};
 use tamaracksail_process::trace::{Span, SpanKind};
 
-use super::breaks::Break;
 use super::content::Content;
+use super::execution::Execution;
 use super::trial::Trial;
 use crate::gateway::{Gateway, now};
 use crate::version::{self, Source, observe_response};
@@ -42,8 +42,8 @@
     /// The server responded, and its body is complete.
     Complete(response::Parts, Bytes),
     /// The server responded with a stream or a large body; these are the bytes read so far, the rest
-    /// of the response, and the trial if the request runs alone.
-    Streaming(Bytes, Box<IncomingResponse>, Option<Trial>),
+    /// of the response, and the execution.
+    Streaming(Bytes, Box<IncomingResponse>, Execution),
     /// The server did not execute the request, for the given reason.
     NotRun(String),
     /// The server may have executed the request, but there is no usable response, for the given
@@ -62,7 +62,6 @@
     is_recorded: Cell<bool>,
     /// Set if the request runs alone.
     trial: Cell<Option<Trial>>,
-    is_alone: bool,
     span: Cell<Option<Span>>,
 }
 
@@ -77,7 +76,6 @@
             start: now(),
             is_recorded: Cell::new(false),
             trial: Cell::new(None),
-            is_alone: false,
             span: Cell::new(None),
         }
     }
@@ -86,13 +84,12 @@
     pub fn alone(gateway: &Rc<Gateway>, trial: Trial, is_stream: bool) -> Self {
         let mut attempt = Self::new(gateway, trial.key, is_stream);
         attempt.trial = Cell::new(Some(trial));
-        attempt.is_alone = true;
         attempt
     }
 
     /// Sends the request and reads the response.
-    pub async fn run(self, content: &Content, id: &str, deadline: Instant) -> Outcome {
-        let Content { head, body, .. } = content;
+    pub async fn run(self, content: &Rc<Content>, id: &str, deadline: Instant) -> Outcome {
+        let Content { head, body, .. } = &**content;
         let Some(registration) = self.gateway.fleet.borrow().registration(self.key).cloned() else {
             return Outcome::NotRun("the server is no longer registered".to_owned());
         };
@@ -119,6 +116,8 @@
         *request.uri_mut() = head.uri.clone();
         *request.headers_mut() = headers;
         let is_continuation = ingress::has_last_event(request.headers());
+        let trial = self.trial.take();
+        let execution = Execution::begin(&self.gateway, registration.clone(), content, id, trial);
         let response = version::send(
             &self.gateway,
             &registration,
@@ -131,14 +130,15 @@
             Ok(reply) => {
                 let response = ResponseHead::parse(&reply.head, (!id.is_empty()).then_some(id));
                 observe_response(&self.gateway, &registration, &response, Source::Request);
-                self.read_response(reply, response, content, id).await
+                self.read_response(reply, response, execution).await
             }
             Err(error) => {
                 self.record_outcome(SendOutcome::Failed);
                 if error.is_unsent() {
+                    execution.settle();
                     return Outcome::NotRun(error.to_string());
                 }
-                self.record_break(content, id).await;
+                execution.break_off().await;
                 Outcome::Failed(error.to_string())
             }
         }
@@ -148,8 +148,7 @@
         self,
         mut reply: IncomingResponse,
         response: ResponseHead,
-        content: &Content,
-        id: &str,
+        execution: Execution,
     ) -> Outcome {
         if let Some(load) = response.load {
             let mut fleet = self.gateway.fleet.borrow_mut();
@@ -159,20 +158,23 @@
         // Without this request's id the response may belong to an earlier request on the connection.
         if !response.matches_request && !response.is_not_run {
             self.record_outcome(SendOutcome::Failed);
+            execution.settle();
             return Outcome::Failed(format!("status {code}, for another request"));
         }
         if code.is_success() && !response.is_attested {
             self.record_outcome(SendOutcome::Failed);
+            execution.settle();
             return Outcome::Failed(format!("status {code}, not attested by the server"));
         }
         if response.is_not_run {
             self.record_outcome(SendOutcome::Refused);
+            execution.settle();
             reply.discard(&self.gateway.http, MAX_DISCARDED_BYTES, DISCARD_TIMEOUT);
             return Outcome::NotRun(format!("status {code}, not run"));
         }
         if self.is_stream && code.is_success() {
             self.record_outcome(SendOutcome::Responded(now().since(self.start)));
-            return Outcome::Streaming(Bytes::new(), Box::new(reply), self.trial.take());
+            return Outcome::Streaming(Bytes::new(), Box::new(reply), execution);
         }
         let mut body = Vec::new();
         loop {
@@ -182,23 +184,23 @@
                 Err(error) => {
                     self.record_outcome(SendOutcome::Failed);
                     drop(reply);
-                    self.record_break(content, id).await;
+                    execution.break_off().await;
                     return Outcome::Failed(error.to_string());
                 }
             }
             if body.len() > MAX_BUFFERED_BYTES && !code.is_success() {
                 self.record_outcome(SendOutcome::Failed);
+                execution.settle();
                 return Outcome::Failed(format!("status {code}, the body is too long"));
             }
             if body.len() > MAX_BUFFERED_BYTES {
                 self.record_outcome(SendOutcome::Responded(now().since(self.start)));
-                return Outcome::Streaming(body.into(), Box::new(reply), self.trial.take());
+                return Outcome::Streaming(body.into(), Box::new(reply), execution);
             }
         }
         let head = reply.head.clone();
         reply.release(&self.gateway.http);
-        let suspects = &self.gateway.suspects;
-        suspects.record_response(|| content.fingerprint());
+        execution.complete();
         self.record_outcome(if code == StatusCode::INTERNAL_SERVER_ERROR {
             SendOutcome::Failed
         } else {
@@ -207,11 +209,6 @@
         Outcome::Complete(head, body.into())
     }
 
-    async fn record_break(&self, content: &Content, id: &str) {
-        let broken = Break::new(&self.gateway, self.key, content, id, self.is_alone);
-        broken.record().await;
-    }
-
     /// Records the outcome in the fleet and ends the span. Only the first call has an effect.
     fn record_outcome(&self, report: SendOutcome) {
         if !self.is_recorded.replace(true) {
--- a/crates/gateway/src/request/forward.rs
+++ b/crates/gateway/src/request/forward.rs
@@ -20,8 +20,8 @@
 use tokio::sync::mpsc;
 
 use super::attempt::{Attempt, Outcome};
-use super::breaks::Break;
 use super::content::Content;
+use super::execution::Execution;
 use super::response::{UNAVAILABLE_RETRY_AFTER, empty_response, retry_later};
 use super::streaming::{self, Stream};
 use super::trial::Trial;
@@ -64,7 +64,7 @@
     service: &'a str,
     /// The version of the software that began the stream that the request resumes.
     software: Option<&'a str>,
-    content: &'a Content,
+    content: &'a Rc<Content>,
     id: &'a str,
     deadline: Instant,
     /// The servers of all attempts so far, in order.
@@ -130,6 +130,7 @@
         software = Some(origin.software);
     }
     let span = gateway.span("request", SpanKind::Server, &mut content.head.headers);
+    let content = Rc::new(content);
     let forwarding = Forwarding {
         gateway,
         route,
@@ -193,11 +194,11 @@
                         }
                         return client_response(head, Body::full(body));
                     }
-                    Outcome::Streaming(_, reply, trial) if self.is_resumable() => {
-                        return streaming::relay(self.into_stream(key, trial), *reply);
+                    Outcome::Streaming(_, reply, execution) if self.is_resumable() => {
+                        return streaming::relay(self.into_stream(key), *reply, execution);
                     }
-                    Outcome::Streaming(first, reply, trial) => {
-                        return self.relay_chunks(key, first, *reply, trial);
+                    Outcome::Streaming(first, reply, execution) => {
+                        return self.relay_chunks(first, *reply, execution);
                     }
                     Outcome::NotRun(problem) => self.log_failure(key, &problem),
                     Outcome::Failed(problem) => {
@@ -229,7 +230,7 @@
     }
 
     /// Hands the request over to the relay of a resumable stream.
-    fn into_stream(self, key: ServerKey, trial: Option<Trial>) -> Stream {
+    fn into_stream(self, key: ServerKey) -> Stream {
         let fleet = self.gateway.fleet.borrow();
         let began_at = fleet
             .registration(key)
@@ -242,8 +243,7 @@
             began_at,
             gateway: Rc::clone(self.gateway),
             service: self.service.to_owned(),
-            content: self.content.clone(),
-            trial,
+            content: Rc::clone(self.content),
             id: self.id.to_owned(),
             deadline: self.deadline,
             attempts_left: (self.route.max_attempts as usize).saturating_sub(self.tried.len()),
@@ -428,20 +428,15 @@
     /// Relays a response to the client chunk by chunk, beginning with the bytes already read.
     fn relay_chunks(
         &self,
-        key: ServerKey,
         first: Bytes,
         mut reply: tamaracksail_http::IncomingResponse,
-        trial: Option<Trial>,
+        execution: Execution,
     ) -> Response<Body> {
         let (sender, chunks) = mpsc::channel(MAX_BUFFERED_CHUNKS);
         let length = reply.length().map(|left| left + first.len() as u64);
         let head = reply.head.clone();
-        let gateway = Rc::clone(self.gateway);
-        let content = self.content.clone();
-        let broken = Break::new(&gateway, key, &content, self.id, trial.is_some());
         let end = self.deadline.after(RELAY_MARGIN).since(now());
         actix_rt::spawn(async move {
-            let _trial = trial;
             let mut end = pin!(tokio::time::sleep(end));
             if sender.send(Ok(first)).await.is_err() {
                 return;
@@ -453,10 +448,7 @@
                     () = &mut end => Err(reply.body_error(DEADLINE_PASSED.to_owned())),
                 };
                 let chunk = match chunk {
-                    Ok(None) => {
-                        gateway.suspects.record_response(|| content.fingerprint());
-                        return;
-                    }
+                    Ok(None) => return execution.complete(),
                     Ok(Some(chunk)) => Ok(chunk),
                     Err(error) => Err(error),
                 };
@@ -465,7 +457,7 @@
                     return;
                 }
                 if is_broken {
-                    return broken.record().await;
+                    return execution.break_off().await;
                 }
             }
         });
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -1,8 +1,8 @@
 //! Handling of one request of a client.
 
 mod attempt;
-mod breaks;
 mod content;
+mod execution;
 mod forward;
 mod liveness;
 mod response;
--- a/crates/gateway/src/request/streaming.rs
+++ b/crates/gateway/src/request/streaming.rs
@@ -14,8 +14,8 @@
 use tokio::sync::mpsc;
 
 use super::attempt::{Attempt, Outcome};
-use super::breaks::Break;
 use super::content::Content;
+use super::execution::Execution;
 use super::forward::{
     DEADLINE_PASSED, MAX_BUFFERED_CHUNKS, MAX_PERMIT_WAIT, RELAY_MARGIN, client_response,
 };
@@ -36,9 +36,7 @@
     /// The version of the software of the server that began the stream, if it is still known.
     pub began_at: Option<String>,
     /// The client's request.
-    pub content: Content,
-    /// Set while the request runs alone.
-    pub trial: Option<Trial>,
+    pub content: Rc<Content>,
     /// The id of the client's request.
     pub id: String,
     /// When the client no longer waits.
@@ -51,7 +49,7 @@
 
 /// Relays a stream to the client event by event. The client gets the head of the first server's
 /// response, also when other servers continue the stream.
-pub fn relay(stream: Stream, reply: IncomingResponse) -> Response<Body> {
+pub fn relay(stream: Stream, reply: IncomingResponse, execution: Execution) -> Response<Body> {
     let (sender, chunks) = mpsc::channel(MAX_BUFFERED_CHUNKS);
     let head = reply.head.clone();
     let end = stream.deadline.after(RELAY_MARGIN).since(now());
@@ -59,7 +57,7 @@
     actix_rt::spawn(async move {
         let client = sender.clone();
         tokio::select! {
-            () = stream.run(reply, sender) => {}
+            () = stream.run(reply, execution, sender) => {}
             () = client.closed() => {}
             () = tokio::time::sleep(end) => {
                 // Breaks the client's connection. A client that has disconnected needs no error.
@@ -81,14 +79,14 @@
     async fn run(
         mut self,
         mut reply: IncomingResponse,
+        mut execution: Execution,
         client: mpsc::Sender<Result<Bytes, Error>>,
     ) {
         let mut last = None;
         loop {
             let problem = match relay_events(&mut reply, &client, &mut last).await {
                 Ok(()) => {
-                    let suspects = &self.gateway.suspects;
-                    suspects.record_response(|| self.content.fingerprint());
+                    execution.complete();
                     reply.release(&self.gateway.http);
                     return;
                 }
@@ -100,11 +98,7 @@
             );
             // Closes the connection, so that the broken server doesn't run on beside the next.
             drop(reply);
-            if let Some(key) = self.tried.last() {
-                let is_alone = self.trial.is_some();
-                let broken = Break::new(&self.gateway, *key, &self.content, &self.id, is_alone);
-                broken.record().await;
-            }
+            execution.break_off().await;
             let Some(next) = self.resume(last).await else {
                 log::warn!(request = self.id.as_str(), after = last; "stream abandoned");
                 // Breaks the client's connection, so that the response doesn't look complete. The
@@ -112,19 +106,18 @@
                 drop(client.send(Err(problem)).await);
                 return;
             };
-            reply = next;
+            (reply, execution) = next;
         }
     }
 
     /// Sends the request to another server, to continue after the event `last`.
-    async fn resume(&mut self, last: Option<u64>) -> Option<IncomingResponse> {
+    async fn resume(&mut self, last: Option<u64>) -> Option<(IncomingResponse, Execution)> {
         while self.attempts_left > 0 && now() < self.deadline {
             self.attempts_left -= 1;
-            self.trial = None;
             let attempt = self.next_attempt().await?;
             self.tried.push(attempt.key);
             Cause::Resume.count(&self.gateway, attempt.key);
-            let mut content = self.content.clone();
+            let mut content = Content::clone(&self.content);
             let request_headers = RequestHeaders {
                 last_event: last,
                 ..RequestHeaders::default()
@@ -133,12 +126,12 @@
                 log::error!(request = self.id.as_str(), error:%; "stream not resumed");
                 return None;
             }
+            let content = Rc::new(content);
             let outcome = attempt.run(&content, &self.id, self.deadline).await;
             match outcome {
-                Outcome::Streaming(_, reply, trial) => {
-                    self.trial = trial;
+                Outcome::Streaming(_, reply, execution) => {
                     self.log_continuation(last);
-                    return Some(*reply);
+                    return Some((*reply, execution));
                 }
                 Outcome::Complete(head, _) => {
                     log::info!(
--- a/crates/gateway/src/suspects/mod.rs
+++ b/crates/gateway/src/suspects/mod.rs
@@ -79,11 +79,10 @@
             .any(|fingerprint| table.verdict(now, *fingerprint) != Verdict::Unrestricted)
     }
 
-    /// Records that a server responded in full to a request with this content.
-    pub fn record_response(&self, fingerprint: impl FnOnce() -> Fingerprint) {
+    /// Records that a server responded in full to a request with this content. Returns whether that
+    /// ends a suspicion.
+    pub fn record_response(&self, fingerprint: impl FnOnce() -> Fingerprint) -> bool {
         let mut table = self.table.borrow_mut();
-        if !table.is_empty() {
-            table.clear(fingerprint());
-        }
+        !table.is_empty() && table.clear(fingerprint())
     }
 }
--- a/crates/policy/src/request/suspects.rs
+++ b/crates/policy/src/request/suspects.rs
@@ -137,12 +137,16 @@
         record.map_or(Duration::ZERO, |record| record.expires.since(now))
     }
 
-    /// Ends the suspicion of content that ran to its end, and so did not cause the crashes.
-    pub fn clear(&mut self, fingerprint: id::Fingerprint) {
-        if let Some(record) = self.records.get_mut(&fingerprint) {
-            record.cleared.append(&mut record.crashes);
-            record.alone = false;
-        }
+    /// Ends the suspicion of content that ran to its end, and so did not cause the crashes. Returns
+    /// whether there was one.
+    pub fn clear(&mut self, fingerprint: id::Fingerprint) -> bool {
+        let Some(record) = self.records.get_mut(&fingerprint) else {
+            return false;
+        };
+        let is_suspect = !record.crashes.is_empty();
+        record.cleared.append(&mut record.crashes);
+        record.alone = false;
+        is_suspect
     }
 
     /// Returns the suspects that have not expired, to be sent to peers.
