--- a/crates/gateway/tests/batches.rs
+++ b/crates/gateway/tests/batches.rs
@@ -7,7 +7,7 @@
 
 use common::{Gateway, World, assert_complete, read_results, run, start, wait_until};
 use tamaracksail_adapter_standins::Engine;
-use tamaracksail_adapter_standins::engine::Fault;
+use tamaracksail_adapter_standins::engine::{FatalRequest, Fault};
 use tamaracksail_adapter_standins::loopback::address;
 use tamaracksail_adapter_standins::store::Fault as StoreFault;
 use tamaracksail_model::batch::Ending;
@@ -120,7 +120,7 @@
     run(async {
         let (world, gateways) = start(2, 5, EVENT_INTERVAL).await;
         for engine in &world.engines {
-            engine.end_under("i3", Duration::from_millis(100));
+            engine.end_under(FatalRequest::new("i3", Duration::from_millis(100)));
         }
         let client = gateways[0].client();
         client.submit("b1", &ITEMS, 1).await.expect("a response");
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -13,6 +13,8 @@
 use tamaracksail_adapter_standins::{Client, Engine, Store, settings};
 use tamaracksail_model::batch::{Ending, ItemResult};
 
+pub mod crashing;
+
 /// How long to wait for a condition before the test fails. Far longer than any should take.
 const CONDITION_TIMEOUT: Duration = Duration::from_mins(1);
 
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use tamaracksail_adapter_standins::engine::Arrival;
+use tamaracksail_adapter_standins::engine::{Arrival, FatalRequest};
 use tamaracksail_adapter_standins::loopback::address;
 use tamaracksail_adapter_standins::{Client, Engine, Store, settings};
 
@@ -199,7 +199,7 @@
         engine.set_version(self.announced_version.get());
         engine.register_behind(server.link.address, &self.store, server.service, "ready");
         if server.service == APP {
-            engine.end_under(FATAL_BODY, DOWNTIME);
+            engine.end_under(FatalRequest::new(FATAL_BODY, DOWNTIME));
         }
         server.link.set_listening(true);
         let (mut is_up, link) = (engine.is_up(), Rc::clone(&server.link));
