Observe whether a server survives a request whose response the gateway does not get

Cause: an end was looked for only at the moment at which a response broke off, by one connection. An attempt that was dropped before had no such moment, and a connection that is accepted was taken for a server that runs. Change: an execution without a complete response is observed in the background until the server is known to have ended or to have survived: a report of an engine or a health check of another server says whether the registered process responds; one that does not respond has ended once its registration is gone or replaced; one that does not say when it started has survived if no other is registered soon. The decision is policy::request::survival. A request that ran alone keeps its trial meanwhile, and no other with its content runs at this gateway. Sound requests wait less: after a broken response the gateway waits for one connection, no longer for a second one 20 ms later. An abandoned request costs one check half a second later. Why it works: the fact that is recorded is the end of a process under a content, and both the registry and the process itself state it, whenever the gateway stopped to listen.

--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -14,6 +14,7 @@
 use tamaracksail_http::IncomingResponse;
 use tamaracksail_model::time::Instant;
 use tamaracksail_policy::fleet::{SendOutcome, ServerKey};
+use tamaracksail_policy::request::survival::Interruption;
 use tamaracksail_process::trace::{Span, SpanKind};
 
 use super::content::Content;
@@ -158,12 +159,12 @@
         // Without this request's id the response may belong to an earlier request on the connection.
         if !response.matches_request && !response.is_not_run {
             self.record_outcome(SendOutcome::Failed);
-            execution.settle();
+            execution.observe(Interruption::Broken);
             return Outcome::Failed(format!("status {code}, for another request"));
         }
         if code.is_success() && !response.is_attested {
             self.record_outcome(SendOutcome::Failed);
-            execution.settle();
+            execution.observe(Interruption::Broken);
             return Outcome::Failed(format!("status {code}, not attested by the server"));
         }
         if response.is_not_run {
@@ -190,7 +191,6 @@
             }
             if body.len() > MAX_BUFFERED_BYTES && !code.is_success() {
                 self.record_outcome(SendOutcome::Failed);
-                execution.settle();
                 return Outcome::Failed(format!("status {code}, the body is too long"));
             }
             if body.len() > MAX_BUFFERED_BYTES {
--- a/crates/gateway/src/request/liveness.rs
+++ b/crates/gateway/src/request/liveness.rs
@@ -1,54 +1,58 @@
-//! Whether a server that broke off a response is still running.
+//! Checks of whether a server is still running.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use tamaracksail_adapter::engine::REPORT_PATH;
+use tamaracksail_adapter::identity::Identity;
 use tamaracksail_http::{Connection, Stage};
+use tamaracksail_model::backend::Registration;
+use tamaracksail_policy::request::survival::Liveness;
 
-/// The time limit on a connection attempt. The request waits for it before it is sent again; a round
+use crate::gateway::Gateway;
+use crate::version;
+
+/// The time limit on a connection attempt. A request waits for it before it is sent again; a round
 /// trip to another failure domain takes less than ten milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
 
-/// The time between two connection attempts. A process that exits closes its sockets one after the
-/// other, so its listener may still be open when a connection breaks.
-const SECOND_ATTEMPT_DELAY: Duration = Duration::from_millis(20);
-
-/// Whether a server is running.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Liveness {
-    /// Its host refuses connections: the process has ended.
-    Ended,
-    /// It accepts connections.
-    Listening,
-    /// Its host does not respond, so the state of the process is unknown.
-    Unreachable,
-}
-
-impl Liveness {
-    /// Returns the text for logs and metrics.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Self::Ended => "ended",
-            Self::Listening => "listening",
-            Self::Unreachable => "unreachable",
-        }
-    }
-}
+/// The time limit on the response to a check.
+const RESPONSE_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Opens and closes a connection to a server, and another one if the first is accepted.
-pub async fn check(server: SocketAddr) -> Liveness {
-    match connect(server).await {
-        Liveness::Listening => {}
-        other => return other,
+/// Opens and closes a connection to a server. Returns whether its host refuses connections, which
+/// means that the process has ended.
+pub async fn is_refusing(server: SocketAddr) -> bool {
+    match Connection::open(server, CONNECT_TIMEOUT).await {
+        Ok(_) => false,
+        Err(error) => error.stage == Stage::Refused,
     }
-    tokio::time::sleep(SECOND_ATTEMPT_DELAY).await;
-    connect(server).await
 }
 
-async fn connect(server: SocketAddr) -> Liveness {
-    match Connection::open(server, CONNECT_TIMEOUT).await {
-        Ok(_) => Liveness::Listening,
-        Err(error) if error.stage == Stage::Refused => Liveness::Ended,
-        Err(_) => Liveness::Unreachable,
+/// Asks a server whether its process is the registered one: an engine by its report, another server
+/// by a health check.
+pub async fn check(gateway: &Gateway, server: &Registration) -> Liveness {
+    let table = gateway.table();
+    let settings = table
+        .as_ref()
+        .and_then(|table| table.services.get(&server.service));
+    let health_path = settings.and_then(|settings| settings.health_path.as_deref());
+    let path = match health_path {
+        Some(path) if server.models.is_empty() => path,
+        _ => REPORT_PATH,
+    };
+    let statement = version::identify(gateway, server, path, CONNECT_TIMEOUT);
+    let limit = CONNECT_TIMEOUT + RESPONSE_TIMEOUT;
+    match tokio::time::timeout(limit, statement).await {
+        Ok(Ok((identity, response))) => {
+            response.release(&gateway.http);
+            match identity {
+                Identity::Registered => Liveness::Confirmed,
+                Identity::Unstated => Liveness::Responding,
+                Identity::Other => Liveness::Replaced,
+            }
+        }
+        Ok(Err(error)) if error.stage == Stage::Refused => Liveness::Refusing,
+        Ok(Err(error)) if error.stage == Stage::Connect => Liveness::Unreachable,
+        Ok(Err(_)) | Err(_) => Liveness::Unresponsive,
     }
 }
--- a/crates/gateway/src/request/trial.rs
+++ b/crates/gateway/src/request/trial.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use tamaracksail_model::id::Fingerprint;
 use tamaracksail_model::time::Instant;
 use tamaracksail_policy::fleet::ServerKey;
 use tamaracksail_policy::request::suspects::Verdict;
@@ -18,13 +19,14 @@
 /// The time between two checks of whether a server may run the request.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
-/// The use of a server for a request that runs alone. Other requests of this gateway prefer other
-/// servers until it is dropped.
+/// The use of a server for a request that runs alone. Until it is dropped, other requests of this
+/// gateway prefer other servers, and no other request with its content runs here.
 #[derive(Debug)]
 pub struct Trial {
     gateway: Rc<Gateway>,
     /// The server.
     pub key: ServerKey,
+    fingerprint: Fingerprint,
     has_started: bool,
 }
 
@@ -50,7 +52,7 @@
                 .filter(is_registered)
                 .or_else(|| Self::choose(gateway, candidates, content));
             if let Some(planned) = &mut trial {
-                planned.has_started = gateway.fleet.borrow_mut().start_trial(planned.key);
+                planned.start_if_possible();
                 if planned.has_started {
                     let key = planned.key;
                     let permit =
@@ -83,14 +85,28 @@
         Some(Self {
             gateway: Rc::clone(gateway),
             key,
+            fingerprint,
             has_started: false,
         })
     }
+
+    fn start_if_possible(&mut self) {
+        let mut trials = self.gateway.suspects.trials.borrow_mut();
+        let mut fleet = self.gateway.fleet.borrow_mut();
+        if !trials.contains(&self.fingerprint) && fleet.start_trial(self.key) {
+            trials.insert(self.fingerprint);
+            self.has_started = true;
+        }
+    }
 }
 
 impl Drop for Trial {
     fn drop(&mut self) {
         let mut fleet = self.gateway.fleet.borrow_mut();
         fleet.end_trial(self.key, self.has_started);
+        if self.has_started {
+            let mut trials = self.gateway.suspects.trials.borrow_mut();
+            trials.remove(&self.fingerprint);
+        }
     }
 }
--- a/crates/gateway/src/suspects/mod.rs
+++ b/crates/gateway/src/suspects/mod.rs
@@ -8,7 +8,7 @@
 mod publication;
 mod sharing;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
 use std::time::Duration;
 
@@ -26,6 +26,10 @@
     table: RefCell<SuspectTable>,
     /// Contents with a crash that this process observed and has not published.
     unpublished: RefCell<BTreeSet<Fingerprint>>,
+    /// The contents that run alone on a server, or whose server is observed after that.
+    pub trials: RefCell<BTreeSet<Fingerprint>>,
+    /// The number of servers that are being observed after a request without a complete response.
+    pub observations: Cell<usize>,
     /// Wakes the publishing task.
     recorded: Notify,
 }
--- a/crates/gateway/src/version/confirmation.rs
+++ b/crates/gateway/src/version/confirmation.rs
@@ -7,10 +7,11 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{Method, Request, StatusCode};
+use hyper::{Method, Request};
 use tamaracksail_adapter::backend::RequestHeaders;
-use tamaracksail_adapter::engine::{REPORT_PATH, Report};
-use tamaracksail_http::{Connection, Error, IncomingResponse};
+use tamaracksail_adapter::engine::REPORT_PATH;
+use tamaracksail_adapter::identity::Identity;
+use tamaracksail_http::{Connection, Error, IncomingResponse, Stage};
 use tamaracksail_model::backend::Registration;
 
 use crate::gateway::Gateway;
@@ -82,34 +83,53 @@
     server: &Registration,
     connect_timeout: Duration,
 ) -> Result<Connection, String> {
+    let (identity, response) = identify(gateway, server, REPORT_PATH, connect_timeout)
+        .await
+        .map_err(|error| error.to_string())?;
+    if identity == Identity::Other {
+        return Err("another process answers".to_owned());
+    }
+    let connection = response.into_connection().await;
+    connection.ok_or_else(|| "the server closed the connection".to_owned())
+}
+
+/// Sends a request for a report or a health check to a server. Returns what it says about its process,
+/// and the response, which has been read.
+///
+/// # Errors
+/// As [`tamaracksail_http::Client::send`] and [`IncomingResponse::read`].
+pub async fn identify(
+    gateway: &Gateway,
+    server: &Registration,
+    path: &str,
+    connect_timeout: Duration,
+) -> Result<(Identity, IncomingResponse), Error> {
+    let failed = |problem: String| Error {
+        stage: Stage::Connect,
+        peer: server.address,
+        problem,
+    };
     let mut request = Request::builder()
         .method(Method::GET)
-        .uri(REPORT_PATH)
+        .uri(path)
         .header("host", server.address.to_string())
         .body(Full::default())
-        .map_err(|error| error.to_string())?;
+        .map_err(|error| failed(error.to_string()))?;
     let request_headers = RequestHeaders {
         instance: Some(&server.instance),
         ..RequestHeaders::default()
     };
     request_headers
         .write(request.headers_mut())
-        .map_err(|error| error.to_string())?;
+        .map_err(|error| failed(error.to_string()))?;
     let response = gateway.http.send(server.address, request, connect_timeout);
-    let mut response = response.await.map_err(|error| error.to_string())?;
-    let body = response.read(MAX_REPORT_BYTES).await;
-    let body = body.map_err(|error| error.to_string())?;
-    let code = response.head.status;
-    let started_at_ms = match Report::parse(&body) {
-        _ if code == StatusCode::MISDIRECTED_REQUEST => {
-            return Err("another server answers".to_owned());
-        }
-        Ok(report) if code == StatusCode::OK => report.started_at_ms,
-        _ => None,
-    };
-    if started_at_ms.is_some() && started_at_ms != server.started_at_ms {
-        return Err("the process has restarted".to_owned());
-    }
-    let connection = response.into_connection().await;
-    connection.ok_or_else(|| "the server closed the connection".to_owned())
+    let mut response = response.await?;
+    let body = response.read(MAX_REPORT_BYTES).await?;
+    let identity = Identity::parse(&response.head, &body, server);
+    log::debug!(
+        server = server.instance.as_str(), path, status = response.head.status.as_u16(),
+        identity:? = identity;
+        "server identified"
+    );
+    Ok((identity, response))
 }
--- a/crates/gateway/src/version/mod.rs
+++ b/crates/gateway/src/version/mod.rs
@@ -6,7 +6,7 @@
 mod routes;
 mod servers;
 
-pub use confirmation::send;
+pub use confirmation::{identify, send};
 pub use servers::{Source, observe_response};
 
 use std::rc::Rc;
--- a/crates/model/src/route.rs
+++ b/crates/model/src/route.rs
@@ -66,6 +66,16 @@
     }
 }
 
+plain! {
+    /// What is known of a service.
+    pub struct ServiceSettings {
+        /// The maximum number of connections to one of its servers.
+        pub max_connections: usize,
+        /// The path of health checks, if it has one.
+        pub health_path: Option<String>,
+    }
+}
+
 plain! {
     /// Limits on what a client may send.
     pub struct Limits {
--- a/crates/model/src/table.rs
+++ b/crates/model/src/table.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use crate::route::{Limits, Route, Target};
+use crate::route::{Limits, Route, ServiceSettings, Target};
 
 /// One version of the routes. It is immutable: a new version replaces it as a whole.
 #[derive(Clone, Debug, PartialEq)]
@@ -11,8 +11,8 @@
     pub version: u64,
     /// Limits on what clients may send.
     pub limits: Limits,
-    /// The maximum number of connections to one backend server, by service.
-    pub connections: BTreeMap<String, usize>,
+    /// The settings of the services, by name.
+    pub services: BTreeMap<String, ServiceSettings>,
     routes: BTreeMap<String, Vec<Route>>,
 }
 
@@ -22,7 +22,7 @@
     pub fn new(
         version: u64,
         limits: Limits,
-        connections: BTreeMap<String, usize>,
+        services: BTreeMap<String, ServiceSettings>,
         list: Vec<Route>,
     ) -> Self {
         let mut routes: BTreeMap<String, Vec<Route>> = BTreeMap::new();
@@ -35,7 +35,7 @@
         Self {
             version,
             limits,
-            connections,
+            services,
             routes,
         }
     }
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -11,6 +11,7 @@
 
 use crate::connection::choice;
 use crate::limit::Limiter;
+use crate::request::survival::Listing;
 
 slotmap::new_key_type! {
     /// A backend server, from its start to its end. A server that restarts gets a new key.
@@ -201,6 +202,25 @@
         (self.servers[key].registration.started_at_ms == started_at_ms).then_some(key)
     }
 
+    /// Returns what service discovery says about the process that `server` describes.
+    #[must_use]
+    pub fn listing(&self, server: &Registration) -> Listing {
+        let at_address = |found: &&Registration| found.address == server.address;
+        let found = match self.by_instance.get(&server.instance) {
+            Some(key) => Some(&self.servers[*key].registration),
+            None => self.registrations().find(at_address),
+        };
+        let Some(found) = found else {
+            return Listing::Gone;
+        };
+        let is_same = found.instance == server.instance && found.is_same_process(server);
+        match found.state {
+            _ if !is_same => Listing::Replaced,
+            State::Draining => Listing::Leaving,
+            State::Ready => Listing::Listed,
+        }
+    }
+
     /// Returns the request limits of the servers.
     #[must_use]
     pub fn limiter(&self) -> &Limiter {
--- a/crates/policy/src/request/mod.rs
+++ b/crates/policy/src/request/mod.rs
@@ -4,4 +4,5 @@
 pub mod budget;
 pub mod claim;
 pub mod latency;
+pub mod survival;
 pub mod suspects;
