Keep the suspicion of a content after failures and responses of a proxy

Callers: a request that ends servers ended one at each second send (10 of 10), if a failure of a server, or a response of something else at its address, came before each end. Cause: any complete response ended the suspicion. Change: only a response that the server attests, and that is no server error, ends it; one that is not attested is treated as a broken response. Why it works: a suspicion ends by a run that went to its end, which only the server itself can state.

--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -200,7 +200,7 @@
         }
         let head = reply.head.clone();
         reply.release(&self.gateway.http);
-        execution.complete();
+        execution.record_response(&response, code);
         self.record_outcome(if code == StatusCode::INTERNAL_SERVER_ERROR {
             SendOutcome::Failed
         } else {
--- a/crates/gateway/src/request/execution.rs
+++ b/crates/gateway/src/request/execution.rs
@@ -2,6 +2,8 @@
 
 use std::rc::Rc;
 
+use hyper::StatusCode;
+use tamaracksail_adapter::backend::ResponseHead;
 use tamaracksail_model::backend::Registration;
 use tamaracksail_policy::request::survival::{Interruption, Listing, Liveness, Observation, Step};
 
@@ -50,7 +52,20 @@
         self.is_settled = true;
     }
 
-    /// Ends the execution with a complete response, and with it any suspicion of the content.
+    /// Ends the execution with a complete response. A failure clears no suspicion, and a response that
+    /// is not attested by the server may come from a proxy before a server that has ended.
+    pub fn record_response(self, response: &ResponseHead, status: StatusCode) {
+        if !response.is_attested {
+            self.observe(Interruption::Broken);
+        } else if status.is_server_error() {
+            self.settle();
+        } else {
+            self.complete();
+        }
+    }
+
+    /// Ends the execution with a complete response that the server attests, and with it any suspicion
+    /// of the content.
     pub fn complete(mut self) {
         self.is_settled = true;
         let fingerprint = || self.content.fingerprint();
