Keep refused contents in a full table of suspects

Change: those that are not refused, with the fewest crashes, are removed first. Why it works: contents in flight by chance have one crash, which the next response clears; what is refused cannot be reached by these any more.

--- a/crates/policy/src/request/suspects.rs
+++ b/crates/policy/src/request/suspects.rs
@@ -8,12 +8,12 @@
 use tamaracksail_wire::Suspect;
 
 /// How long content remains suspect after the latest crash.
-const SUSPECT_LIFETIME: Duration = Duration::from_mins(10);
+pub const SUSPECT_LIFETIME: Duration = Duration::from_mins(10);
 
 /// The number of crashes after which a request runs alone.
 const ALONE_AFTER_CRASHES: usize = 2;
 
-/// The capacity of the table. Those that expire first are removed first.
+/// The capacity of the table. The least severe are removed first.
 const MAX_SUSPECTS: usize = 1024;
 
 /// How a request with this content may run.
@@ -42,6 +42,12 @@
     expires: Instant,
 }
 
+impl SuspectRecord {
+    fn severity(&self) -> (bool, usize, Instant) {
+        (self.alone, self.crashes.len(), self.expires)
+    }
+}
+
 /// The suspect contents that a process knows of.
 ///
 /// Merging two tables unites their crashes, so reports may arrive late, twice and in any order.
@@ -100,7 +106,7 @@
         record.alone |= suspect.alone;
         record.expires = record.expires.max(expires);
         if self.records.len() > MAX_SUSPECTS {
-            self.remove_first_to_expire();
+            self.remove_least_severe();
         }
     }
 
@@ -165,13 +171,25 @@
         suspects.collect()
     }
 
+    /// Returns the most severe of the suspects that have not expired: those that are refused, then
+    /// those with the most crashes, then those that expire last.
+    #[must_use]
+    pub fn most_severe(&self, now: Instant, count: usize) -> Vec<Suspect> {
+        let mut suspects = self.unexpired(now);
+        let severity = |suspect: &Suspect| (suspect.alone, suspect.crashes.len(), suspect.valid);
+        suspects.sort_by_key(|suspect| std::cmp::Reverse(severity(suspect)));
+        suspects.truncate(count);
+        suspects
+    }
+
     fn expire(&mut self, now: Instant) {
         self.records.retain(|_, record| record.expires > now);
     }
 
-    fn remove_first_to_expire(&mut self) {
-        let first = self.records.iter().min_by_key(|(_, record)| record.expires);
-        if let Some(fingerprint) = first.map(|(fingerprint, _)| *fingerprint) {
+    fn remove_least_severe(&mut self) {
+        let severity = |(_, record): &(_, &SuspectRecord)| record.severity();
+        let least = self.records.iter().min_by_key(severity);
+        if let Some(fingerprint) = least.map(|(fingerprint, _)| *fingerprint) {
             self.records.remove(&fingerprint);
         }
     }
--- a/crates/policy/tests/suspects.rs
+++ b/crates/policy/tests/suspects.rs
@@ -73,6 +73,19 @@
     assert_eq!(table.crash_count(at(2), CONTENT), 1);
 }
 
+#[test]
+fn many_contents_with_one_crash_do_not_displace_one_that_is_refused() {
+    let mut table = SuspectTable::default();
+    table.record(at(0), CONTENT, crash("a"), true);
+    for number in 0..3_000 {
+        table.record(at(1), Fingerprint(100 + number), crash("b"), false);
+    }
+    assert_eq!(table.verdict(at(2), CONTENT), Verdict::Refused);
+    let most_severe = table.most_severe(at(2), 2);
+    assert_eq!(most_severe.len(), 2);
+    assert_eq!(most_severe[0].fingerprint, CONTENT);
+}
+
 /// Returns a fleet of this many servers, and their keys.
 fn fleet(servers: usize) -> (Fleet, Vec<ServerKey>) {
     let mut fleet = Fleet::default();
