--- a/crates/gateway/src/suspects/mod.rs
+++ b/crates/gateway/src/suspects/mod.rs
@@ -1,15 +1,16 @@
 //! Requests under which backend servers ended.
 //!
 //! Each gateway records the content of requests whose server ended before the response was complete,
-//! and publishes its table in the store, where the other gateways and restarted ones read it. Nothing
-//! on the path of a request waits for the store. Items of batches are not recorded: they are owed
+//! and publishes what it observed in the store, where the other gateways and restarted ones read it.
+//! Validity is counted from when a process reads an object, by its own monotonic clock, since clocks of
+//! hosts differ. Nothing on the path of a request waits for the store. Items of batches are not recorded: they are owed
 //! until they have a result, whatever happened to the servers that ran them.
 
 mod publication;
 mod sharing;
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use tamaracksail_model::backend::Registration;
@@ -24,8 +25,12 @@
 #[derive(Debug, Default)]
 pub struct Suspects {
     table: RefCell<SuspectTable>,
+    /// The part of the table that this host observed, which it publishes.
+    own: RefCell<SuspectTable>,
     /// Contents with a crash that this process observed and has not published.
     unpublished: RefCell<BTreeSet<Fingerprint>>,
+    /// The revisions of the published objects, by host; none until they have been listed.
+    revisions: RefCell<Option<BTreeMap<String, u64>>>,
     /// The contents that run alone on a server, or whose server is observed after that.
     pub trials: RefCell<BTreeSet<Fingerprint>>,
     /// The number of servers that are being observed after a request without a complete response.
@@ -67,6 +72,8 @@
         let instance = Host(server.instance.clone());
         let crash = (instance, server.started_at_ms.unwrap_or_default());
         let mut table = self.table.borrow_mut();
+        let mut own = self.own.borrow_mut();
+        own.record(now, fingerprint, crash.clone(), is_alone);
         table.record(now, fingerprint, crash, is_alone);
         self.unpublished.borrow_mut().insert(fingerprint);
         self.recorded.notify_one();
@@ -87,6 +94,11 @@
     /// ends a suspicion.
     pub fn record_response(&self, fingerprint: impl FnOnce() -> Fingerprint) -> bool {
         let mut table = self.table.borrow_mut();
-        !table.is_empty() && table.clear(fingerprint())
+        if table.is_empty() {
+            return false;
+        }
+        let fingerprint = fingerprint();
+        self.own.borrow_mut().clear(fingerprint);
+        table.clear(fingerprint)
     }
 }
--- a/crates/gateway/src/suspects/publication.rs
+++ b/crates/gateway/src/suspects/publication.rs
@@ -12,12 +12,12 @@
 pub const KIND: &str = "suspects";
 
 /// The number of contents in one object, which keeps it far below the store's limit.
-const MAX_CONTENTS: usize = 256;
+pub const MAX_CONTENTS: usize = 256;
 
 plain! {
     /// The contents that one gateway suspects.
     pub struct Publication {
-        /// When it was written, in milliseconds since the Unix epoch.
+        /// When it was written, in milliseconds since the Unix epoch. For operators only.
         written_at_ms: u64,
         contents: Vec<Content>,
     }
@@ -35,17 +35,15 @@
         servers: BTreeSet<(String, u64)>,
         /// Whether one of them ran no other request of its gateway.
         is_alone: bool,
-        /// How long the suspicion is valid after the object was written.
+        /// How long the suspicion is valid after the object is read.
         #[serde_as(as = "DurationMilliSeconds<u64>")]
         valid_ms: Duration,
     }
 }
 
 impl Publication {
-    /// Returns an object with the suspects that remain valid for longest.
-    pub fn new(written_at_ms: u64, mut suspects: Vec<Suspect>) -> Self {
-        suspects.sort_by_key(|suspect| std::cmp::Reverse(suspect.valid));
-        suspects.truncate(MAX_CONTENTS);
+    /// Returns an object with these suspects.
+    pub fn new(written_at_ms: u64, suspects: Vec<Suspect>) -> Self {
         let contents = suspects.into_iter().map(|suspect| Content {
             fingerprint: suspect.fingerprint.0,
             servers: suspect
@@ -62,21 +60,18 @@
         }
     }
 
-    /// Returns the suspects that are still valid at `unix_ms`, in milliseconds since the Unix epoch.
-    pub fn suspects(self, unix_ms: u64) -> impl Iterator<Item = Suspect> {
-        let age = Duration::from_millis(unix_ms.saturating_sub(self.written_at_ms));
-        self.contents.into_iter().filter_map(move |content| {
-            let valid = content.valid_ms.checked_sub(age)?;
-            Some(Suspect {
-                fingerprint: Fingerprint(content.fingerprint),
-                crashes: content
-                    .servers
-                    .into_iter()
-                    .map(|(server, started_at)| (Host(server), started_at))
-                    .collect(),
-                alone: content.is_alone,
-                valid,
-            })
-        })
+    /// Returns the suspects, which are valid from when they are read.
+    pub fn into_suspects(self) -> Vec<Suspect> {
+        let suspects = self.contents.into_iter().map(|content| Suspect {
+            fingerprint: Fingerprint(content.fingerprint),
+            crashes: content
+                .servers
+                .into_iter()
+                .map(|(server, started_at)| (Host(server), started_at))
+                .collect(),
+            alone: content.is_alone,
+            valid: content.valid_ms,
+        });
+        suspects.collect()
     }
 }
--- a/crates/gateway/src/suspects/sharing.rs
+++ b/crates/gateway/src/suspects/sharing.rs
@@ -1,12 +1,14 @@
 //! The exchange of suspect contents between gateways, through the platform's store.
 
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
 use tamaracksail_adapter::store::Object;
+use tamaracksail_policy::request::suspects::SUSPECT_LIFETIME;
 use tamaracksail_wire::Suspect;
 
-use super::publication::{KIND, Publication};
+use super::publication::{KIND, MAX_CONTENTS, Publication};
 use crate::gateway::{Gateway, now, unix_millis};
 use crate::store::{self, Event};
 
@@ -23,6 +25,9 @@
 /// The pause after a change, so that changes in quick succession cost one call.
 const WATCH_DEBOUNCE: Duration = Duration::from_millis(100);
 
+/// The delay after which other gateways remove an object that its own host should have removed.
+const REMOVAL_DELAY: Duration = Duration::from_secs(1);
+
 /// Starts to publish the contents that this process suspects, and to read those of others.
 pub fn share(gateway: &Rc<Gateway>) {
     actix_rt::spawn(publish(Rc::clone(gateway)));
@@ -39,15 +44,35 @@
         KIND,
         WATCH_DEBOUNCE,
         |event| match event {
-            Event::All(objects) => objects.iter().for_each(|object| merge(&gateway, object)),
+            Event::All(objects) => {
+                gateway.suspects.revisions.replace(Some(BTreeMap::new()));
+                for object in objects {
+                    merge(&gateway, object);
+                }
+                let host = gateway.settings.borrow().host.clone();
+                if !objects.iter().any(|object| object.name == host) {
+                    publish_missing(&gateway, &[]);
+                }
+            }
             Event::Changed(object) => merge(&gateway, object),
-            Event::Removed(_) | Event::StoreFailed => {}
+            Event::Removed(object) => {
+                if let Some(revisions) = &mut *gateway.suspects.revisions.borrow_mut() {
+                    revisions.remove(&object.name);
+                }
+                if object.name == gateway.settings.borrow().host {
+                    publish_missing(&gateway, &[]);
+                }
+            }
+            Event::StoreFailed => {}
         },
     )
     .await;
 }
 
 fn merge(gateway: &Rc<Gateway>, object: &Object) {
+    if let Some(revisions) = &mut *gateway.suspects.revisions.borrow_mut() {
+        revisions.insert(object.name.clone(), object.revision);
+    }
     let publication: Publication = match object.spec() {
         Ok(publication) => publication,
         Err(error) => {
@@ -55,29 +80,75 @@
             return;
         }
     };
-    let suspects: Vec<Suspect> = publication.suspects(unix_millis()).collect();
-    if suspects.is_empty() {
-        return remove(gateway, object);
-    }
-    let own_host = gateway.settings.borrow().host.clone();
-    if object.name != own_host {
+    let suspects = publication.into_suspects();
+    let is_own = object.name == gateway.settings.borrow().host;
+    if !is_own {
         log::info!(
             host = object.name.as_str(), contents = suspects.len(), revision = object.revision;
             "suspects of a peer read"
         );
     }
     let mut table = gateway.suspects.table.borrow_mut();
+    let mut own = gateway.suspects.own.borrow_mut();
     for suspect in &suspects {
         table.merge(now(), suspect);
+        if is_own {
+            own.merge(now(), suspect);
+        }
+    }
+    drop((table, own));
+    if is_own {
+        publish_missing(gateway, &suspects);
+    }
+    let valid = suspects.iter().map(|suspect| suspect.valid).max();
+    remove_later(gateway, object, valid.unwrap_or_default());
+}
+
+/// Publishes what this host observed again, if its object in the store lacks some of it: another
+/// host may have removed the object, or an earlier write may have been applied late.
+fn publish_missing(gateway: &Rc<Gateway>, published: &[Suspect]) {
+    let suspects = &gateway.suspects;
+    let own = suspects.own.borrow().most_severe(now(), MAX_CONTENTS);
+    let is_published = |suspect: &Suspect| {
+        published.iter().any(|found| {
+            found.fingerprint == suspect.fingerprint
+                && found.crashes.is_superset(&suspect.crashes)
+                && found.alone >= suspect.alone
+        })
+    };
+    let missing: Vec<_> = own
+        .iter()
+        .filter(|suspect| !is_published(suspect))
+        .map(|suspect| suspect.fingerprint)
+        .collect();
+    if !missing.is_empty() {
+        suspects.unpublished.borrow_mut().extend(missing);
+        suspects.recorded.notify_one();
     }
 }
 
-/// Removes an object in which nothing is valid any more, as one of a host that no longer exists. Other
-/// gateways do so too, so it may be gone already.
-fn remove(gateway: &Rc<Gateway>, object: &Object) {
+/// Removes an object that has not changed when nothing in it is valid any more. Its host may no longer
+/// exist.
+fn remove_later(gateway: &Rc<Gateway>, object: &Object, valid: Duration) {
     let gateway = Rc::clone(gateway);
     let (host, revision) = (object.name.clone(), object.revision);
+    let is_own = host == gateway.settings.borrow().host;
+    let delay = if is_own {
+        Duration::ZERO
+    } else {
+        REMOVAL_DELAY
+    };
     actix_rt::spawn(async move {
+        tokio::time::sleep(valid.min(SUSPECT_LIFETIME) + delay).await;
+        let is_current = gateway
+            .suspects
+            .revisions
+            .borrow()
+            .as_ref()
+            .is_some_and(|revisions| revisions.get(&host) == Some(&revision));
+        if !is_current {
+            return;
+        }
         match gateway.store.remove_at(KIND, &host, revision).await {
             Ok(()) => log::info!(host, revision; "expired suspects removed"),
             Err(error) => log::info!(host, revision, error:%; "expired suspects not removed"),
@@ -85,7 +156,8 @@
     });
 }
 
-/// Publishes the table after each record, unless the suspicion has ended meanwhile.
+/// Publishes what this host observed after each record, unless the suspicion has ended meanwhile. An
+/// earlier process of this host may have published more, so its object is read first.
 async fn publish(gateway: Rc<Gateway>) {
     let suspects = &gateway.suspects;
     loop {
@@ -94,7 +166,13 @@
             tokio::time::sleep(PUBLISH_DELAY).await;
         }
         let recorded = std::mem::take(&mut *suspects.unpublished.borrow_mut());
-        let unexpired = suspects.table.borrow().unexpired(now());
+        if suspects.revisions.borrow().is_none() {
+            suspects.unpublished.borrow_mut().extend(recorded);
+            gateway.store_availability.pause(RETRY_DELAY).await;
+            suspects.recorded.notify_one();
+            continue;
+        }
+        let unexpired = suspects.own.borrow().most_severe(now(), MAX_CONTENTS);
         let is_news = |suspect: &Suspect| recorded.contains(&suspect.fingerprint);
         if !unexpired.iter().any(is_news) {
             continue;
