Count the arrivals from a killed gateway when they have arrived

Cause: the test counted at the moment of the kill. Requests that the gateway had sent before lay in the sockets of the stand-ins, which run on the test's own thread and so cannot handle them during the kill. Change: the test counts 500 ms after the kill and before the next gateway starts. It is as strict: whatever the next gateway sends comes after the count. No fault of a gateway.

--- a/crates/gateway/tests/batches.rs
+++ b/crates/gateway/tests/batches.rs
@@ -210,6 +210,8 @@
             .wait_for_log("batch added to the scheduler")
             .await;
         gateways[0].kill();
+        // Requests that the killed gateway had sent are still on their way.
+        tokio::time::sleep(Duration::from_millis(500)).await;
         let before: usize = ITEMS.iter().map(|item| world.arrival_count(item)).sum();
         // The next scheduling gateway reads the batch slowly, and its client ends it meanwhile.
         let slow = StoreFault::Slow("batch-".to_owned(), Duration::from_millis(700));
