Record a server's software version without copies, and the one before only if it differs

Every change of a registration, of which there are many while engines load, copied the former record and recorded two versions, with two texts each and a scan of all services. Now a known version costs two look-ups. policy/tests/streams.rs holds.

--- a/crates/gateway/src/version/servers.rs
+++ b/crates/gateway/src/version/servers.rs
@@ -118,7 +118,17 @@
                 revision = object.revision;
                 "server registration"
             );
-            let before = gateway.fleet.borrow().registered(&registration.instance);
+            let before = {
+                let fleet = gateway.fleet.borrow();
+                let other = |before: &&Registration| {
+                    before.software != registration.software
+                        || before.service != registration.service
+                };
+                fleet
+                    .registered(&registration.instance)
+                    .filter(other)
+                    .cloned()
+            };
             if let Some(before) = before {
                 streams::record_server(gateway, &before);
             }
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -244,9 +244,8 @@
 
     /// Returns the record of the server that is registered under an id.
     #[must_use]
-    pub fn registered(&self, instance: &str) -> Option<Registration> {
-        let key = *self.by_instance.get(instance)?;
-        self.registration(key).cloned()
+    pub fn registered(&self, instance: &str) -> Option<&Registration> {
+        self.registration(*self.by_instance.get(instance)?)
     }
 
     /// Returns the record of a server.
--- a/crates/policy/src/streams/versions.rs
+++ b/crates/policy/src/streams/versions.rs
@@ -16,7 +16,7 @@
 pub struct Versions {
     /// Since when registrations are observed.
     observed_since: Option<Instant>,
-    last_seen: BTreeMap<(String, String), Instant>,
+    last_seen: BTreeMap<String, BTreeMap<String, Instant>>,
 }
 
 impl Versions {
@@ -28,13 +28,14 @@
     /// Records that a server is or was registered until now. Returns whether the service has other
     /// versions, and this one was not known.
     pub fn record(&mut self, now: Instant, server: &Registration) -> bool {
-        let key = (server.service.clone(), server.software.clone());
-        let is_new = self.last_seen.insert(key, now).is_none();
-        let mut of_service = self
-            .last_seen
-            .keys()
-            .filter(|(service, _)| *service == server.service);
-        is_new && of_service.nth(1).is_some()
+        let known = self.last_seen.get_mut(&server.service);
+        if let Some(seen) = known.and_then(|versions| versions.get_mut(&server.software)) {
+            *seen = now;
+            return false;
+        }
+        let versions = self.last_seen.entry(server.service.clone()).or_default();
+        versions.insert(server.software.clone(), now);
+        versions.len() > 1
     }
 
     /// Returns the only version that servers of `service` have had for long enough, given all
@@ -49,10 +50,9 @@
         if now.since(self.observed_since?) < SETTLE_TIME {
             return None;
         }
-        let mut seen = self.last_seen.iter().filter(|((of, _), _)| of == service);
-        let ((_, first), _) = seen.next()?;
-        if seen.next().is_none() {
-            return Some(first);
+        let seen = self.last_seen.get(service)?;
+        if seen.len() == 1 {
+            return seen.keys().next().map(String::as_str);
         }
         let of_service = |server: &&Registration| server.service == service;
         let version = registered.find(of_service)?.software.as_str();
@@ -60,9 +60,9 @@
         if registered.filter(of_service).any(is_other) {
             return None;
         }
-        let had_other = self.last_seen.iter().any(|((of, other), at)| {
-            of == service && other != version && now.since(*at) < SETTLE_TIME
-        });
+        let had_other = seen
+            .iter()
+            .any(|(other, at)| other != version && now.since(*at) < SETTLE_TIME);
         (!had_other).then_some(version)
     }
 }
--- a/crates/soak/src/clients.rs
+++ b/crates/soak/src/clients.rs
@@ -33,6 +33,35 @@
 /// The range of pauses between two requests under which servers end, in milliseconds.
 const FATAL_PAUSE_MS: std::ops::Range<u64> = 100..900;
 
+/// The share of plain requests whose client closes its connection early.
+const EARLY_SHARE: f64 = 0.15;
+
+/// The range of time limits of clients that leave early, in milliseconds.
+const EARLY_MS: std::ops::Range<u64> = 1..60;
+
+/// How long a client waits for a response.
+#[derive(Clone, Copy, Debug)]
+pub enum Patience {
+    /// Longer than any route allows.
+    Long,
+    /// For this time, which the request states.
+    States(Duration),
+    /// For this time, which the request does not state. Then the client closes its connection.
+    Closes(Duration),
+}
+
+impl Patience {
+    /// Draws how long a client waits.
+    pub fn draw(rng: &mut StdRng) -> Self {
+        let early = Duration::from_millis(rng.random_range(EARLY_MS));
+        match rng.random_range(0..3) {
+            0 => Self::Long,
+            1 => Self::States(early),
+            _ => Self::Closes(early),
+        }
+    }
+}
+
 /// Returns a random host.
 fn random_host<'a>(world: &'a World, rng: &mut StdRng) -> &'a Host {
     &world.hosts[rng.random_range(0..world.hosts.len())]
@@ -68,8 +97,13 @@
         } else {
             "/plain/x"
         };
+        let limit = if rng.random_bool(EARLY_SHARE) {
+            Duration::from_millis(rng.random_range(EARLY_MS))
+        } else {
+            RESPONSE_TIMEOUT
+        };
         let response = timeout(
-            RESPONSE_TIMEOUT,
+            limit,
             world.hosts[host]
                 .client
                 .request_on(&mut connection, &id, path, &id),
@@ -99,14 +133,21 @@
         number += 1;
         let host = random_host(&world, &mut rng);
         let path = FATAL_PATHS[rng.random_range(0..FATAL_PATHS.len())];
-        send_fatal(&world, host, &format!("fatal-{number}"), path).await;
+        let patience = Patience::draw(&mut rng);
+        send_fatal(&world, host, &format!("fatal-{number}"), path, patience).await;
         sleep(Duration::from_millis(rng.random_range(FATAL_PAUSE_MS))).await;
     }
 }
 
 /// Sends the request under which servers end. It must never succeed.
-pub async fn send_fatal(world: &World, host: &Host, id: &str, path: &str) {
-    let response = timeout(RESPONSE_TIMEOUT, host.client.request(id, path, FATAL_BODY)).await;
+pub async fn send_fatal(world: &World, host: &Host, id: &str, path: &str, patience: Patience) {
+    let (stated, limit) = match patience {
+        Patience::Long => (RESPONSE_TIMEOUT, RESPONSE_TIMEOUT),
+        Patience::States(limit) => (limit, RESPONSE_TIMEOUT),
+        Patience::Closes(limit) => (RESPONSE_TIMEOUT, limit),
+    };
+    let call = host.client.request_within(id, path, FATAL_BODY, stated);
+    let response = timeout(limit, call).await;
     if let Ok(Ok(response)) = response
         && response.status == 200
     {
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -27,7 +27,10 @@
 use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::sleep;
 
+use clients::Patience;
 use plan::Plan;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
 use world::World;
 
 /// The time limit for full recovery after the last fault. A rolling restart ends within twice the
@@ -267,9 +270,11 @@
 /// checks that it hardly reaches servers after [`RECOGNITION_TIME`]. No faults are injected meanwhile.
 async fn check_fatal_request(world: &World, path: &str) {
     let mut hosts = world.hosts.iter().cycle().enumerate();
+    let mut rng = StdRng::seed_from_u64(path.len() as u64);
     let mut send = async || {
         if let Some((number, host)) = hosts.next() {
-            clients::send_fatal(world, host, &format!("{path}-{number}"), path).await;
+            let patience = Patience::draw(&mut rng);
+            clients::send_fatal(world, host, &format!("{path}-{number}"), path, patience).await;
             sleep(POLL_INTERVAL).await;
         }
     };
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use tamaracksail_adapter_standins::engine::{Arrival, FatalRequest};
+use tamaracksail_adapter_standins::engine::{Address, Arrival, FatalRequest};
 use tamaracksail_adapter_standins::loopback::address;
 use tamaracksail_adapter_standins::{Client, Engine, Store, settings};
 
@@ -26,6 +26,9 @@
 /// The body of the request under which each server for plain requests ends.
 pub const FATAL_BODY: &str = "fatal";
 
+/// How long such a server runs the request before it ends. Clients that leave early leave before.
+const END_DELAY: Duration = Duration::from_millis(40);
+
 /// How long such a server takes to start again.
 const DOWNTIME: Duration = Duration::from_millis(600);
 
@@ -198,14 +201,22 @@
         engine.set_software(SOFTWARE_VERSIONS[(number + life) % SOFTWARE_VERSIONS.len()]);
         engine.set_version(self.announced_version.get());
         engine.register_behind(server.link.address, &self.store, server.service, "ready");
+        let is_refusing = (number + life).is_multiple_of(2);
         if server.service == APP {
-            engine.end_under(FatalRequest::new(FATAL_BODY, DOWNTIME));
+            let address = if is_refusing {
+                Address::Refuses
+            } else {
+                Address::Closes
+            };
+            let request = FatalRequest::new(FATAL_BODY, DOWNTIME);
+            engine.end_under(request.with_delay(END_DELAY).with_address(address));
         }
         server.link.set_listening(true);
         let (mut is_up, link) = (engine.is_up(), Rc::clone(&server.link));
         tokio::task::spawn_local(async move {
             while is_up.changed().await.is_ok() {
-                link.set_listening(*is_up.borrow_and_update());
+                let is_up = *is_up.borrow_and_update();
+                link.set_listening(is_up || !is_refusing);
             }
         });
         server.incarnations.borrow_mut().push(engine);
