Run a request alone only on a server that responds

Callers: a sound content under which two servers happened to end was refused for ten minutes (503), if the server of its trial had been down before at an address that accepts connections. Cause: the end of the server of a trial was taken for an end under the request, without a check that the server was running when the request was sent. Change: a trial begins with a check of the server, and waits for another one if it does not respond. Result: a_sound_content_is_not_refused_since_the_server_for_its_trial_was_down_before passes; before, it failed with 503 for 200. Why it works: the process is known to run one round trip before the send, and to have ended after it.

--- a/crates/gateway/src/request/trial.rs
+++ b/crates/gateway/src/request/trial.rs
@@ -6,9 +6,11 @@
 use tamaracksail_model::id::Fingerprint;
 use tamaracksail_model::time::Instant;
 use tamaracksail_policy::fleet::ServerKey;
+use tamaracksail_policy::request::survival::Liveness;
 use tamaracksail_policy::request::suspects::Verdict;
 
 use super::content::Content;
+use super::liveness;
 use crate::gateway::{Gateway, now};
 use crate::limits::{self, Candidates};
 
@@ -19,6 +21,9 @@
 /// The time between two checks of whether a server may run the request.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
+/// The time between two checks of a server that does not respond.
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// The use of a server for a request that runs alone. Until it is dropped, other requests of this
 /// gateway prefer other servers, and no other request with its content runs here.
 #[derive(Debug)]
@@ -53,7 +58,10 @@
                 .or_else(|| Self::choose(gateway, candidates, content));
             if let Some(planned) = &mut trial {
                 planned.start_if_possible();
-                if planned.has_started {
+                if planned.has_started && !planned.is_server_running().await {
+                    trial = None;
+                    tokio::time::sleep(CHECK_INTERVAL).await;
+                } else if planned.has_started {
                     let key = planned.key;
                     let permit =
                         limits::acquire_for(gateway, candidates.service, key, limit.since(now()));
@@ -90,6 +98,20 @@
         })
     }
 
+    /// Whether the server responds. The end of one that was down before the request was sent tells
+    /// nothing about the content.
+    async fn is_server_running(&self) -> bool {
+        let registration = {
+            let fleet = self.gateway.fleet.borrow();
+            fleet.registration(self.key).cloned()
+        };
+        let Some(registration) = registration else {
+            return false;
+        };
+        let liveness = liveness::check(&self.gateway, &registration).await;
+        matches!(liveness, Liveness::Confirmed | Liveness::Responding)
+    }
+
     fn start_if_possible(&mut self) {
         let mut trials = self.gateway.suspects.trials.borrow_mut();
         let mut fleet = self.gateway.fleet.borrow_mut();
--- a/crates/gateway/tests/common/crashing.rs
+++ b/crates/gateway/tests/common/crashing.rs
@@ -64,6 +64,12 @@
         self
     }
 
+    /// Sets how long a server takes to start again.
+    pub fn with_downtime(mut self, downtime: Duration) -> Self {
+        self.request = self.request.with_downtime(downtime);
+        self
+    }
+
     /// Sets what happens at the address of a server while it is down.
     pub fn with_address(mut self, address: Address) -> Self {
         self.request = self.request.with_address(address);
--- a/crates/gateway/tests/unseen_ends.rs
+++ b/crates/gateway/tests/unseen_ends.rs
@@ -6,8 +6,8 @@
 
 use common::crashing::{DOWNTIME, FATAL, Patience, Setup};
 use common::{Gateway, run};
-use tamaracksail_adapter_standins::Store;
 use tamaracksail_adapter_standins::engine::{Address, Fault};
+use tamaracksail_adapter_standins::{Client, Store};
 use tamaracksail_model::id::fingerprint_of_parts;
 
 /// How long a server runs the fatal request in tests of clients that leave before it ends.
@@ -171,20 +171,48 @@
     }));
 }
 
+/// Returns what a gateway publishes about a content under which servers ended.
+fn publication(body: &str, is_alone: bool) -> serde_json::Value {
+    let parts: &[&[u8]] = &[b"POST", b"app.example", b"/plain/x", b"", body.as_bytes()];
+    serde_json::json!({
+        "written_at_ms": 1_000,
+        "contents": [{
+            "fingerprint": fingerprint_of_parts(parts).0.to_string(), "is_alone": is_alone,
+            "valid_ms": 600_000, "servers": [["a", 1], ["b", 1]],
+        }],
+    })
+}
+
+#[test]
+fn a_sound_content_is_not_refused_since_the_server_for_its_trial_was_down_before() {
+    run(async {
+        let setup = Setup::new("/plain/x").with_address(Address::Closes);
+        let setup = setup.with_downtime(Duration::from_millis(1_500));
+        let mut crashing = setup.start().await;
+        let store = &crashing.world.store;
+        store.put("suspects", "elsewhere", publication("sound", false));
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        for server in &crashing.servers {
+            let client = Client::new(server.address);
+            drop(client.request("direct", "/x", FATAL).await);
+        }
+        for _ in 0..4 {
+            crashing.send("sound").await;
+        }
+        tokio::time::sleep(Duration::from_secs(3)).await;
+        for _ in 0..3 {
+            let response = crashing.send("sound").await.expect("a response");
+            assert_eq!(response.status, 200);
+        }
+    });
+}
+
 #[test]
 fn suspects_of_a_host_whose_clock_differs_are_used_and_kept() {
     run(async {
         let mut crashing = Setup::new("/plain/x").start().await;
-        let fingerprint =
-            fingerprint_of_parts(&[b"POST", b"app.example", b"/plain/x", b"", FATAL.as_bytes()]);
-        let spec = serde_json::json!({
-            "written_at_ms": 1_000,
-            "contents": [{
-                "fingerprint": fingerprint.0.to_string(), "is_alone": true, "valid_ms": 600_000,
-                "servers": [["a", 1], ["b", 1], ["c", 1]],
-            }],
-        });
-        crashing.world.store.put("suspects", "elsewhere", spec);
+        let store = &crashing.world.store;
+        store.put("suspects", "elsewhere", publication(FATAL, true));
         tokio::time::sleep(Duration::from_secs(1)).await;
         for gateway in &mut crashing.gateways {
             gateway.kill();
