--- a/crates/soak/src/clients.rs
+++ b/crates/soak/src/clients.rs
@@ -12,6 +12,7 @@
 use tamaracksail_http::Connection;
 use tokio::time::{sleep, timeout};
 
+use crate::ledger::MAX_RETRY_AFTER_S;
 use crate::streams::{self, Progress};
 use crate::world::{FATAL_BODY, Host, World};
 
@@ -139,20 +140,28 @@
     }
 }
 
-/// Sends the request under which servers end. It must never succeed.
-pub async fn send_fatal(world: &World, host: &Host, id: &str, path: &str, patience: Patience) {
+/// Sends the request under which servers end. It must never succeed. Returns whether it was refused for
+/// long, since it was recognised.
+pub async fn send_fatal(
+    world: &World,
+    host: &Host,
+    id: &str,
+    path: &str,
+    patience: Patience,
+) -> bool {
     let (stated, limit) = match patience {
         Patience::Long => (RESPONSE_TIMEOUT, RESPONSE_TIMEOUT),
         Patience::States(limit) => (limit, RESPONSE_TIMEOUT),
         Patience::Closes(limit) => (RESPONSE_TIMEOUT, limit),
     };
     let call = host.client.request_within(id, path, FATAL_BODY, stated);
-    let response = timeout(limit, call).await;
-    if let Ok(Ok(response)) = response
-        && response.status == 200
-    {
+    let Ok(Ok(response)) = timeout(limit, call).await else {
+        return false;
+    };
+    if response.status == 200 {
         world.record_violation("own answer", &format!("{id} got {:?}", response.body));
     }
+    response.retry_after() > Some(MAX_RETRY_AFTER_S)
 }
 
 /// Sends a request that may be repeated, and requests a stream, at the same time.
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -13,7 +13,7 @@
 
 /// The longest time after which a gateway may ask for a request again, in seconds, unless servers end
 /// under the request.
-const MAX_RETRY_AFTER_S: f64 = 10.0;
+pub const MAX_RETRY_AFTER_S: f64 = 10.0;
 
 /// An accepted batch, as clients observed it.
 #[derive(Clone, Debug, Default)]
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -274,16 +274,22 @@
     let mut send = async || {
         if let Some((number, host)) = hosts.next() {
             let patience = Patience::draw(&mut rng);
-            clients::send_fatal(world, host, &format!("{path}-{number}"), path, patience).await;
+            let id = format!("{path}-{number}");
+            let is_refused = clients::send_fatal(world, host, &id, path, patience).await;
             sleep(POLL_INTERVAL).await;
+            return is_refused;
         }
+        false
     };
     let deadline = Instant::now() + RECOVERY_TIMEOUT;
     while world.fatal_count(path) < ENDS_TO_RECOGNISE {
         if Instant::now() >= deadline {
             return world.record_violation("soak", &format!("{path} ended too few servers"));
         }
-        send().await;
+        // Servers that ended under it during the faults count too, also if it had not reached them.
+        if send().await {
+            break;
+        }
     }
     sleep(RECOGNITION_TIME).await;
     let before = world.fatal_count(path);
