--- a/crates/gateway/tests/common/crashing.rs
+++ b/crates/gateway/tests/common/crashing.rs
@@ -88,6 +88,14 @@
         self
     }
 
+    /// Starts the servers and the gateways, ends servers, and checks how often the fatal request
+    /// reaches servers after that.
+    pub async fn check(self) {
+        let mut crashing = self.start().await;
+        crashing.end_servers().await;
+        crashing.check_later_sends().await;
+    }
+
     /// Starts the servers and the gateways.
     pub async fn start(self) -> Crashing {
         let world = World::start(0, 5, EVENT_INTERVAL).await;
@@ -144,6 +152,17 @@
         self.servers.iter().map(count).sum()
     }
 
+    /// Kills all gateways and starts them again.
+    pub async fn restart_gateways(&mut self) {
+        for gateway in &mut self.gateways {
+            gateway.kill();
+            gateway.restart();
+        }
+        for gateway in &self.gateways {
+            gateway.wait_until_ready().await;
+        }
+    }
+
     /// Sends a request under a new id to the next gateway. Returns none if its connection broke, or
     /// if the client closed it.
     pub async fn send(&mut self, body: &str) -> Option<Response> {
--- a/crates/gateway/tests/crashing_requests.rs
+++ b/crates/gateway/tests/crashing_requests.rs
@@ -12,29 +12,17 @@
 
 #[test]
 fn a_request_under_which_servers_end_is_not_sent_again_without_limit() {
-    run(async {
-        let mut crashing = Setup::new("/plain/x").start().await;
-        crashing.end_servers().await;
-        crashing.check_later_sends().await;
-    });
+    run(Setup::new("/plain/x").check());
 }
 
 #[test]
 fn a_request_that_runs_once_and_ends_servers_is_not_accepted_again_without_limit() {
-    run(async {
-        let mut crashing = Setup::new("/once/x").start().await;
-        crashing.end_servers().await;
-        crashing.check_later_sends().await;
-    });
+    run(Setup::new("/once/x").check());
 }
 
 #[test]
 fn a_stream_under_which_servers_end_is_not_sent_again_without_limit() {
-    run(async {
-        let mut crashing = Setup::new("/stream/x").start().await;
-        crashing.end_servers().await;
-        crashing.check_later_sends().await;
-    });
+    run(Setup::new("/stream/x").check());
 }
 
 #[test]
@@ -42,13 +30,7 @@
     run(async {
         let mut crashing = Setup::new("/plain/x").start().await;
         crashing.end_servers().await;
-        for gateway in &mut crashing.gateways {
-            gateway.kill();
-            gateway.restart();
-        }
-        for gateway in &crashing.gateways {
-            gateway.wait_until_ready().await;
-        }
+        crashing.restart_gateways().await;
         crashing.check_later_sends().await;
     });
 }
--- a/crates/gateway/tests/unseen_ends.rs
+++ b/crates/gateway/tests/unseen_ends.rs
@@ -20,12 +20,10 @@
 fn a_request_whose_time_is_up_before_its_servers_end_is_not_sent_again_without_limit() {
     run(async {
         let setup = Setup::new("/plain/x").with_delay(DELAY);
-        let mut crashing = setup
+        setup
             .with_patience(Patience::States(PATIENCE))
-            .start()
+            .check()
             .await;
-        crashing.end_servers().await;
-        crashing.check_later_sends().await;
     });
 }
 
@@ -33,12 +31,10 @@
 fn a_request_whose_client_closes_before_its_servers_end_is_not_sent_again_without_limit() {
     run(async {
         let setup = Setup::new("/once/x").with_delay(DELAY);
-        let mut crashing = setup
+        setup
             .with_patience(Patience::Closes(PATIENCE))
-            .start()
+            .check()
             .await;
-        crashing.end_servers().await;
-        crashing.check_later_sends().await;
     });
 }
 
@@ -46,12 +42,10 @@
 fn a_stream_whose_client_closes_before_its_servers_end_is_not_sent_again_without_limit() {
     run(async {
         let setup = Setup::new("/stream/x").with_delay(DELAY);
-        let mut crashing = setup
+        setup
             .with_patience(Patience::Closes(PATIENCE))
-            .start()
+            .check()
             .await;
-        crashing.end_servers().await;
-        crashing.check_later_sends().await;
     });
 }
 
@@ -59,9 +53,7 @@
 fn a_request_that_ends_servers_whose_address_accepts_connections_is_not_sent_again_without_limit() {
     run(async {
         let setup = Setup::new("/plain/x").with_address(Address::Closes);
-        let mut crashing = setup.start().await;
-        crashing.end_servers().await;
-        crashing.check_later_sends().await;
+        setup.check().await;
     });
 }
 
@@ -69,12 +61,10 @@
 fn a_request_that_ends_servers_at_silent_addresses_is_not_sent_again_without_limit() {
     run(async {
         let setup = Setup::new("/plain/x").with_address(Address::Silent);
-        let mut crashing = setup
+        setup
             .with_patience(Patience::States(Duration::from_millis(200)))
-            .start()
+            .check()
             .await;
-        crashing.end_servers().await;
-        crashing.check_later_sends().await;
     });
 }
 
@@ -82,9 +72,7 @@
 fn a_request_that_ends_servers_which_are_removed_meanwhile_is_not_sent_again_without_limit() {
     run(async {
         let setup = Setup::new("/once/x").with_delay(Duration::from_millis(400));
-        let mut crashing = setup.unregistering().start().await;
-        crashing.end_servers().await;
-        crashing.check_later_sends().await;
+        setup.unregistering().check().await;
     });
 }
 
@@ -143,13 +131,7 @@
         change(&crashing.world.store, gateway.host());
     }
     tokio::time::sleep(Duration::from_secs(1)).await;
-    for gateway in &mut crashing.gateways {
-        gateway.kill();
-        gateway.restart();
-    }
-    for gateway in &crashing.gateways {
-        gateway.wait_until_ready().await;
-    }
+    crashing.restart_gateways().await;
     tokio::time::sleep(Duration::from_millis(500)).await;
     let before = crashing.arrivals();
     crashing.check_later_sends().await;
@@ -214,13 +196,7 @@
         let store = &crashing.world.store;
         store.put("suspects", "elsewhere", publication(FATAL, true));
         tokio::time::sleep(Duration::from_secs(1)).await;
-        for gateway in &mut crashing.gateways {
-            gateway.kill();
-            gateway.restart();
-        }
-        for gateway in &crashing.gateways {
-            gateway.wait_until_ready().await;
-        }
+        crashing.restart_gateways().await;
         tokio::time::sleep(Duration::from_millis(500)).await;
         crashing.check_later_sends().await;
         assert_eq!(crashing.arrivals(), 0);
