--- a/crates/gateway/src/request/execution.rs
+++ b/crates/gateway/src/request/execution.rs
@@ -105,12 +105,12 @@
         };
         let observation = Observation::begin(now(), interruption, is_suspect);
         actix_rt::spawn(async move {
-            self.run_checks(interruption, observation).await;
+            self.run_checks(observation).await;
             drop(slot);
         });
     }
 
-    async fn run_checks(self, interruption: Interruption, mut observation: Observation) {
+    async fn run_checks(self, mut observation: Observation) {
         let mut step = Step::Check(observation.first_delay());
         let mut liveness = None;
         loop {
@@ -129,7 +129,7 @@
             };
         }
         if let Some(liveness) = liveness {
-            self.record_state(interruption, liveness);
+            self.record_state(observation.interruption(), liveness);
         }
         if step == Step::Ended {
             self.record_end();
--- a/crates/gateway/src/suspects/mod.rs
+++ b/crates/gateway/src/suspects/mod.rs
@@ -2,9 +2,9 @@
 //!
 //! Each gateway records the content of requests whose server ended before the response was complete,
 //! and publishes what it observed in the store, where the other gateways and restarted ones read it.
-//! Validity is counted from when a process reads an object, by its own monotonic clock, since clocks of
-//! hosts differ. Nothing on the path of a request waits for the store. Items of batches are not recorded: they are owed
-//! until they have a result, whatever happened to the servers that ran them.
+//! Validity is counted from when a process reads an object, by its own monotonic clock, since clocks
+//! of hosts differ. Nothing on the path of a request waits for the store. Items of batches are not
+//! recorded: they are owed until they have a result, whatever happened to the servers that ran them.
 
 mod publication;
 mod sharing;
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -206,11 +206,8 @@
     #[must_use]
     pub fn listing(&self, server: &Registration) -> Listing {
         let at_address = |found: &&Registration| found.address == server.address;
-        let found = match self.by_instance.get(&server.instance) {
-            Some(key) => Some(&self.servers[*key].registration),
-            None => self.registrations().find(at_address),
-        };
-        let Some(found) = found else {
+        let registered = self.registered(&server.instance);
+        let Some(found) = registered.or_else(|| self.registrations().find(at_address)) else {
             return Listing::Gone;
         };
         let is_same = found.instance == server.instance && found.is_same_process(server);
--- a/crates/policy/src/request/survival.rs
+++ b/crates/policy/src/request/survival.rs
@@ -132,6 +132,12 @@
         }
     }
 
+    /// Returns why there is no complete response.
+    #[must_use]
+    pub fn interruption(&self) -> Interruption {
+        self.interruption
+    }
+
     /// Returns the delay of the first check.
     #[must_use]
     pub fn first_delay(&self) -> Duration {
--- a/crates/policy/src/request/suspects.rs
+++ b/crates/policy/src/request/suspects.rs
@@ -46,6 +46,15 @@
     fn severity(&self) -> (bool, usize, Instant) {
         (self.alone, self.crashes.len(), self.expires)
     }
+
+    fn suspect(&self, now: Instant, fingerprint: id::Fingerprint) -> Suspect {
+        Suspect {
+            fingerprint,
+            crashes: self.crashes.clone(),
+            alone: self.alone,
+            valid: self.expires.since(now),
+        }
+    }
 }
 
 /// The suspect contents that a process knows of.
@@ -158,16 +167,8 @@
     /// Returns the suspects that have not expired, to be sent to peers.
     #[must_use]
     pub fn unexpired(&self, now: Instant) -> Vec<Suspect> {
-        let valid = self
-            .records
-            .iter()
-            .filter(|(_, record)| record.expires > now && !record.crashes.is_empty());
-        let suspects = valid.map(|(fingerprint, record)| Suspect {
-            fingerprint: *fingerprint,
-            crashes: record.crashes.clone(),
-            alone: record.alone,
-            valid: record.expires.since(now),
-        });
+        let suspects = self.unexpired_records(now);
+        let suspects = suspects.map(|(fingerprint, record)| record.suspect(now, *fingerprint));
         suspects.collect()
     }
 
@@ -175,11 +176,20 @@
     /// those with the most crashes, then those that expire last.
     #[must_use]
     pub fn most_severe(&self, now: Instant, count: usize) -> Vec<Suspect> {
-        let mut suspects = self.unexpired(now);
-        let severity = |suspect: &Suspect| (suspect.alone, suspect.crashes.len(), suspect.valid);
-        suspects.sort_by_key(|suspect| std::cmp::Reverse(severity(suspect)));
-        suspects.truncate(count);
-        suspects
+        let mut suspects: Vec<_> = self.unexpired_records(now).collect();
+        suspects.sort_by_key(|(_, record)| std::cmp::Reverse(record.severity()));
+        let most_severe = suspects.into_iter().take(count);
+        let suspects = most_severe.map(|(fingerprint, record)| record.suspect(now, *fingerprint));
+        suspects.collect()
+    }
+
+    fn unexpired_records(
+        &self,
+        now: Instant,
+    ) -> impl Iterator<Item = (&id::Fingerprint, &SuspectRecord)> {
+        self.records
+            .iter()
+            .filter(move |(_, record)| record.expires > now && !record.crashes.is_empty())
     }
 
     fn expire(&mut self, now: Instant) {
--- a/crates/policy/src/streams/origins.rs
+++ b/crates/policy/src/streams/origins.rs
@@ -39,27 +39,13 @@
     /// Keeps the origin of a stream that began at this gateway.
     pub fn begin(&mut self, now: Instant, attempt: &str, origin: Origin) {
         let is_unshared = true;
-        self.insert(
-            now,
-            attempt,
-            Entry {
-                origin,
-                is_unshared,
-            },
-        );
+        self.insert(now, attempt, origin, is_unshared);
     }
 
     /// Keeps the origin of a stream that began at another gateway.
     pub fn copy(&mut self, now: Instant, attempt: &str, origin: Origin) {
         let is_unshared = false;
-        self.insert(
-            now,
-            attempt,
-            Entry {
-                origin,
-                is_unshared,
-            },
-        );
+        self.insert(now, attempt, origin, is_unshared);
     }
 
     /// Returns where a stream began.
@@ -83,7 +69,7 @@
             .collect()
     }
 
-    fn insert(&mut self, now: Instant, attempt: &str, entry: Entry) {
+    fn insert(&mut self, now: Instant, attempt: &str, origin: Origin, is_unshared: bool) {
         while let Some((at, _)) = self.by_age.front()
             && (now.since(*at) >= RETENTION || self.by_age.len() >= MAX_ORIGINS)
         {
@@ -91,6 +77,10 @@
                 self.entries.remove(&expired);
             }
         }
+        let entry = Entry {
+            origin,
+            is_unshared,
+        };
         if self.entries.insert(attempt.to_owned(), entry).is_none() {
             self.by_age.push_back((now, attempt.to_owned()));
         }
