Score items by their reward calls before they are listed

Change: an item has a second stage. policy::reward::Queue holds the calls, apart from I/O: which is sent when and where, copies of calls that take long (one in ten, by the calls' own latencies), the limit on concurrent calls to a server, and the count of reported failures. The gateway that schedules sends them through the attempts that client requests use, so instances, suspects, limits of servers, drains and deadlines hold for them. Finished texts that wait are saved in checkpoints and handed over. A malformed or unroutable call refuses its batch with 400.

--- a/crates/gateway/src/batches/accept.rs
+++ b/crates/gateway/src/batches/accept.rs
@@ -13,7 +13,7 @@
 use tamaracksail_wire::peer::{Request as PeerRequest, Response as PeerResponse};
 
 use super::schema::{self, Manifest, Part};
-use super::{lease_loop, takeover};
+use super::{lease_loop, reward_calls, takeover};
 use crate::connection::Body;
 use crate::gateway::{Gateway, now, unix_millis};
 use crate::peer::{self, Error as PeerError};
@@ -142,13 +142,26 @@
     deadline: Instant,
 ) -> Outcome {
     let id = submission.id.as_str();
-    let total = match batch::parse(&submission.body) {
-        Ok(submission) => submission.items.len(),
+    let items = match batch::parse(&submission.body) {
+        Ok(submission) => submission.items,
         Err(error) => {
             log::info!(batch = id, error:%; "malformed batch refused");
             return Outcome::Malformed;
         }
     };
+    let mut calls = items.iter().filter_map(|item| item.reward.as_ref());
+    let unroutable = gateway
+        .table()
+        .and_then(|table| calls.find(|call| reward_calls::find_route(&table, call).is_none()));
+    if let Some(call) = unroutable {
+        log::info!(
+            batch = id, call = call.id.as_str(), host = call.host.as_str(),
+            path = call.path.as_str();
+            "batch refused, a reward call has no route"
+        );
+        return Outcome::Malformed;
+    }
+    let total = items.len();
     let Ok(text) = std::str::from_utf8(&submission.body) else {
         return Outcome::Malformed;
     };
--- a/crates/gateway/src/batches/coordinator.rs
+++ b/crates/gateway/src/batches/coordinator.rs
@@ -20,7 +20,7 @@
 use super::readiness::Readiness;
 use super::result_log::ResultLog;
 use super::schema;
-use super::{item_run, lease_loop, orders, partial_texts, result_writer};
+use super::{item_run, lease_loop, orders, partial_texts, result_writer, reward_calls};
 use crate::gateway::{Gateway, now, peer_address};
 use crate::limits;
 
@@ -75,6 +75,8 @@
     /// The tasks of the present term: those of runs under the run's number, others under numbers
     /// counted down from the largest.
     pub(super) abort_handles: RefCell<BTreeMap<u64, AbortHandle>>,
+    /// The tasks of sends of reward calls, by the number of the send.
+    pub(super) reward_handles: RefCell<BTreeMap<u64, AbortHandle>>,
     /// The ids of the batches in the scheduler.
     pub(super) batch_ids: RefCell<BTreeMap<BatchKey, String>>,
     /// The sequence number of the next result log.
@@ -121,6 +123,7 @@
             stopped_at: Cell::new(Instant(0)),
             result_logs: RefCell::default(),
             abort_handles: RefCell::default(),
+            reward_handles: RefCell::default(),
             batch_ids: RefCell::default(),
             next_sequence: Cell::new(0),
             ended_batches: RefCell::default(),
@@ -300,8 +303,10 @@
         self.stopped_at.set(now());
         self.partial_texts.set_ready(false);
         log::info!(reason, batches = self.result_logs.borrow().len(); "scheduling stopped");
-        for (_, handle) in std::mem::take(&mut *self.abort_handles.borrow_mut()) {
-            handle.abort();
+        for handles in [&self.abort_handles, &self.reward_handles] {
+            for (_, handle) in std::mem::take(&mut *handles.borrow_mut()) {
+                handle.abort();
+            }
         }
         for result_log in std::mem::take(&mut *self.result_logs.borrow_mut()).into_values() {
             result_log.changed.notify_waiters();
@@ -367,6 +372,7 @@
         for action in actions {
             perform(&gateway, action);
         }
+        reward_calls::send_due(&gateway);
     }
 }
 
--- a/crates/gateway/src/batches/mod.rs
+++ b/crates/gateway/src/batches/mod.rs
@@ -13,6 +13,7 @@
 mod result_log;
 mod result_writer;
 mod retention;
+mod reward_calls;
 mod schema;
 mod takeover;
 
--- a/crates/gateway/src/limits/cause.rs
+++ b/crates/gateway/src/limits/cause.rs
@@ -17,6 +17,8 @@
     Resume,
     /// It runs an item of a batch.
     Item,
+    /// It scores the text of an item.
+    Reward,
 }
 
 impl Cause {
@@ -31,6 +33,7 @@
             Self::Hedge => "hedge",
             Self::Resume => "resume",
             Self::Item => "item",
+            Self::Reward => "reward",
         };
         let sends = &gateway.metrics.limited_sends;
         sends.with_label_values(&[cause]).inc();
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -30,6 +30,10 @@
     pub runs: IntCounterVec,
     /// The seconds that runs took that finished their item.
     pub run_latency: Histogram,
+    /// Sends of reward calls, by outcome.
+    pub reward_calls: IntCounterVec,
+    /// The seconds that sends of reward calls took that brought a score.
+    pub reward_latency: Histogram,
     /// Events of batches, by kind.
     pub batches: IntCounterVec,
     /// Durable results, by how their item ended.
@@ -102,6 +106,11 @@
             ),
             runs: counter("runs", "Runs of batch items on engines.", &["outcome"]),
             run_latency: histogram("run_seconds", "Duration of runs that finished their item."),
+            reward_calls: counter("reward_calls", "Sends of reward calls.", &["outcome"]),
+            reward_latency: histogram(
+                "reward_seconds",
+                "Duration of sends of reward calls that brought a score.",
+            ),
             batches: counter("batches", "Batches.", &["event"]),
             results: counter("results", "Durable results of batch items.", &["ending"]),
             load_commands: counter("orders", "Load commands to engines.", &["outcome"]),
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -70,6 +70,11 @@
     /// Records a new attempt at a server.
     pub fn new(gateway: &Rc<Gateway>, key: ServerKey, is_stream: bool) -> Self {
         gateway.fleet.borrow_mut().record_sent(key);
+        Self::of_recorded_send(gateway, key, is_stream)
+    }
+
+    /// Returns a new attempt at a server whose use the fleet has recorded already.
+    pub fn of_recorded_send(gateway: &Rc<Gateway>, key: ServerKey, is_stream: bool) -> Self {
         Self {
             gateway: Rc::clone(gateway),
             key,
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -23,9 +23,11 @@
 use crate::batches;
 use crate::connection::Body;
 use crate::gateway::{Gateway, now};
-use content::Content;
 
+pub use attempt::{Attempt, Outcome};
+pub use content::Content;
 pub use response::{empty_response, response_with_body, retry_later};
+pub use trial::Trial;
 
 /// The path under which metrics are served.
 const METRICS_PATH: &str = "/metrics";
--- a/crates/model/src/checkpoint.rs
+++ b/crates/model/src/checkpoint.rs
@@ -3,6 +3,8 @@
 
 use std::collections::BTreeSet;
 
+use crate::reward;
+
 plain! {
     /// Text of unfinished items that was added since the last checkpoint.
     pub struct Checkpoint {
@@ -36,5 +38,11 @@
         /// The version of the software of the server that generated the text.
         #[serde(default)]
         pub software: Option<String>,
+        /// Whether the text is complete with this segment.
+        #[serde(default)]
+        pub is_whole: bool,
+        /// How far the call has come that scores the text.
+        #[serde(default)]
+        pub reward: Option<reward::Progress>,
     }
 }
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod object;
 pub mod outcome;
 pub mod rate;
+pub mod reward;
 pub mod route;
 pub mod store;
 pub mod table;
--- a/crates/policy/src/batch/checkpointing.rs
+++ b/crates/policy/src/batch/checkpointing.rs
@@ -14,7 +14,7 @@
 use super::task::{Stage, TaskKey};
 
 /// The number of events from which on an item's text is saved. Events are about 50 ms apart, so
-/// this is text of a second or more.
+/// this is text of a second or more. Complete text that waits for its score is saved at any length.
 const MIN_SAVED_EVENTS: u64 = 24;
 
 /// The number of checkpoints in the store, where they form a ring. A text whose first segment
@@ -51,7 +51,8 @@
         .iter()
         .filter(|(_, task)| task.stage != Stage::Done)
         .filter_map(|(key, task)| {
-            let last = task.text.last.filter(|last| *last >= MIN_SAVED_EVENTS)?;
+            let is_worth_saving = |last: &u64| *last >= MIN_SAVED_EVENTS || task.text.is_whole;
+            let last = task.text.last.filter(is_worth_saving)?;
             let is_saved = task.saved.is_some_and(|saved| saved.last >= last);
             (!is_saved).then_some((last, key))
         })
@@ -90,6 +91,8 @@
             data: data.to_owned(),
             versions: task.text.versions.clone(),
             software: task.text.software.clone(),
+            is_whole: task.text.is_whole,
+            reward: task.text.reward.clone(),
         });
         task.saved = Some(SavedText {
             series,
@@ -169,6 +172,8 @@
             partial_text.last = Some(segment.last);
             partial_text.versions = segment.versions;
             partial_text.software = segment.software;
+            partial_text.is_whole = segment.is_whole;
+            partial_text.reward = segment.reward;
         }
         let known = partial_texts.get(&item).and_then(|known| known.last);
         if partial_text.last > known {
--- a/crates/policy/src/batch/dispatch.rs
+++ b/crates/policy/src/batch/dispatch.rs
@@ -10,6 +10,7 @@
 use super::pool::Requirements;
 use super::run::Run;
 use super::scheduler::Scheduler;
+use super::scoring;
 use super::task::{Stage, TaskKey};
 
 /// Starts waiting items on engines with free slots.
@@ -209,8 +210,11 @@
     scheduler.queue.insert((rank, key));
 }
 
-/// Records the result of an item whose text is complete.
+/// Records the result of an item whose text is complete, or has the text scored first.
 pub(super) fn complete(scheduler: &mut Scheduler, now: Instant, key: TaskKey) {
+    if scoring::begin(scheduler, now, key) {
+        return;
+    }
     let task = &mut scheduler.tasks[key];
     task.stage = Stage::Done;
     let result = task.completed();
--- a/crates/policy/src/batch/ending.rs
+++ b/crates/policy/src/batch/ending.rs
@@ -7,9 +7,9 @@
 use tamaracksail_model::time::Instant;
 
 use super::action::Action;
-use super::dispatch;
 use super::scheduler::{BatchKey, Scheduler};
 use super::task::{Stage, TaskKey};
+use super::{dispatch, scoring};
 
 /// How long runs continue after their batch has ended, so that a later batch with the same items
 /// can adopt them. A trainer submits its next batch after a short training phase. No new run starts
@@ -70,6 +70,7 @@
         scheduler.queue.remove(&(rank, key));
     }
     scheduler.retry_at.remove(&key);
+    scoring::stop(scheduler, key, "the batch has ended");
     if let Some(task) = scheduler.tasks.remove(key)
         && task.text.last.is_some()
     {
@@ -126,10 +127,11 @@
     item: String,
     partial_text: PartialText,
 ) {
+    let extent = |text: &PartialText| (text.last, text.is_whole);
     let is_longer = scheduler
         .retained_texts
         .get(&item)
-        .is_none_or(|(_, known)| known.last < partial_text.last);
+        .is_none_or(|(_, known)| extent(known) < extent(&partial_text));
     if is_longer {
         scheduler.retained_texts.insert(item, (now, partial_text));
     }
@@ -158,6 +160,7 @@
     scheduler.batches.clear();
     scheduler.detached.clear();
     scheduler.queue.clear();
+    scheduler.rewards.clear();
     for engine in scheduler.pool.engines.values_mut() {
         engine.loading = None;
     }
@@ -189,6 +192,7 @@
     if let Some(rank) = scheduler.ranks.get(&key) {
         scheduler.queue.remove(&(*rank, key));
     }
+    scoring::stop(scheduler, key, "the item was aborted");
     let task = &mut scheduler.tasks[key];
     task.stage = Stage::Done;
     let result = task.aborted();
--- a/crates/policy/src/batch/mod.rs
+++ b/crates/policy/src/batch/mod.rs
@@ -1,6 +1,9 @@
 //! Scheduling of batches: which item runs on which engine, which results are written, and which
 //! engine loads which weights.
 //!
+//! An item whose text is to be scored has a second stage: [`crate::reward`] has its calls, and their
+//! place in a batch is in `scoring`.
+//!
 //! [`Scheduler`] serves several trainers with one pool of engines. Only the process that holds the
 //! scheduling lease runs it, and results are durable before callers see them.
 
@@ -15,6 +18,7 @@
 mod reports;
 mod run;
 mod scheduler;
+mod scoring;
 mod stragglers;
 mod submission;
 mod task;
--- a/crates/policy/src/batch/scheduler.rs
+++ b/crates/policy/src/batch/scheduler.rs
@@ -7,6 +7,7 @@
 use tamaracksail_model::backend::Registration;
 use tamaracksail_model::batch::PartialText;
 use tamaracksail_model::checkpoint::Checkpoint;
+use tamaracksail_model::reward::Call;
 use tamaracksail_model::time::Instant;
 
 use super::action::{Action, Failure};
@@ -16,7 +17,9 @@
 use super::run::Run;
 use super::submission::{self, Submission};
 use super::task::{Task, TaskKey};
-use super::{affinity, checkpointing, dispatch, ending, reports, stragglers, weights};
+use super::{affinity, checkpointing, dispatch, ending, reports, scoring, stragglers, weights};
+use crate::fleet::Fleet;
+use crate::reward::{self, CallKey};
 
 /// How long text and groups of an ended batch are retained for a later batch with the same items.
 /// Trainers submit them again within one or two steps.
@@ -40,6 +43,10 @@
     pub(super) ranks: BTreeMap<TaskKey, u64>,
     /// When an item whose run failed may start again.
     pub(super) retry_at: BTreeMap<TaskKey, Instant>,
+    /// The calls that score complete texts.
+    pub(super) rewards: reward::Queue,
+    /// The items of these calls.
+    pub(super) scoring: BTreeMap<CallKey, TaskKey>,
     /// The newest version that a trainer has announced of each model.
     pub(super) announced_versions: BTreeMap<String, u64>,
     /// The number of items in the largest step of each model.
@@ -280,6 +287,35 @@
         std::mem::take(&mut self.actions)
     }
 
+    /// Decides which reward calls are sent, and returns the actions to take. `domain` is the failure
+    /// domain of this process, and `route` returns the target of a call.
+    pub fn poll_rewards(
+        &mut self,
+        now: Instant,
+        fleet: &mut Fleet,
+        domain: &str,
+        route: impl Fn(&Call) -> Option<reward::Target>,
+    ) -> Vec<reward::Action> {
+        scoring::poll(self, now, fleet, domain, route)
+    }
+
+    /// Records how a send of a reward call ended. Returns the verdict on the call once there is one.
+    pub fn reward_send_ended(
+        &mut self,
+        now: Instant,
+        send: u64,
+        outcome: reward::Outcome,
+    ) -> Option<reward::Verdict> {
+        scoring::send_ended(self, now, send, outcome)
+    }
+
+    /// Returns the item and the batch of a reward call, and since when it waits for its score.
+    #[must_use]
+    pub fn scored_item(&self, key: CallKey) -> Option<(&str, BatchKey, Instant)> {
+        let task = self.tasks.get(*self.scoring.get(&key)?)?;
+        Some((&task.item.id, task.batch, self.rewards.since(key)?))
+    }
+
     /// Whether any item of a model that its trainer waits for is in the queue.
     pub(super) fn has_waiting_items(&self, model: &str) -> bool {
         self.queue.iter().any(|(_, key)| {
--- a/crates/policy/src/batch/submission.rs
+++ b/crates/policy/src/batch/submission.rs
@@ -98,9 +98,9 @@
         (optional.contains(group), std::cmp::Reverse(length))
     });
     for (item, group) in order {
-        if adopt_detached(scheduler, now, batch_key, &item.id, group) {
+        let Some(item) = adopt_detached(scheduler, now, batch_key, item, group) else {
             continue;
-        }
+        };
         let is_optional = optional.contains(&group);
         add_task(
             scheduler,
@@ -114,21 +114,21 @@
     batch_key
 }
 
-/// Moves a detached run of the same item into the batch. Returns false if there is none, or if the
+/// Moves a detached run of the same item into the batch. Returns the item if there is none, or if the
 /// batch may not use its text, in which case the run is stopped.
 pub(super) fn adopt_detached(
     scheduler: &mut Scheduler,
     now: Instant,
     batch_key: BatchKey,
-    id: &str,
+    item: Item,
     group: usize,
-) -> bool {
-    let Some(key) = scheduler.detached.remove(id) else {
-        return false;
+) -> Option<Item> {
+    let Some(key) = scheduler.detached.remove(&item.id) else {
+        return Some(item);
     };
     let batch = &mut scheduler.batches[batch_key];
     let Some(task) = scheduler.tasks.get_mut(key) else {
-        return false;
+        return Some(item);
     };
     let is_allowed = task
         .text
@@ -136,8 +136,10 @@
     if !is_allowed {
         ending::stop_task(scheduler, key, "its text is too old for the next batch");
         ending::remove_task(scheduler, now, key);
-        return false;
+        return Some(item);
     }
+    // The reward call of this batch may be another than that of the batch before.
+    task.item = Rc::new(item);
     task.batch = batch_key;
     task.group = group;
     task.failures = 0;
@@ -146,7 +148,7 @@
     batch.groups[group].unfinished += 1;
     scheduler.last_rank += 1;
     scheduler.ranks.insert(key, scheduler.last_rank);
-    true
+    None
 }
 
 /// Adds a task for an item, with the retained text if the batch may use it. `with_result` has the
@@ -211,7 +213,10 @@
     let open: Vec<TaskKey> = scheduler
         .tasks
         .iter()
-        .filter(|(key, task)| task.stage != Stage::Done && !scheduler.is_batch_ended(*key))
+        .filter(|(key, task)| {
+            matches!(task.stage, Stage::Waiting | Stage::Running(_))
+                && !scheduler.is_batch_ended(*key)
+        })
         .map(|(key, _)| key)
         .collect();
     for key in open {
--- a/crates/policy/src/batch/task.rs
+++ b/crates/policy/src/batch/task.rs
@@ -6,6 +6,7 @@
 
 use super::checkpointing::SavedText;
 use super::scheduler::BatchKey;
+use crate::reward::CallKey;
 
 slotmap::new_key_type! {
     /// Identifies one item of one batch.
@@ -19,6 +20,8 @@
     Waiting,
     /// It runs, as the run with this number.
     Running(u64),
+    /// Its text is complete, and this call is to score it.
+    Scoring(CallKey),
     /// It has a result, which is written or waits to be.
     Done,
 }
@@ -49,13 +52,22 @@
         self.saved = None;
     }
 
-    /// Returns the result of an item whose text is complete.
+    /// Returns the score of the text that the item's call has brought, if there is one.
+    fn score(&self) -> Option<&str> {
+        let call = self.item.reward.as_ref()?;
+        let progress = self.text.reward.as_ref()?;
+        let score = progress.score.as_deref();
+        score.filter(|_| progress.call == call.id)
+    }
+
+    /// Returns the result of an item whose text is complete and scored.
     pub(crate) fn completed(&self) -> ItemResult {
         ItemResult {
             item: self.item.id.clone(),
             ending: Ending::Completed,
             text: self.text.data.clone(),
             versions: self.text.versions.iter().copied().collect(),
+            score: self.score().map(str::to_owned),
         }
     }
 
@@ -66,6 +78,7 @@
             ending: Ending::Aborted,
             text: String::new(),
             versions: Vec::new(),
+            score: None,
         }
     }
 }
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -103,13 +103,18 @@
         }
     }
 
-    /// Returns the expected number of seconds until a response to a caller in `domain`.
-    fn expected_latency(&self, now: Instant, domain: &str) -> f64 {
+    /// Returns the number of requests that run or wait, as far as it is known.
+    fn load(&self, now: Instant) -> u32 {
         let reported = self
             .load
             .filter(|(_, at)| now.since(*at) < LOAD_VALIDITY)
             .map_or(0, |(load, _)| load);
-        let load = f64::from(self.in_flight.max(reported));
+        self.in_flight.max(reported)
+    }
+
+    /// Returns the expected number of seconds until a response to a caller in `domain`.
+    fn expected_latency(&self, now: Instant, domain: &str) -> f64 {
+        let load = f64::from(self.load(now));
         let slots = f64::from(self.registration.slots.max(1));
         // A server slows down as it fills, and requests beyond its slots are queued.
         let utilization = (load + 1.0) / slots;
@@ -251,6 +256,34 @@
         self.servers.get(key).map(|server| &server.registration)
     }
 
+    /// Returns the ready servers of a service with their records.
+    pub fn ready_servers<'a>(
+        &'a self,
+        service: &'a str,
+    ) -> impl Iterator<Item = (ServerKey, &'a Registration)> {
+        let all = Query {
+            service,
+            software: None,
+            domain: "",
+            except: &[],
+        };
+        self.ready(all)
+            .map(|(key, server)| (key, &server.registration))
+    }
+
+    /// Returns the number of requests that run or wait at a server, as far as it is known.
+    #[must_use]
+    pub fn load(&self, now: Instant, key: ServerKey) -> u32 {
+        self.servers.get(key).map_or(0, |server| server.load(now))
+    }
+
+    /// Whether other servers are preferred to one since it failed.
+    #[must_use]
+    pub fn is_backing_off(&self, now: Instant, key: ServerKey) -> bool {
+        let server = self.servers.get(key);
+        server.is_some_and(|server| server.is_backing_off(now))
+    }
+
     /// Returns the ready server that is expected to respond first, leaving out those whose request
     /// limit allows no request now. Servers that back off after a failure come last, and before them
     /// those on which a request runs alone.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -16,6 +16,7 @@
 //! platform's store, uses:
 //! - [`fleet::Fleet`]: the choice of a backend server for a request;
 //! - [`batch::Scheduler`]: the items of batches, their results and the weights of engines;
+//! - [`reward::Queue`]: the calls that score the texts of items;
 //! - [`limit::Limiter`]: the request limits that backend servers state;
 //! - [`streams`]: where streams began that clients take up at any gateway;
 //! - [`lease::Lease`]: which process is the scheduling gateway.
@@ -34,6 +35,7 @@
 pub mod limit;
 pub mod process;
 pub mod request;
+pub mod reward;
 pub mod streams;
 pub mod version;
 
--- a/crates/policy/tests/common/engines.rs
+++ b/crates/policy/tests/common/engines.rs
@@ -168,6 +168,7 @@
                     tokens: *length,
                     hint: Some(*length),
                     group: Some((*group).to_owned()),
+                    reward: None,
                 });
             }
         }
--- a/crates/policy/tests/saving.rs
+++ b/crates/policy/tests/saving.rs
@@ -82,6 +82,8 @@
         data: data.to_owned(),
         versions: [1].into(),
         software: Some("v1".to_owned()),
+        is_whole: false,
+        reward: None,
     }
 }
 
--- a/crates/policy/tests/weights.rs
+++ b/crates/policy/tests/weights.rs
@@ -34,6 +34,7 @@
         tokens: 10,
         hint: None,
         group: Some(format!("{model}{min_version}")),
+        reward: None,
     };
     Submission {
         host: "app".to_owned(),
