Send requests on connections of their own to a server that sends second copies of responses

Cause: a response to another request failed its attempt, but the other idle connections to the server, and the one that the check of its health had left, were used next and brought late copies as well. No caller got a response to another request, but a client got 502 after three such attempts, and a reward call was never answered by such a server. Change: a peer is distrusted after such a response: its idle connections are closed, and its next 32 requests use connections of their own. The matrix of store faults and the soak have items with reward calls now, and check their scores and that none is called before its text is complete.

--- a/crates/gateway/src/batches/item_run.rs
+++ b/crates/gateway/src/batches/item_run.rs
@@ -129,6 +129,7 @@
         return Err((Failure::Refused, format!("{code}: not run")));
     }
     if !head.matches_request {
+        gateway.http.distrust(registration.address);
         return Err(broken(format!(
             "{code}: the response is to another request"
         )));
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -163,6 +163,7 @@
         let code = reply.head.status;
         // Without this request's id the response may belong to an earlier request on the connection.
         if !response.matches_request && !response.is_not_run {
+            self.gateway.http.distrust(execution.address());
             self.record_outcome(SendOutcome::Failed);
             execution.observe(Interruption::Broken);
             return Outcome::Failed(format!("status {code}, for another request"));
--- a/crates/gateway/src/request/execution.rs
+++ b/crates/gateway/src/request/execution.rs
@@ -1,5 +1,6 @@
 //! The execution of a request on a backend server, from when it is sent until its end is known.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use hyper::StatusCode;
@@ -47,6 +48,11 @@
         }
     }
 
+    /// Returns the address of the server.
+    pub fn address(&self) -> SocketAddr {
+        self.registration.address
+    }
+
     /// Ends the execution of a request that the server did not execute.
     pub fn settle(mut self) {
         self.is_settled = true;
--- a/crates/gateway/tests/matrix.rs
+++ b/crates/gateway/tests/matrix.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use common::{Gateway, World, run, wait_until};
+use tamaracksail_adapter_standins::Engine;
 use tamaracksail_adapter_standins::client::Response;
 use tamaracksail_adapter_standins::store::Fault;
 use tamaracksail_model::batch::{Ending, ItemResult};
@@ -62,7 +63,13 @@
     let is_complete = |result: &ItemResult| {
         result.ending == Ending::Completed && result.text == world.engines[0].text(&result.item)
     };
-    (!results.iter().all(is_complete)).then_some("a text is incomplete")
+    if !results.iter().all(is_complete) {
+        return Some("a text is incomplete");
+    }
+    let is_scored = |result: &ItemResult| {
+        result.score == Some(Engine::stamp(&format!("score-{}", result.item)))
+    };
+    (!results.iter().all(is_scored)).then_some("a score is missing or of another call")
 }
 
 async fn read_results(gateway: &Gateway, batch: &str) -> Vec<ItemResult> {
@@ -79,7 +86,7 @@
     wait_until("the batch is accepted", async || {
         attempts += 1;
         let client = gateways[attempts % gateways.len()].client();
-        let response = client.submit(batch, &names, 1).await;
+        let response = client.submit_scored(batch, &names, 1).await;
         response.is_ok_and(|response: Response| response.status == 202)
     })
     .await;
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -18,10 +18,16 @@
 /// of its connections too.
 const MAX_IDLE_CONNECTIONS_PER_PEER: usize = 16;
 
+/// The number of requests to a peer that use connections of their own after a response on a pooled
+/// connection was to another request.
+const SINGLE_USE_REQUESTS: u32 = 32;
+
 /// Sends requests on pooled connections. Clones share the pool. All clones stay on one thread.
 #[derive(Clone, Debug, Default)]
 pub struct Client {
     idle: Rc<RefCell<BTreeMap<SocketAddr, Vec<Connection>>>>,
+    /// The peers whose next requests use connections of their own, and the number of these requests.
+    distrusted: Rc<RefCell<BTreeMap<SocketAddr, u32>>>,
 }
 
 impl Client {
@@ -39,17 +45,41 @@
         request: Request<Full<Bytes>>,
         connect_timeout: Duration,
     ) -> Result<IncomingResponse, Error> {
-        let idle = self.take_idle(peer);
+        let is_single_use = self.use_distrust(peer);
+        let idle = self.take_idle(peer).filter(|_| !is_single_use);
         if let Some(connection) = idle {
             match connection.request(request.clone()).await {
                 Err(error) if error.is_unsent() => {}
                 outcome => return outcome,
             }
         }
-        let connection = Connection::open(peer, connect_timeout).await?;
+        let mut connection = Connection::open(peer, connect_timeout).await?;
+        connection.is_single_use = is_single_use;
         connection.request(request).await
     }
 
+    /// Records that a response of a peer was to another request: a second copy of a response that
+    /// arrived late. Closes the idle connections to the peer, and sends its next requests on
+    /// connections of their own.
+    pub fn distrust(&self, peer: SocketAddr) {
+        self.close_idle(peer);
+        let mut distrusted = self.distrusted.borrow_mut();
+        distrusted.insert(peer, SINGLE_USE_REQUESTS);
+    }
+
+    /// Returns whether the next request to a peer uses a connection of its own, and counts it.
+    fn use_distrust(&self, peer: SocketAddr) -> bool {
+        let mut distrusted = self.distrusted.borrow_mut();
+        let Some(left) = distrusted.get_mut(&peer) else {
+            return false;
+        };
+        *left -= 1;
+        if *left == 0 {
+            distrusted.remove(&peer);
+        }
+        true
+    }
+
     /// Closes the idle connections to a peer.
     pub fn close_idle(&self, peer: SocketAddr) {
         self.idle.borrow_mut().remove(&peer);
@@ -68,6 +98,10 @@
 
     /// Adds a connection to the pool once its response has ended, unless the peer closes it.
     pub(crate) fn store_idle(&self, mut connection: Connection) {
+        let is_distrusted = self.distrusted.borrow().contains_key(&connection.peer());
+        if connection.is_single_use || is_distrusted {
+            return;
+        }
         let idle = Rc::clone(&self.idle);
         tokio::task::spawn_local(async move {
             if !connection.is_reusable().await {
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -27,6 +27,8 @@
     peer: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
+    /// Whether it is closed after its first response.
+    pub(crate) is_single_use: bool,
 }
 
 impl Connection {
@@ -67,6 +69,7 @@
             peer,
             sender,
             driver: driver.abort_handle(),
+            is_single_use: false,
         })
     }
 
--- a/crates/soak/src/clients.rs
+++ b/crates/soak/src/clients.rs
@@ -254,7 +254,7 @@
         let host = random_host(world, rng);
         let response = timeout(
             RESPONSE_TIMEOUT,
-            host.client.submit(id, &names, min_version),
+            host.client.submit_scored(id, &names, min_version),
         )
         .await;
         if let Ok(Ok(response)) = response
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -2,8 +2,9 @@
 //! guarantees.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
+use tamaracksail_adapter_standins::Engine;
 use tamaracksail_adapter_standins::client::Response;
 use tamaracksail_adapter_standins::engine::Arrival;
 use tamaracksail_model::batch::{Ending, ItemResult};
@@ -173,6 +174,32 @@
         }
     }
 
+    /// Checks that no reward call reached a server before the text of its item can have been complete,
+    /// which takes `text_time` from when the item first reached an engine.
+    pub fn check_calls(&mut self, arrivals: &[Arrival], text_time: Duration) {
+        let mut first: BTreeMap<&str, Instant> = BTreeMap::new();
+        for arrival in arrivals {
+            let at = first.entry(&arrival.id).or_insert(arrival.at);
+            *at = arrival.at.min(*at);
+        }
+        let items: BTreeSet<&String> = self.batches.values().flat_map(|it| &it.items).collect();
+        let is_early = |item: &&&String| {
+            let called_at = first.get(call_id(item).as_str());
+            called_at.is_some_and(|called_at| {
+                let begun_at = first.get(item.as_str());
+                begun_at.is_none_or(|begun_at| *called_at < *begun_at + text_time)
+            })
+        };
+        let early: Vec<String> = items
+            .iter()
+            .filter(is_early)
+            .map(|it| (*it).clone())
+            .collect();
+        for item in early {
+            self.record_violation("scores", &format!("the text of {item} was scored early"));
+        }
+    }
+
     /// Checks that one lease holder at a time commanded an engine. `commands` are the load commands
     /// that one incarnation of the engine accepted, each with its time, holder and fencing token.
     pub fn check_commands(&mut self, engine: &str, commands: &[(Instant, String, u64)]) {
@@ -197,6 +224,11 @@
     }
 }
 
+/// Returns the id of the reward call of an item.
+fn call_id(item: &str) -> String {
+    format!("score-{item}")
+}
+
 /// Returns what is wrong with a result that is read for the first time.
 fn find_problems(id: &str, batch: &Batch, position: usize, result: &ItemResult) -> Vec<String> {
     let mut problems = Vec::new();
@@ -225,6 +257,12 @@
             ));
         }
         let is_old = |version: &u64| *version < batch.min_version;
+        if result.score.as_ref() != Some(&Engine::stamp(&call_id(item))) {
+            problems.push(format!(
+                "{id}: {item} is completed with the score {:?}",
+                result.score
+            ));
+        }
         if result.versions.is_empty() || result.versions.iter().any(is_old) {
             problems.push(format!(
                 "{id}: {item} has versions {:?}, but the oldest allowed is {}",
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -329,6 +329,7 @@
     let arrivals = world.arrivals();
     let mut ledger = world.ledger.borrow_mut();
     ledger.check_arrivals(&arrivals);
+    ledger.check_calls(&arrivals, world::TEXT_TIME);
     for server in &world.servers {
         for incarnation in server.incarnations.borrow().iter() {
             ledger.check_commands(&incarnation.instance, &incarnation.command_holders());
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -32,8 +32,17 @@
 /// How long such a server takes to start again.
 const DOWNTIME: Duration = Duration::from_millis(600);
 
+/// The time between two events, in milliseconds.
+const EVENT_INTERVAL_MS: u64 = 20;
+
 /// The time between two events.
-const EVENT_INTERVAL: Duration = Duration::from_millis(20);
+const EVENT_INTERVAL: Duration = Duration::from_millis(EVENT_INTERVAL_MS);
+
+/// The least time in which an engine generates the text of an item: an interval before each event.
+pub const TEXT_TIME: Duration = Duration::from_millis(EVENT_INTERVAL_MS * EVENTS_PER_STREAM);
+
+/// How long a server works on a plain request.
+const WORK_TIME: Duration = Duration::from_millis(60);
 
 /// The minimum time between load commands of two lease holders.
 const COMMAND_GAP: Duration = Duration::from_secs(1);
@@ -203,6 +212,7 @@
         engine.register_behind(server.link.address, &self.store, server.service, "ready");
         let is_refusing = (number + life).is_multiple_of(2);
         if server.service == APP {
+            engine.set_work_time(WORK_TIME);
             let address = if is_refusing {
                 Address::Refuses
             } else {
