Read results from the store while a write of them has no response

Cause: the scheduling gateway answered reads from memory alone. Ruled out: paging of lists, seals, logs of an earlier term. Change: a result log knows that a chunk is being written. A read that would be answered with nothing then goes to the store, within the time that the client allows. Test: results_that_are_in_the_store_are_not_missing_where_their_write_has_no_response_yet failed before with an empty page.

--- a/crates/gateway/src/batches/read.rs
+++ b/crates/gateway/src/batches/read.rs
@@ -39,13 +39,15 @@
     wait: Duration,
 ) -> Response<Body> {
     lease_loop::request_lease(gateway);
+    let deadline = now().after(wait);
     if let Some((total, results)) = loaded_results(gateway, id, from, wait).await {
         return page_response(total, from, results.iter());
     }
-    if let Some((total, results)) = from_peer(gateway, id, from, wait).await {
+    let left = deadline.since(now());
+    if let Some((total, results)) = from_peer(gateway, id, from, left).await {
         return page_response(total, from, results.iter());
     }
-    match from_store(gateway, id, from, wait).await {
+    match from_store(gateway, id, from, deadline.since(now())).await {
         Ok(response) => response,
         Err(error) => error_response(id, &error),
     }
@@ -144,8 +146,8 @@
 }
 
 /// Returns the number of items of a batch and its results from position `from` on, after waiting up
-/// to `wait` for the first. Returns `None` if this process does not schedule or the batch is not in
-/// memory.
+/// to `wait` for the first. Returns `None` if this process does not schedule, the batch is not in
+/// memory, or the store may have results at that position which are not in memory yet.
 async fn from_memory(
     gateway: &Gateway,
     id: &str,
@@ -165,7 +167,11 @@
             let result_log = result_logs.get(id)?;
             let is_ended = result_log.batch.is_none();
             let left = deadline.since(now());
-            if result_log.results.len() > from || is_ended || left.is_zero() {
+            let has_results = result_log.results.len() > from;
+            if (is_ended || left.is_zero()) && !has_results && result_log.is_writing {
+                return None;
+            }
+            if has_results || is_ended || left.is_zero() {
                 return Some((
                     result_log.total,
                     take_page(result_log.results.iter().skip(from)),
--- a/crates/gateway/src/batches/result_log.rs
+++ b/crates/gateway/src/batches/result_log.rs
@@ -13,6 +13,8 @@
     pub total: usize,
     /// The results by position.
     pub results: Vec<ItemResult>,
+    /// Whether a chunk is being written. It may be in the store already, where other gateways read it.
+    pub is_writing: bool,
     /// The number of the next chunk to write.
     pub next_chunk: usize,
     /// Notified when results are added, the batch ends, or scheduling stops here.
--- a/crates/gateway/src/batches/result_writer.rs
+++ b/crates/gateway/src/batches/result_writer.rs
@@ -21,9 +21,12 @@
     let term = coordinator.term();
     let position = coordinator
         .result_logs
-        .borrow()
-        .get(&id)
-        .map(|log| (log.next_chunk, log.results.len(), log.total));
+        .borrow_mut()
+        .get_mut(&id)
+        .map(|log| {
+            log.is_writing = true;
+            (log.next_chunk, log.results.len(), log.total)
+        });
     let Some((mut number, first, total)) = position else {
         return;
     };
@@ -41,6 +44,8 @@
             if is_unknown {
                 // The store may have more results than memory, so reads must go there.
                 coordinator.result_logs.borrow_mut().remove(&id);
+            } else if let Some(result_log) = coordinator.result_logs.borrow_mut().get_mut(&id) {
+                result_log.is_writing = false;
             }
             return;
         }
@@ -114,6 +119,7 @@
         result_log.bytes += chunk.results.iter().map(|r| r.text.len()).sum::<usize>();
         result_log.results.extend(chunk.results);
         result_log.next_chunk = number + 1;
+        result_log.is_writing = false;
         result_log.changed.notify_waiters();
     }
     coordinator.scheduler.borrow_mut().results_written(batch);
--- a/crates/gateway/src/batches/takeover.rs
+++ b/crates/gateway/src/batches/takeover.rs
@@ -240,6 +240,7 @@
     let result_log = ResultLog {
         total,
         results,
+        is_writing: false,
         next_chunk,
         changed: Notify::new().into(),
         batch,
--- a/crates/gateway/tests/batches.rs
+++ b/crates/gateway/tests/batches.rs
@@ -311,6 +311,35 @@
     });
 }
 
+#[test]
+fn results_that_are_in_the_store_are_not_missing_where_their_write_has_no_response_yet() {
+    run(async {
+        let (world, gateways) = start(1, 5, EVENT_INTERVAL).await;
+        let client = gateways[0].client();
+        client.submit("b0", &["warm"], 1).await.expect("a response");
+        read_results(&client, "b0", 1).await;
+        client.submit("b1", &ITEMS, 1).await.expect("a response");
+        let fault = StoreFault::WithholdsResponses("batch-b1".to_owned());
+        world.store.set_fault(fault);
+        wait_until("the store has results", async || {
+            let names = world.store.names("batch-b1");
+            names.iter().any(|name| name.starts_with("results"))
+        })
+        .await;
+        // This gateway knows of no scheduling gateway yet, and reads from the store.
+        let other = Gateway::start("front-9", &world.store);
+        other.wait_until_ready().await;
+        let read = other.client().results("b1", 0).await.expect("a response");
+        assert!(!read.results().is_empty());
+        let response = client.results("b1", 0).await.expect("a response");
+        let is_known = response.status == 503 || response.results() == read.results();
+        assert!(is_known, "{response:?}");
+        world.store.set_fault(StoreFault::None);
+        let results = read_results(&client, "b1", ITEMS.len()).await;
+        assert_complete(&world, &results, &ITEMS);
+    });
+}
+
 #[test]
 fn engines_load_the_version_that_a_trainer_announces() {
     run(async {
