--- a/crates/gateway/tests/rewards.rs
+++ b/crates/gateway/tests/rewards.rs
@@ -6,6 +6,7 @@
 
 use common::{Gateway, World, assert_complete, read_results, run, start, start_server, wait_until};
 use serde_json::{Value, json};
+use tamaracksail_adapter_standins::Client;
 use tamaracksail_adapter_standins::engine::{Engine, FatalRequest, Fault};
 use tamaracksail_model::batch::{Ending, ItemResult};
 
@@ -290,3 +291,50 @@
         assert!((1..=4).contains(&ends), "{ends}");
     });
 }
+
+/// Submits an item with a call with this id.
+async fn submit_with_call(client: &Client, batch: &str, item: &str, call: &str) {
+    let response = client
+        .submit_items(
+            batch,
+            &[item],
+            1,
+            |_| json!({"id": call, "hostname": "app.example", "path": "/plain/x", "body": ""}),
+        )
+        .await;
+    assert_eq!(response.expect("a response").status, 202);
+}
+
+#[test]
+fn an_item_that_comes_again_while_it_runs_is_scored_by_the_call_of_the_later_batch() {
+    run(async {
+        let (world, gateways) = start(1, 100, EVENT_INTERVAL).await;
+        let client = gateways[0].client();
+        world.store.announce_version("drafts", 1);
+        submit_with_call(&client, "b1", "i0", "call-1").await;
+        gateways[0].wait_for_log("version announced").await;
+        wait_until("the item runs", async || world.arrival_count("i0") > 0).await;
+        client.end("b1").await.expect("a response");
+        submit_with_call(&client, "b2", "i0", "call-2").await;
+        let results = read_results(&client, "b2", 1).await;
+        assert_eq!(results[0].score, Some(Engine::stamp("call-2")));
+        assert_eq!(world.arrival_count("i0"), 1);
+    });
+}
+
+#[test]
+fn a_finished_text_that_comes_again_is_scored_by_the_call_of_the_later_batch() {
+    run(async {
+        let (world, gateways) = start(1, 5, EVENT_INTERVAL).await;
+        let client = gateways[0].client();
+        world.app.set_work_time(Duration::from_mins(10));
+        submit_with_call(&client, "b1", "i0", "call-1").await;
+        wait_until("the call runs", async || !world.app.arrivals().is_empty()).await;
+        client.end("b1").await.expect("a response");
+        world.app.set_work_time(Duration::ZERO);
+        submit_with_call(&client, "b2", "i0", "call-2").await;
+        let results = read_results(&client, "b2", 1).await;
+        assert_eq!(results[0].score, Some(Engine::stamp("call-2")));
+        assert_eq!(world.arrival_count("i0"), 1);
+    });
+}
