--- a/crates/policy/src/reward/queue.rs
+++ b/crates/policy/src/reward/queue.rs
@@ -122,36 +122,12 @@
         self.actions.clear();
     }
 
-    /// Returns the number of reported failures of a call.
-    #[must_use]
-    pub fn failures(&self, key: CallKey) -> u32 {
-        self.calls.get(key).map_or(0, |call| call.failures)
-    }
-
     /// Returns since when a call waits for its score.
     #[must_use]
     pub fn since(&self, key: CallKey) -> Option<Instant> {
         self.calls.get(key).map(|call| call.since)
     }
 
-    /// Returns the call of a send.
-    #[must_use]
-    pub fn call_of(&self, send: u64) -> Option<CallKey> {
-        self.sends.get(&send).map(|send| send.call)
-    }
-
-    /// Returns the number of calls that wait for a score.
-    #[must_use]
-    pub fn len(&self) -> usize {
-        self.calls.len()
-    }
-
-    /// Whether no call waits for a score.
-    #[must_use]
-    pub fn is_empty(&self) -> bool {
-        self.calls.is_empty()
-    }
-
     /// Decides which calls are sent now, and returns the actions to take. `route` returns the target
     /// of a call, and `rank` the rank of a call. A call without a target waits.
     pub fn poll(
@@ -162,6 +138,9 @@
         route: impl Fn(&reward::Call) -> Option<Target>,
         rank: impl Fn(CallKey) -> Rank,
     ) -> Vec<Action> {
+        if self.calls.is_empty() {
+            return std::mem::take(&mut self.actions);
+        }
         self.windows
             .retain(|key, window| window.in_flight() > 0 || fleet.registration(*key).is_some());
         let hedge_delay = self.hedge_delay(now);
