Authenticate requests by the keys of client accounts

Cause: a configuration with accounts was served without looking at keys: the key reached the server, no account was named to it, and keys that no configuration holds were served.

Change: accounts come with the routes as one version. Items carry the account of their batch, and a batch does not exist for another account. Without accounts nothing changes.

--- a/crates/gateway/src/batches/accept.rs
+++ b/crates/gateway/src/batches/accept.rs
@@ -8,12 +8,13 @@
 use hyper::{Response, StatusCode};
 use tamaracksail_adapter::store::Error;
 use tamaracksail_adapter::{batch, ingress};
+use tamaracksail_model::account::Caller;
 use tamaracksail_model::route::Route;
 use tamaracksail_model::time::Instant;
 use tamaracksail_wire::peer::{Request as PeerRequest, Response as PeerResponse};
 
 use super::schema::{self, Manifest, Part};
-use super::{lease_loop, reward_calls, takeover};
+use super::{lease_loop, owner, reward_calls, takeover};
 use crate::connection::Body;
 use crate::gateway::{Gateway, now, unix_millis};
 use crate::peer::{self, Error as PeerError};
@@ -51,6 +52,8 @@
     pub host: String,
     /// The path of the request.
     pub path: String,
+    /// The name of the client's account, if it has one.
+    pub account: Option<String>,
     /// The body.
     pub body: Bytes,
 }
@@ -59,6 +62,7 @@
 pub async fn accept(
     gateway: &Rc<Gateway>,
     route: &Route,
+    caller: &Caller,
     head: &Parts,
     id: &str,
     body: Bytes,
@@ -72,6 +76,7 @@
         id: id.to_owned(),
         host: ingress::host(head).unwrap_or_default().to_owned(),
         path: head.uri.path().to_owned(),
+        account: caller.account().map(str::to_owned),
         body,
     };
     let mut outcome = match gateway.store_availability.check("batch") {
@@ -114,6 +119,7 @@
         batch: submission.id.clone(),
         host: submission.host.clone(),
         path: submission.path.clone(),
+        account: submission.account.clone(),
         body: submission.body.clone(),
         limit_ms: u64::try_from(deadline.since(now()).as_millis()).unwrap_or(0),
     };
@@ -175,6 +181,7 @@
         parts: parts.len(),
         total,
         submitted: unix_millis(),
+        account: submission.account.clone(),
     };
     lease_loop::request_lease(gateway);
     let kind = schema::batch_kind(id);
@@ -190,6 +197,10 @@
         }
     }
     match create(gateway, schema::MANIFESTS, id, &manifest, deadline).await {
+        Ok(Created::Existing) if !is_own(gateway, submission).await => {
+            log::info!(batch = id, outcome = "not run"; "batch refused, the id is in use");
+            Outcome::NotStored
+        }
         Ok(created) => {
             let is_new = created == Created::New;
             log::info!(batch = id, items = total, is_new; "batch accepted");
@@ -210,6 +221,15 @@
     }
 }
 
+/// Whether the stored batch with the id of a submission belongs to the same account.
+async fn is_own(gateway: &Gateway, submission: &Submission) -> bool {
+    let Some(account) = &submission.account else {
+        return true;
+    };
+    let caller = Caller::Account(account.clone());
+    owner::check(gateway, &caller, &submission.id).await.is_ok()
+}
+
 /// Stores a batch for a peer.
 pub async fn store_for_peer(
     gateway: &Rc<Gateway>,
--- a/crates/gateway/src/batches/coordinator.rs
+++ b/crates/gateway/src/batches/coordinator.rs
@@ -17,6 +17,7 @@
 use tokio::sync::{Mutex, Notify};
 use tokio::task::AbortHandle;
 
+use super::owner::Owners;
 use super::readiness::Readiness;
 use super::result_log::ResultLog;
 use super::schema;
@@ -84,6 +85,8 @@
     /// Batches that have ended during the present term. One that is still being read from the store
     /// is not added to the scheduler.
     pub(super) ended_batches: RefCell<BTreeSet<String>>,
+    /// The accounts of batches that clients used at this process.
+    pub(super) owners: RefCell<Owners>,
     /// Locks that are held while an ended batch is reloaded into memory, so that concurrent readers
     /// load it once.
     pub(super) reloads: RefCell<BTreeMap<String, Rc<Mutex<()>>>>,
@@ -127,6 +130,7 @@
             batch_ids: RefCell::default(),
             next_sequence: Cell::new(0),
             ended_batches: RefCell::default(),
+            owners: RefCell::default(),
             reloads: RefCell::default(),
             lease_write: Mutex::new(()),
             store_failing_since: Cell::new(None),
@@ -192,6 +196,11 @@
         self.scheduler.borrow().host_of(run).map(str::to_owned)
     }
 
+    /// Returns the client account that submitted the batch of a run, if any.
+    pub(super) fn account_of(&self, run: u64) -> Option<String> {
+        self.scheduler.borrow().account_of(run).map(str::to_owned)
+    }
+
     /// Wakes the scheduling loop.
     pub(super) fn wake_scheduler(&self) {
         self.wake.notify_one();
--- a/crates/gateway/src/batches/item_run.rs
+++ b/crates/gateway/src/batches/item_run.rs
@@ -91,7 +91,8 @@
         ..RequestHeaders::default()
     };
     let host = gateway.coordinator.submission_host(run).unwrap_or_default();
-    let mut request = build_request(item, &host, &request_headers)
+    let account = gateway.coordinator.account_of(run);
+    let mut request = build_request(item, &host, account.as_deref(), &request_headers)
         .map_err(|error| (Failure::Impossible, error.to_string()))?;
     let span = gateway.span("run", SpanKind::Client, request.headers_mut());
     let outcome = exchange(gateway, run, registration, item, request).await;
@@ -201,6 +202,7 @@
 fn build_request(
     item: &Item,
     host: &str,
+    account: Option<&str>,
     request_headers: &RequestHeaders,
 ) -> Result<Request<Full<bytes::Bytes>>, Malformed> {
     let what = "item";
@@ -213,6 +215,9 @@
         let value = HeaderValue::from_str(value).map_err(|e| Malformed::new(what, e))?;
         headers.insert(name, value);
     }
+    if account.is_some() {
+        ingress::set_account(headers, account)?;
+    }
     let header_value = |header_value: &str| {
         HeaderValue::from_str(header_value).map_err(|e| Malformed::new(what, e))
     };
--- a/crates/gateway/src/batches/mod.rs
+++ b/crates/gateway/src/batches/mod.rs
@@ -7,6 +7,7 @@
 mod lease_loop;
 mod lease_query;
 mod orders;
+mod owner;
 mod partial_texts;
 mod read;
 mod readiness;
--- a/crates/gateway/src/batches/read.rs
+++ b/crates/gateway/src/batches/read.rs
@@ -7,11 +7,12 @@
 use hyper::{Response, StatusCode};
 use tamaracksail_adapter::batch;
 use tamaracksail_adapter::store::Error;
+use tamaracksail_model::account::Caller;
 use tamaracksail_model::batch::ItemResult;
 use tamaracksail_wire::peer::{Request as PeerRequest, Response as PeerResponse};
 
 use super::schema::{self, BatchStatus, Chunk, Manifest, Part};
-use super::{lease_loop, takeover};
+use super::{lease_loop, owner, takeover};
 use crate::connection::Body;
 use crate::gateway::{Gateway, now};
 use crate::peer;
@@ -34,20 +35,25 @@
 /// Returns results from position `from` on, after waiting up to `wait` for the first.
 pub async fn results(
     gateway: &Rc<Gateway>,
+    caller: &Caller,
     id: &str,
     from: usize,
     wait: Duration,
 ) -> Response<Body> {
     lease_loop::request_lease(gateway);
     let deadline = now().after(wait);
-    if let Some((total, results)) = loaded_results(gateway, id, from, wait).await {
-        return page_response(total, from, results.iter());
-    }
-    let left = deadline.since(now());
-    if let Some((total, results)) = from_peer(gateway, id, from, left).await {
-        return page_response(total, from, results.iter());
-    }
-    match from_store(gateway, id, from, deadline.since(now())).await {
+    let results = async {
+        if let Some((total, results)) = loaded_results(gateway, caller, id, from, wait).await? {
+            return Ok(page_response(total, from, results.iter()));
+        }
+        let left = deadline.since(now());
+        if let Some((total, results)) = from_peer(gateway, caller, id, from, left).await? {
+            return Ok(page_response(total, from, results.iter()));
+        }
+        owner::check(gateway, caller, id).await?;
+        from_store(gateway, id, from, deadline.since(now())).await
+    };
+    match results.await {
         Ok(response) => response,
         Err(error) => error_response(id, &error),
     }
@@ -56,27 +62,49 @@
 /// Returns results of a batch to a peer, if this process schedules.
 pub async fn results_for_peer(
     gateway: &Rc<Gateway>,
+    caller: &Caller,
     id: &str,
     from: usize,
     wait: Duration,
 ) -> PeerResponse {
-    match loaded_results(gateway, id, from, wait).await {
-        Some((total, results)) => PeerResponse::Results { total, results },
-        None => PeerResponse::Unknown,
+    match loaded_results(gateway, caller, id, from, wait).await {
+        Ok(Some((total, results))) => PeerResponse::Results { total, results },
+        Ok(None) => PeerResponse::Unknown,
+        Err(_) => PeerResponse::Foreign,
     }
 }
 
 /// Returns results from memory. An ended batch is reloaded into memory if necessary.
+///
+/// # Errors
+/// [`Error::Missing`] if the caller may not use the batch.
 async fn loaded_results(
     gateway: &Gateway,
+    caller: &Caller,
     id: &str,
     from: usize,
     wait: Duration,
-) -> Option<(usize, Vec<ItemResult>)> {
+) -> Result<Option<(usize, Vec<ItemResult>)>, Error> {
     if !ensure_loaded(gateway, id).await {
-        return None;
+        return Ok(None);
+    }
+    check_loaded(gateway, caller, id)?;
+    Ok(from_memory(gateway, id, from, wait).await)
+}
+
+/// Checks that a caller may use a batch, if it is in memory.
+///
+/// # Errors
+/// [`Error::Missing`] if the caller may not.
+fn check_loaded(gateway: &Gateway, caller: &Caller, id: &str) -> Result<(), Error> {
+    let result_logs = gateway.coordinator.result_logs.borrow();
+    match result_logs.get(id) {
+        Some(found) if !caller.may_use(found.account.as_deref()) => {
+            log::info!(batch = id, account = caller.account(); "batch of another account requested");
+            Err(owner::missing(id))
+        }
+        _ => Ok(()),
     }
-    from_memory(gateway, id, from, wait).await
 }
 
 /// Returns whether this process schedules and has a batch in memory. An ended batch is reloaded if
@@ -111,20 +139,26 @@
 }
 
 /// Requests results from peers that may be the scheduling gateway.
+///
+/// # Errors
+/// [`Error::Missing`] if the caller may not use the batch.
 async fn from_peer(
     gateway: &Gateway,
+    caller: &Caller,
     id: &str,
     from: usize,
     wait: Duration,
-) -> Option<(usize, Vec<ItemResult>)> {
+) -> Result<Option<(usize, Vec<ItemResult>)>, Error> {
     let request = PeerRequest::Results {
+        caller: caller.clone(),
         batch: id.to_owned(),
         from,
         wait_ms: u64::try_from(wait.as_millis()).unwrap_or(0),
     };
     for peer in gateway.coordinator.peers(gateway) {
         match peer::call(gateway, peer, &request, wait + PEER_RESPONSE_ALLOWANCE).await {
-            Ok(PeerResponse::Results { total, results }) => return Some((total, results)),
+            Ok(PeerResponse::Results { total, results }) => return Ok(Some((total, results))),
+            Ok(PeerResponse::Foreign) => return Err(owner::missing(id)),
             Ok(_) => {}
             Err(error) => {
                 gateway.coordinator.mark_unresponsive(peer);
@@ -132,7 +166,7 @@
             }
         }
     }
-    None
+    Ok(None)
 }
 
 /// Returns the response to a client whose request failed at the store.
@@ -283,52 +317,81 @@
 }
 
 /// Returns the body of an item.
-pub async fn item_body(gateway: &Rc<Gateway>, id: &str, item: &str) -> Response<Body> {
+pub async fn item_body(
+    gateway: &Rc<Gateway>,
+    caller: &Caller,
+    id: &str,
+    item: &str,
+) -> Response<Body> {
     lease_loop::request_lease(gateway);
-    let mut found = loaded_item_body(gateway, id, item).await;
-    if found.is_none() {
-        let request = PeerRequest::Item {
-            batch: id.to_owned(),
-            item: item.to_owned(),
-        };
-        for peer in gateway.coordinator.peers(gateway) {
-            if let Ok(PeerResponse::Item { body }) =
-                peer::call(gateway, peer, &request, PEER_CALL_TIMEOUT).await
-            {
-                found = Some(body);
-                break;
-            }
-        }
-    }
-    let body = match found {
-        Some(body) => Ok(body),
-        None => stored_item_body(gateway, id, item).await,
-    };
-    match body {
+    match find_item_body(gateway, caller, id, item).await {
         Ok(Some(body)) => response_with_body(StatusCode::OK, body),
         Ok(None) => empty_response(StatusCode::NOT_FOUND),
         Err(error) => error_response(id, &error),
     }
 }
 
+/// Returns the body of an item from memory, a peer or the store.
+async fn find_item_body(
+    gateway: &Rc<Gateway>,
+    caller: &Caller,
+    id: &str,
+    item: &str,
+) -> Result<Option<Bytes>, Error> {
+    if let Some(found) = loaded_item_body(gateway, caller, id, item).await? {
+        return Ok(found);
+    }
+    let request = PeerRequest::Item {
+        caller: caller.clone(),
+        batch: id.to_owned(),
+        item: item.to_owned(),
+    };
+    for peer in gateway.coordinator.peers(gateway) {
+        match peer::call(gateway, peer, &request, PEER_CALL_TIMEOUT).await {
+            Ok(PeerResponse::Item { body }) => return Ok(body),
+            Ok(PeerResponse::Foreign) => return Err(owner::missing(id)),
+            _ => {}
+        }
+    }
+    owner::check(gateway, caller, id).await?;
+    stored_item_body(gateway, id, item).await
+}
+
 /// Returns the body of an item to a peer, if this process schedules.
-pub async fn item_body_for_peer(gateway: &Rc<Gateway>, id: &str, item: &str) -> PeerResponse {
-    match loaded_item_body(gateway, id, item).await {
-        Some(body) => PeerResponse::Item { body },
-        None => PeerResponse::Unknown,
+pub async fn item_body_for_peer(
+    gateway: &Rc<Gateway>,
+    caller: &Caller,
+    id: &str,
+    item: &str,
+) -> PeerResponse {
+    match loaded_item_body(gateway, caller, id, item).await {
+        Ok(Some(body)) => PeerResponse::Item { body },
+        Ok(None) => PeerResponse::Unknown,
+        Err(_) => PeerResponse::Foreign,
     }
 }
 
 /// Looks up the body of an item in memory. Returns `None` if the batch cannot be loaded there, and
 /// `Some(None)` if it has no such item.
-async fn loaded_item_body(gateway: &Gateway, id: &str, item: &str) -> Option<Option<Bytes>> {
+///
+/// # Errors
+/// [`Error::Missing`] if the caller may not use the batch.
+async fn loaded_item_body(
+    gateway: &Gateway,
+    caller: &Caller,
+    id: &str,
+    item: &str,
+) -> Result<Option<Option<Bytes>>, Error> {
     if !ensure_loaded(gateway, id).await {
-        return None;
+        return Ok(None);
     }
+    check_loaded(gateway, caller, id)?;
     let result_logs = gateway.coordinator.result_logs.borrow();
-    let result_log = result_logs.get(id)?;
+    let Some(result_log) = result_logs.get(id) else {
+        return Ok(None);
+    };
     let found = result_log.item_bodies.iter().find(|(name, _)| name == item);
-    Some(found.map(|(_, body)| body.clone()))
+    Ok(Some(found.map(|(_, body)| body.clone())))
 }
 
 /// Reads the body of an item from the store. Returns `None` if the batch has no such item.
@@ -365,12 +428,13 @@
 }
 
 /// Ends a batch for its client, here or through a peer.
-pub async fn end(gateway: &Rc<Gateway>, id: &str) -> Response<Body> {
-    match store_end(gateway, id).await {
+pub async fn end(gateway: &Rc<Gateway>, caller: &Caller, id: &str) -> Response<Body> {
+    match store_end(gateway, caller, id).await {
         Ok(()) => empty_response(StatusCode::OK),
         Err(error @ Error::Missing { .. }) => error_response(id, &error),
         Err(error) => {
             let request = PeerRequest::End {
+                caller: caller.clone(),
                 batch: id.to_owned(),
             };
             for peer in gateway.coordinator.peers(gateway) {
@@ -388,16 +452,17 @@
 }
 
 /// Ends a batch for a peer.
-pub async fn end_for_peer(gateway: &Rc<Gateway>, id: &str) -> PeerResponse {
-    match store_end(gateway, id).await {
+pub async fn end_for_peer(gateway: &Rc<Gateway>, caller: &Caller, id: &str) -> PeerResponse {
+    match store_end(gateway, caller, id).await {
         Ok(()) => PeerResponse::Kept,
         Err(_) => PeerResponse::NotKept,
     }
 }
 
 /// Stores the end of a batch, and ends it in this process.
-async fn store_end(gateway: &Rc<Gateway>, id: &str) -> Result<(), Error> {
+async fn store_end(gateway: &Rc<Gateway>, caller: &Caller, id: &str) -> Result<(), Error> {
     gateway.store_availability.check("end of a batch")?;
+    owner::check(gateway, caller, id).await?;
     let status = BatchStatus { is_ended: true };
     let mut attempt = 1;
     loop {
--- a/crates/gateway/src/batches/result_log.rs
+++ b/crates/gateway/src/batches/result_log.rs
@@ -9,6 +9,8 @@
 /// The durable results of a batch, and the bodies of its items.
 #[derive(Debug)]
 pub struct ResultLog {
+    /// The client account that submitted the batch, if any.
+    pub account: Option<String>,
     /// The number of items of the batch.
     pub total: usize,
     /// The results by position.
--- a/crates/gateway/src/batches/schema.rs
+++ b/crates/gateway/src/batches/schema.rs
@@ -43,6 +43,10 @@
         pub total: usize,
         /// The time of submission, in milliseconds since the Unix epoch.
         pub submitted: u64,
+        /// The name of the client account that submitted it; `None` if it was submitted without a
+        /// key.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub account: Option<String>,
     }
 }
 
--- a/crates/gateway/src/batches/takeover.rs
+++ b/crates/gateway/src/batches/takeover.rs
@@ -210,13 +210,7 @@
         }
     };
     let item_bodies = items.into_iter().map(|item| (item.id, item.body)).collect();
-    insert_result_log(
-        gateway,
-        id,
-        None,
-        (manifest.total, results, chunks),
-        item_bodies,
-    );
+    insert_result_log(gateway, id, None, &manifest, (results, chunks), item_bodies);
     Ok(true)
 }
 
@@ -225,7 +219,8 @@
     gateway: &Gateway,
     id: &str,
     batch: Option<BatchKey>,
-    (total, results, next_chunk): (usize, Vec<ItemResult>, usize),
+    manifest: &Manifest,
+    (results, next_chunk): (Vec<ItemResult>, usize),
     item_bodies: Vec<(String, Bytes)>,
 ) {
     let coordinator = &gateway.coordinator;
@@ -238,7 +233,8 @@
             .map(|result| result.text.len())
             .sum::<usize>();
     let result_log = ResultLog {
-        total,
+        account: manifest.account.clone(),
+        total: manifest.total,
         results,
         is_writing: false,
         next_chunk,
@@ -364,6 +360,7 @@
     let with_result: BTreeSet<String> = results.iter().map(|result| result.item.clone()).collect();
     let scheduler_submission = Submission {
         host: manifest.host.clone(),
+        account: manifest.account.clone(),
         model: submission.model,
         min_version: submission.min_version,
         target_groups: submission.target_groups,
@@ -393,7 +390,8 @@
         gateway,
         id,
         Some(batch),
-        (manifest.total, results, chunks),
+        manifest,
+        (results, chunks),
         item_bodies,
     );
     coordinator.wake_scheduler();
--- a/crates/gateway/src/peer/server.rs
+++ b/crates/gateway/src/peer/server.rs
@@ -92,6 +92,7 @@
             batch,
             host,
             path,
+            account,
             body,
             limit_ms,
         } => {
@@ -99,19 +100,26 @@
                 id: batch,
                 host,
                 path,
+                account,
                 body,
             };
             batches::store_for_peer(gateway, &submission, Duration::from_millis(limit_ms)).await
         }
-        PeerRequest::End { batch } => batches::end_for_peer(gateway, &batch).await,
+        PeerRequest::End { caller, batch } => batches::end_for_peer(gateway, &caller, &batch).await,
         PeerRequest::Results {
+            caller,
             batch,
             from,
             wait_ms,
-        } => batches::results_for_peer(gateway, &batch, from, Duration::from_millis(wait_ms)).await,
-        PeerRequest::Item { batch, item } => {
-            batches::item_body_for_peer(gateway, &batch, &item).await
+        } => {
+            let wait = Duration::from_millis(wait_ms);
+            batches::results_for_peer(gateway, &caller, &batch, from, wait).await
         }
+        PeerRequest::Item {
+            caller,
+            batch,
+            item,
+        } => batches::item_body_for_peer(gateway, &caller, &batch, &item).await,
         PeerRequest::Permits {
             sender,
             servers,
--- a/crates/gateway/src/request/content.rs
+++ b/crates/gateway/src/request/content.rs
@@ -3,8 +3,9 @@
 use std::cell::OnceCell;
 
 use bytes::Bytes;
-use hyper::header::{AUTHORIZATION, HOST};
+use hyper::header::{AUTHORIZATION, HOST, HeaderValue};
 use hyper::http::request::Parts;
+use tamaracksail_adapter::names;
 use tamaracksail_model::id::{Fingerprint, fingerprint_of_parts};
 
 /// What a server works on: the head and the body of a request.
@@ -27,20 +28,24 @@
         }
     }
 
-    /// Returns the fingerprint of the method, the host, the path and query, the caller's credentials
-    /// and the body. Computed once.
+    /// Returns the fingerprint of the method, the host, the path and query, the caller's account or
+    /// else its credentials, and the body. Computed once.
     pub fn fingerprint(&self) -> Fingerprint {
         *self.fingerprint.get_or_init(|| {
             let headers = &self.head.headers;
-            let header = |name| headers.get(name).map_or(&[][..], |value| value.as_bytes());
             let target = self.head.uri.path_and_query();
+            let caller = headers.get(names::ACCOUNT).or(headers.get(AUTHORIZATION));
             fingerprint_of_parts(&[
                 self.head.method.as_str().as_bytes(),
-                header(HOST),
+                bytes(headers.get(HOST)),
                 target.map_or("", |target| target.as_str()).as_bytes(),
-                header(AUTHORIZATION),
+                bytes(caller),
                 &self.body,
             ])
         })
     }
 }
+
+fn bytes(value: Option<&HeaderValue>) -> &[u8] {
+    value.map_or(&[], HeaderValue::as_bytes)
+}
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -4,6 +4,7 @@
 mod content;
 mod execution;
 mod forward;
+mod identity;
 mod liveness;
 mod response;
 mod streaming;
@@ -60,9 +61,9 @@
     match call {
         Call::Readiness if gateway.is_ready() => empty_response(StatusCode::OK),
         Call::Readiness => empty_response(StatusCode::SERVICE_UNAVAILABLE),
-        Call::Results { batch, from, wait } => batches::results(gateway, &batch, from, wait).await,
-        Call::ItemBody { batch, item } => batches::item_body(gateway, &batch, &item).await,
-        Call::EndBatch { batch } => batches::end(gateway, &batch).await,
+        Call::Results { .. } | Call::ItemBody { .. } | Call::EndBatch { .. } => {
+            handle_batch_call(gateway, call, &head).await
+        }
         Call::Routed if head.uri.path() == METRICS_PATH && gateway.metrics_port.is_some() => {
             response_with_body(StatusCode::OK, gateway.metrics.render())
         }
@@ -70,10 +71,35 @@
     }
 }
 
+/// Handles a call to a batch that was accepted before.
+async fn handle_batch_call(
+    gateway: &Rc<Gateway>,
+    call: Call,
+    head: &hyper::http::request::Parts,
+) -> Response<Body> {
+    let Some(table) = gateway.table() else {
+        log::info!(path = head.uri.path(), outcome = "not run"; "request refused, no routes yet");
+        return retry_later(response::UNAVAILABLE_RETRY_AFTER);
+    };
+    let is_open = table.has_open_batches(ingress::host(head).unwrap_or_default());
+    let caller = match identity::authenticate(&table, is_open, &head.headers) {
+        Ok(caller) => caller,
+        Err(code) => return identity::refuse(code),
+    };
+    match call {
+        Call::Results { batch, from, wait } => {
+            batches::results(gateway, &caller, &batch, from, wait).await
+        }
+        Call::ItemBody { batch, item } => batches::item_body(gateway, &caller, &batch, &item).await,
+        Call::EndBatch { batch } => batches::end(gateway, &caller, &batch).await,
+        Call::Readiness | Call::Routed => empty_response(StatusCode::NOT_FOUND),
+    }
+}
+
 /// Handles a request by its route: forwards it, or accepts it as a batch.
 async fn handle_routed(
     gateway: &Rc<Gateway>,
-    head: hyper::http::request::Parts,
+    mut head: hyper::http::request::Parts,
     body: Incoming,
 ) -> Response<Body> {
     let arrival = now();
@@ -92,6 +118,16 @@
         );
         return empty_response(StatusCode::NOT_FOUND);
     };
+    let caller = match identity::authenticate(&table, route.is_open, &head.headers) {
+        Ok(caller) => caller,
+        Err(code) => return identity::refuse(code),
+    };
+    if table.accounts.is_some()
+        && let Err(error) = ingress::set_account(&mut head.headers, caller.account())
+    {
+        log::error!(request = id.as_str(), error:%; "request refused");
+        return empty_response(StatusCode::BAD_REQUEST);
+    }
     let remaining = match ingress::remaining(&head.headers) {
         Ok(remaining) => remaining.unwrap_or(route.timeout),
         Err(error) => {
@@ -119,7 +155,7 @@
         }
     };
     if is_batch {
-        return batches::accept(gateway, route, &head, &id, body, deadline).await;
+        return batches::accept(gateway, route, &caller, &head, &id, body, deadline).await;
     }
     let content = Content::new(head, body);
     forward::forward(gateway, route, content, &id, arrival, deadline).await
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -7,6 +7,7 @@
 #[macro_use]
 mod derive;
 
+pub mod account;
 pub mod backend;
 pub mod batch;
 pub mod change;
--- a/crates/model/src/route.rs
+++ b/crates/model/src/route.rs
@@ -63,6 +63,8 @@
         pub batching: Option<Batching>,
         /// Whether a stream may be resumed at another backend server.
         pub is_resumable: bool,
+        /// Whether requests need no key although accounts are configured.
+        pub is_open: bool,
     }
 }
 
--- a/crates/model/src/table.rs
+++ b/crates/model/src/table.rs
@@ -2,7 +2,8 @@
 
 use std::collections::BTreeMap;
 
-use crate::route::{Limits, Route, ServiceSettings, Target};
+use crate::account::Accounts;
+use crate::route::{Kind, Limits, Route, ServiceSettings, Target};
 
 /// One version of the routes. It is immutable: a new version replaces it as a whole.
 #[derive(Clone, Debug, PartialEq)]
@@ -13,6 +14,8 @@
     pub limits: Limits,
     /// The settings of the services, by name.
     pub services: BTreeMap<String, ServiceSettings>,
+    /// The client accounts; `None` if requests need no key.
+    pub accounts: Option<Accounts>,
     routes: BTreeMap<String, Vec<Route>>,
 }
 
@@ -36,10 +39,20 @@
             version,
             limits,
             services,
+            accounts: None,
             routes,
         }
     }
 
+    /// Returns the table with client accounts of the same version.
+    #[must_use]
+    pub fn with_accounts(self, accounts: Accounts) -> Self {
+        Self {
+            accounts: Some(accounts),
+            ..self
+        }
+    }
+
     /// Returns the route with the longest prefix of `path`.
     #[must_use]
     pub fn find(&self, host: &str, path: &str) -> Option<&Route> {
@@ -49,6 +62,14 @@
             .find(|route| path.starts_with(&route.prefix))
     }
 
+    /// Whether clients may use batches of `host` without a key.
+    #[must_use]
+    pub fn has_open_batches(&self, host: &str) -> bool {
+        let routes = self.routes.get(host).into_iter().flatten();
+        let mut batches = routes.filter(|route| route.kind == Kind::Batch);
+        batches.any(|route| route.is_open)
+    }
+
     /// Returns all routes.
     pub fn routes(&self) -> impl Iterator<Item = &Route> {
         self.routes.values().flatten()
--- a/crates/policy/src/batch/open_batch.rs
+++ b/crates/policy/src/batch/open_batch.rs
@@ -29,6 +29,8 @@
 pub(crate) struct Batch {
     /// The route's host name, by which an item's path finds its service.
     pub(crate) host: String,
+    /// The client account that submitted the batch, if any.
+    pub(crate) account: Option<String>,
     pub(crate) model: Option<String>,
     /// The oldest version that may generate.
     pub(crate) min_version: Option<u64>,
--- a/crates/policy/src/batch/scheduler.rs
+++ b/crates/policy/src/batch/scheduler.rs
@@ -114,6 +114,12 @@
         Some(batch.host.as_str())
     }
 
+    /// Returns the client account that submitted the batch of a run, if any.
+    #[must_use]
+    pub fn account_of(&self, run: u64) -> Option<&str> {
+        self.batches.get(self.batch_of(run)?)?.account.as_deref()
+    }
+
     /// Records that a trainer has announced a version of a model.
     pub fn version_announced(&mut self, model: &str, version: u64) {
         let announced = self.announced_versions.entry(model.to_owned()).or_default();
--- a/crates/policy/src/batch/submission.rs
+++ b/crates/policy/src/batch/submission.rs
@@ -16,6 +16,8 @@
 pub struct Submission {
     /// The host name by which the route is found.
     pub host: String,
+    /// The client account that submitted the batch, if any.
+    pub account: Option<String>,
     /// The model, for training steps.
     pub model: Option<String>,
     /// The oldest version that may generate.
@@ -77,6 +79,7 @@
         .collect();
     let batch_key = scheduler.batches.insert(Batch {
         host: submission.host,
+        account: submission.account,
         model: submission.model,
         min_version: submission.min_version,
         target_groups: target,
--- a/crates/policy/tests/common/engines.rs
+++ b/crates/policy/tests/common/engines.rs
@@ -174,6 +174,7 @@
         }
         let submission = Submission {
             host: "app".to_owned(),
+            account: None,
             model: Some(MODEL.to_owned()),
             min_version: Some(min_version),
             target_groups: Some(target),
--- a/crates/policy/tests/weights.rs
+++ b/crates/policy/tests/weights.rs
@@ -38,6 +38,7 @@
     };
     Submission {
         host: "app".to_owned(),
+        account: None,
         model: Some(model.to_owned()),
         min_version: Some(min_version),
         target_groups: Some(1),
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use serde_with::DurationMilliSeconds;
+use tamaracksail_model::account::Caller;
 use tamaracksail_model::batch::{ItemResult, PartialText};
 use tamaracksail_model::plain;
 use tamaracksail_model::rate::Rate;
@@ -81,6 +82,8 @@
             host: String,
             /// The path of the submission.
             path: String,
+            /// The name of the client's account, if it has one.
+            account: Option<String>,
             /// The body of the submission as the client sent it.
             body: Bytes,
             /// How long the client still waits, in milliseconds.
@@ -88,11 +91,15 @@
         },
         /// Asks the peer to end a batch, from a gateway that cannot reach the store.
         End {
+            /// The client.
+            caller: Caller,
             /// The batch's id.
             batch: String,
         },
         /// Asks for results of a batch that the peer schedules.
         Results {
+            /// The client.
+            caller: Caller,
             /// The batch's id.
             batch: String,
             /// The first position wanted.
@@ -102,6 +109,8 @@
         },
         /// Asks for the body of an item of a batch that the peer schedules or has in memory.
         Item {
+            /// The client.
+            caller: Caller,
             /// The batch's id.
             batch: String,
             /// The item's id.
@@ -179,6 +188,8 @@
         },
         /// The peer does not schedule the batch.
         Unknown,
+        /// The batch belongs to another account than the client.
+        Foreign,
         /// Partial texts of unfinished items.
         Drafts {
             /// Pairs of an item's id and its text so far.
