Start waiting items by the latest time at which they must start

Cause: items started in the order in which their batches reached the scheduler.

Change: the rank of an item is the time at which its batch is due less its expected duration, learned from the time per expected token of finished items. Optional items are not needed before the step is due.

--- a/crates/gateway/src/batches/takeover.rs
+++ b/crates/gateway/src/batches/takeover.rs
@@ -351,6 +351,7 @@
     let route = table.find(&manifest.host, &manifest.path);
     let batching = route.and_then(|route| route.batching.as_ref());
     let patience = batching.map_or(DEFAULT_PATIENCE, |batching| batching.patience);
+    let due = batching.map_or(patience, |batching| batching.due);
     let age = Duration::from_millis(unix_millis().saturating_sub(manifest.submitted));
     let item_bodies: Vec<(String, Bytes)> = submission
         .items
@@ -368,6 +369,7 @@
         with_result,
         is_single_version: batching.is_some_and(|batching| batching.is_single_version),
         max_attempts: route.map_or(1, |route| route.max_attempts),
+        due: now().after(due.saturating_sub(age)),
         expires: now().after(patience.saturating_sub(age)),
     };
     log::info!(
--- a/crates/policy/src/batch/dispatch.rs
+++ b/crates/policy/src/batch/dispatch.rs
@@ -8,6 +8,7 @@
 use super::ending;
 use super::engine::{Engine, EngineKey};
 use super::pool::Requirements;
+use super::rank::Rank;
 use super::run::Run;
 use super::scheduler::Scheduler;
 use super::scoring;
@@ -22,7 +23,7 @@
         .values()
         .map(Engine::free_slots)
         .sum();
-    let waiting: Vec<(u64, TaskKey)> = scheduler.queue.iter().copied().collect();
+    let waiting: Vec<(Rank, TaskKey)> = scheduler.queue.iter().copied().collect();
     for (rank, key) in waiting {
         if free_slots == 0 {
             return;
@@ -107,6 +108,7 @@
         Run {
             task: key,
             engine,
+            started: now,
             last_progress: now,
             event_count: 0,
             begins_text: task.text.last.is_none(),
@@ -206,7 +208,7 @@
     {
         task.discard_text();
     }
-    let rank = scheduler.ranks.get(&key).copied().unwrap_or(0);
+    let rank = scheduler.ranks.get(&key).copied().unwrap_or_default();
     scheduler.queue.insert((rank, key));
 }
 
--- a/crates/policy/src/batch/mod.rs
+++ b/crates/policy/src/batch/mod.rs
@@ -15,6 +15,7 @@
 mod engine;
 mod open_batch;
 mod pool;
+mod rank;
 mod reports;
 mod run;
 mod scheduler;
--- a/crates/policy/src/batch/open_batch.rs
+++ b/crates/policy/src/batch/open_batch.rs
@@ -41,6 +41,8 @@
     /// Whether each text must come from one version.
     pub(crate) is_single_version: bool,
     pub(crate) max_attempts: u32,
+    /// When all its results are due.
+    pub(crate) due: Instant,
     /// When its unfinished items are aborted.
     pub(crate) expires: Instant,
     /// Results that wait to be written.
--- a/crates/policy/src/batch/scheduler.rs
+++ b/crates/policy/src/batch/scheduler.rs
@@ -14,6 +14,7 @@
 use super::engine::EngineKey;
 use super::open_batch::Batch;
 use super::pool::Pool;
+use super::rank::{Rank, Ranking};
 use super::run::Run;
 use super::submission::{self, Submission};
 use super::task::{Task, TaskKey};
@@ -38,9 +39,9 @@
     pub(super) tasks: SlotMap<TaskKey, Task>,
     pub(super) runs: BTreeMap<u64, Run>,
     /// Waiting items with their ranks, in the order in which they start.
-    pub(super) queue: BTreeSet<(u64, TaskKey)>,
+    pub(super) queue: BTreeSet<(Rank, TaskKey)>,
     /// The rank of each item in the queue, which it keeps while it runs.
-    pub(super) ranks: BTreeMap<TaskKey, u64>,
+    pub(super) ranks: BTreeMap<TaskKey, Rank>,
     /// When an item whose run failed may start again.
     pub(super) retry_at: BTreeMap<TaskKey, Instant>,
     /// The calls that score complete texts.
@@ -60,8 +61,7 @@
     pub(super) actions: Vec<Action>,
     /// The last number given to a run.
     pub(super) last_run: u64,
-    /// The last rank given to an item.
-    pub(super) last_rank: u64,
+    pub(super) ranking: Ranking,
     /// The number of checkpoints taken.
     pub(super) checkpoint_count: u64,
     /// The fencing token of the last checkpoint.
--- a/crates/policy/src/batch/submission.rs
+++ b/crates/policy/src/batch/submission.rs
@@ -7,6 +7,7 @@
 use tamaracksail_model::time::Instant;
 
 use super::open_batch::{Batch, Group, group_items, optional_groups};
+use super::rank::expected_tokens;
 use super::scheduler::{BatchKey, Scheduler};
 use super::task::{Stage, Task, TaskKey};
 use super::{dispatch, ending};
@@ -32,14 +33,16 @@
     pub is_single_version: bool,
     /// The number of failed responses after which an item is aborted.
     pub max_attempts: u32,
+    /// When all results are due.
+    pub due: Instant,
     /// When unfinished items are aborted.
     pub expires: Instant,
 }
 
 /// Adds a batch. `route` returns the service for a host name and a path.
 ///
-/// Optional items start last; within either part, the items expected to be the longest start
-/// first.
+/// Items that must start at the same time start in the order of their lengths, the longest first,
+/// and optional ones last.
 pub(super) fn submit(
     scheduler: &mut Scheduler,
     now: Instant,
@@ -57,7 +60,7 @@
         .collect();
     let mut lengths = vec![0; names.len()];
     for (item, group) in submission.items.iter().zip(&group_of) {
-        lengths[*group] = lengths[*group].max(item.hint.unwrap_or(item.tokens));
+        lengths[*group] = lengths[*group].max(expected_tokens(item));
     }
     if let Some(model) = &submission.model {
         let largest = scheduler.largest_steps.entry(model.clone()).or_default();
@@ -87,6 +90,7 @@
         tasks: Vec::new(),
         is_single_version: submission.is_single_version,
         max_attempts: submission.max_attempts,
+        due: submission.due,
         expires: submission.expires,
         results: Vec::new(),
         oldest_result_at: now,
@@ -97,7 +101,7 @@
     });
     let mut order: Vec<(Item, usize)> = submission.items.into_iter().zip(group_of).collect();
     order.sort_by_key(|(item, group)| {
-        let length = item.hint.unwrap_or(item.tokens);
+        let length = expected_tokens(item);
         (optional.contains(group), std::cmp::Reverse(length))
     });
     for (item, group) in order {
@@ -149,8 +153,8 @@
     task.is_optional = false;
     batch.tasks.push(key);
     batch.groups[group].unfinished += 1;
-    scheduler.last_rank += 1;
-    scheduler.ranks.insert(key, scheduler.last_rank);
+    let rank = scheduler.ranking.assign(&task.item, batch.due, false);
+    scheduler.ranks.insert(key, rank);
     None
 }
 
@@ -199,9 +203,10 @@
     if is_whole {
         dispatch::complete(scheduler, now, task);
     } else if is_routed {
-        scheduler.last_rank += 1;
-        scheduler.ranks.insert(task, scheduler.last_rank);
-        scheduler.queue.insert((scheduler.last_rank, task));
+        let item = Rc::clone(&scheduler.tasks[task].item);
+        let rank = scheduler.ranking.assign(&item, batch.due, is_optional);
+        scheduler.ranks.insert(task, rank);
+        scheduler.queue.insert((rank, task));
     } else {
         ending::abort_task(scheduler, now, task);
     }
--- a/crates/policy/tests/common/engines.rs
+++ b/crates/policy/tests/common/engines.rs
@@ -182,6 +182,7 @@
             with_result: BTreeSet::new(),
             is_single_version,
             max_attempts: 3,
+            due: self.now.after(Duration::from_millis(7500)),
             expires: self.now.after(Duration::from_mins(1)),
         };
         self.submissions.insert(id.to_owned(), submission);
@@ -189,6 +190,12 @@
         self.resubmit(id);
     }
 
+    /// Changes when the results of a submitted step are due, as known to schedulers that take over.
+    pub fn set_due(&mut self, id: &str, due: Instant) {
+        let submission = self.submissions.get_mut(id);
+        submission.expect("the step was submitted").due = due;
+    }
+
     /// Submits a batch to the present scheduler, with the results that are durable.
     fn resubmit(&mut self, id: &str) {
         let mut submission = self.submissions[id].clone();
--- a/crates/policy/tests/weights.rs
+++ b/crates/policy/tests/weights.rs
@@ -46,6 +46,7 @@
         with_result: BTreeSet::new(),
         is_single_version: false,
         max_attempts: 3,
+        due: NOW.after(Duration::from_millis(7500)),
         expires: NOW.after(Duration::from_mins(1)),
     }
 }
