Keep the lease where the runs are when the store responds to all again

Cause: after an outage of the store for all gateways, one that noticed its end before the holder asked it to release the lease, and got it.

Change: a holder that is asked to release the lease since it does not reach the store reads it once more, within 100 ms. If the store responds, it keeps the lease and renews it at once.

Measured: the new test fails before (Released, the run is cancelled) and passes now; all seven tests of takeover.rs pass.

--- a/crates/gateway/src/batches/coordinator.rs
+++ b/crates/gateway/src/batches/coordinator.rs
@@ -201,6 +201,11 @@
         self.scheduler.borrow().account_of(run).map(str::to_owned)
     }
 
+    /// Has the lease checked at once.
+    pub(super) fn wake_lease_loop(&self) {
+        self.wake_lease_loop.notify_one();
+    }
+
     /// Wakes the scheduling loop.
     pub(super) fn wake_scheduler(&self) {
         self.wake.notify_one();
--- a/crates/gateway/src/batches/lease_loop.rs
+++ b/crates/gateway/src/batches/lease_loop.rs
@@ -63,6 +63,7 @@
             tokio::select! {
                 () = tokio::time::sleep(pause) => {}
                 () = gateway.store_availability.recovered() => {}
+                () = coordinator.wake_lease_loop.notified() => {}
             }
         } else {
             gateway.store_availability.pause(pause).await;
@@ -225,6 +226,10 @@
                     );
                     stopped(order_age_ms, at)
                 }
+                Ok(PeerResponse::Holding {
+                    is_store_unreachable: false,
+                    revision,
+                }) => HolderState::Holds(revision),
                 _ => HolderState::Unknown,
             }
         }
--- a/crates/gateway/src/batches/lease_query.rs
+++ b/crates/gateway/src/batches/lease_query.rs
@@ -5,6 +5,7 @@
 
 use tamaracksail_wire::peer::Response as PeerResponse;
 
+use super::lease_loop;
 use crate::gateway::{Gateway, now};
 
 /// How long a holder delays its response to a lease query while nothing changes.
@@ -14,6 +15,10 @@
 /// longer than a lost response and the repeated call take.
 const STORE_LOST_AFTER: Duration = Duration::from_millis(500);
 
+/// How long a holder that is asked to release the lease waits for the store. The store responds in
+/// milliseconds.
+const YIELD_READ_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// The CPU time, in cores, that counts as enough to schedule. On a day of normal load, scheduling
 /// 12 engines takes 0.014 cores on average, and several times that when a step begins.
 const MIN_SPARE_CORES: f64 = 0.15;
@@ -61,8 +66,22 @@
 }
 
 /// Stops scheduling in favour of a peer that reaches the store, if this process does not.
-pub fn yield_lease(gateway: &Gateway, fence: u64, successor: SocketAddr) -> PeerResponse {
+pub async fn yield_lease(gateway: &Gateway, fence: u64, successor: SocketAddr) -> PeerResponse {
     let coordinator = &gateway.coordinator;
+    // The store may answer all gateways again, and the peer have noticed it first. Scheduling then
+    // stays here, where the runs are.
+    if holds(gateway, fence) && coordinator.store_failing_since.get().is_some() {
+        let read = lease_loop::reaches_store(gateway);
+        let reaches_store = tokio::time::timeout(YIELD_READ_TIMEOUT, read).await;
+        if reaches_store == Ok(true) && is_last_holder(gateway, fence) {
+            log::info!(fence, peer:% = successor; "lease not released, the store responds again");
+            coordinator.wake_lease_loop();
+            return PeerResponse::Holding {
+                is_store_unreachable: false,
+                revision: coordinator.lease.borrow().revision(),
+            };
+        }
+    }
     let is_held = holds(gateway, fence);
     // Calls may have succeeded again since the peer was told that they fail.
     if is_held && coordinator.store_failing_since.get().is_none() {
@@ -84,15 +103,19 @@
 /// Whether this process schedules under a fencing token. If its lease expires while it cannot reach
 /// the store, it continues until a peer that reaches the store asks it to stop.
 fn holds(gateway: &Gateway, fence: u64) -> bool {
+    let coordinator = &gateway.coordinator;
+    let is_store_unreachable = coordinator.store_failing_since.get().is_some();
+    coordinator.lease.borrow().fence(now()) == Some(fence)
+        || (is_store_unreachable && is_last_holder(gateway, fence))
+}
+
+/// Whether this process schedules, and no other has acquired the lease since it did under a fencing
+/// token, as far as it knows.
+fn is_last_holder(gateway: &Gateway, fence: u64) -> bool {
     let coordinator = &gateway.coordinator;
     let lease = coordinator.lease.borrow();
     let is_current = lease.record().is_some_and(|record| record.fence == fence);
-    let is_store_unreachable = coordinator.store_failing_since.get().is_some();
-    lease.fence(now()) == Some(fence)
-        || (is_current
-            && is_store_unreachable
-            && coordinator.is_scheduling.get()
-            && lease.is_last_known_holder())
+    is_current && coordinator.is_scheduling.get() && lease.is_last_known_holder()
 }
 
 /// Stops scheduling and releases the lease to a peer, which acquires it without waiting for its
--- a/crates/gateway/src/peer/server.rs
+++ b/crates/gateway/src/peer/server.rs
@@ -87,7 +87,9 @@
             sender,
             has_spare_cpu,
         } => batches::answer_lease_query(gateway, fence, has_spare_cpu.then_some(sender)).await,
-        PeerRequest::Yield { fence, successor } => batches::yield_lease(gateway, fence, successor),
+        PeerRequest::Yield { fence, successor } => {
+            batches::yield_lease(gateway, fence, successor).await
+        }
         PeerRequest::Keep {
             batch,
             host,
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -8,10 +8,12 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use hyper::Method;
 use serde_json::{Value, json};
 use tamaracksail_adapter_standins::loopback::address;
 use tamaracksail_adapter_standins::{Client, Engine, Store, settings};
 use tamaracksail_model::batch::{Ending, ItemResult};
+use tamaracksail_wire::peer::{Request as PeerRequest, Response as PeerResponse};
 
 pub mod crashing;
 
@@ -143,6 +145,15 @@
         self.log_lines(event).remove(0)
     }
 
+    /// Sends a request of a peer, and returns the response.
+    pub async fn call_as_peer(&self, request: &PeerRequest) -> PeerResponse {
+        let client = Client::new(SocketAddr::new(self.ip, settings::INTERNAL_PORT));
+        let body = tamaracksail_wire::encode(request).into();
+        let response = client.send(Method::POST, "/peer", &[], body).await;
+        let response = response.expect("a response");
+        tamaracksail_wire::decode(&response.body).expect("a response to a peer")
+    }
+
     /// Returns the name of its host.
     pub fn host(&self) -> &str {
         &self.host
--- a/crates/gateway/tests/takeover.rs
+++ b/crates/gateway/tests/takeover.rs
@@ -7,6 +7,7 @@
 use common::{assert_complete, read_results, run, start, wait_until};
 use tamaracksail_adapter_standins::Engine;
 use tamaracksail_adapter_standins::store::Fault as StoreFault;
+use tamaracksail_wire::peer::{Request as PeerRequest, Response as PeerResponse};
 
 const EVENT_INTERVAL: Duration = Duration::from_millis(5);
 const ITEMS: [&str; 6] = ["i0", "i1", "i2", "i3", "i4", "i5"];
@@ -179,3 +180,37 @@
         assert_eq!(loaded.expect("a log line was found")["listed"], 6);
     });
 }
+
+/// Guards against runs that are given away after an outage of the store for all gateways, because a
+/// gateway that wants the lease notices the end of the outage before its holder.
+#[test]
+fn a_holder_does_not_release_the_lease_when_the_store_responds_to_it_again() {
+    run(async {
+        let (world, gateways) = start(1, 250, Duration::from_millis(20)).await;
+        let response = gateways[0].client().submit("b0", &["i0"], 1).await;
+        assert_eq!(response.expect("a response").status, 202);
+        wait_until("the item runs", async || world.arrival_count("i0") > 0).await;
+        let line = gateways[0].wait_for_log("lease acquired").await;
+        let request = PeerRequest::Yield {
+            fence: line["fence"].as_u64().expect("a number"),
+            successor: ([127, 0, 0, 1], 9).into(),
+        };
+        world.store.set_fault(StoreFault::Busy);
+        // This is longer than the duration of the lease.
+        tokio::time::sleep(Duration::from_millis(3100)).await;
+        world.store.set_fault(StoreFault::None);
+        let response = gateways[0].call_as_peer(&request).await;
+        let is_kept = matches!(
+            response,
+            PeerResponse::Holding {
+                is_store_unreachable: false,
+                ..
+            }
+        );
+        assert!(is_kept, "{response:?}");
+        let results = read_results(&gateways[0].client(), "b0", 1).await;
+        assert_complete(&world, &results, &["i0"]);
+        let stops = gateways[0].log_lines("scheduling stopped").len();
+        assert_eq!((world.arrival_count("i0"), stops), (1, 0));
+    });
+}
