Write results in parts that the store accepts

Cause: the results of items that ended during an outage of the store were written as one object.

Change: a write has at most a third of the store's limit on a value as text, the oldest results first; the rest follows as soon as these are durable.

Measured: the new test fails without the limit (3300 of 2000 bytes) and passes with it; all tests of the policy crate pass.

--- a/crates/gateway/src/batches/partial_texts.rs
+++ b/crates/gateway/src/batches/partial_texts.rs
@@ -24,7 +24,7 @@
 
 /// The divisor of the store's maximum value length that limits the text of a checkpoint: escaping
 /// lengthens the text, and each segment has metadata.
-const TEXT_LENGTH_DIVISOR: usize = 3;
+pub(super) const TEXT_LENGTH_DIVISOR: usize = 3;
 
 /// How long the previous holder may take to send the partial texts.
 const TRANSFER_TIMEOUT: Duration = Duration::from_millis(700);
--- a/crates/gateway/src/batches/takeover.rs
+++ b/crates/gateway/src/batches/takeover.rs
@@ -35,6 +35,10 @@
 pub fn start(gateway: &Rc<Gateway>, previous_holder: Option<SocketAddr>) {
     let coordinator = &gateway.coordinator;
     coordinator.start_scheduling();
+    let max_bytes = gateway.settings.borrow().max_value_bytes;
+    let mut scheduler = coordinator.scheduler.borrow_mut();
+    scheduler.limit_writes(max_bytes / partial_texts::TEXT_LENGTH_DIVISOR);
+    drop(scheduler);
     gateway.metrics.scheduling.set(1);
     log::info!("scheduling started");
     let mut abort_handles = coordinator.abort_handles.borrow_mut();
--- a/crates/policy/src/batch/open_batch.rs
+++ b/crates/policy/src/batch/open_batch.rs
@@ -83,8 +83,13 @@
         }
     }
 
-    /// Takes the results that are to be written now, if any.
-    pub(crate) fn take_results(&mut self, now: Instant) -> Option<Vec<ItemResult>> {
+    /// Takes the results that are to be written now, if any: the oldest, with up to `max_bytes` of
+    /// text, but at least one.
+    pub(crate) fn take_results(
+        &mut self,
+        now: Instant,
+        max_bytes: usize,
+    ) -> Option<Vec<ItemResult>> {
         if self.is_writing || self.results.is_empty() || self.ended_at.is_some() {
             return None;
         }
@@ -94,12 +99,18 @@
         }
         self.is_satisfied |= completes;
         self.is_writing = true;
-        self.items_being_written = self
-            .results
-            .iter()
-            .map(|result| result.item.clone())
-            .collect();
-        Some(std::mem::take(&mut self.results))
+        let mut bytes = 0;
+        let fits = |result: &&ItemResult| {
+            bytes += result.text.len();
+            bytes <= max_bytes
+        };
+        let count = self.results.iter().take_while(fits).count();
+        let rest = self.results.split_off(count.max(1));
+        let taken = std::mem::replace(&mut self.results, rest);
+        // Results that did not fit are written as soon as these are durable.
+        self.oldest_result_at = Instant(0);
+        self.items_being_written = taken.iter().map(|result| result.item.clone()).collect();
+        Some(taken)
     }
 }
 
--- a/crates/policy/src/batch/scheduler.rs
+++ b/crates/policy/src/batch/scheduler.rs
@@ -59,6 +59,8 @@
     /// Tasks of ended batches that still run, by item.
     pub(super) detached: BTreeMap<String, TaskKey>,
     pub(super) actions: Vec<Action>,
+    /// The limit on the text of the results in one write, in bytes; `None` if there is none.
+    max_write_bytes: Option<usize>,
     /// The last number given to a run.
     pub(super) last_run: u64,
     pub(super) ranking: Ranking,
@@ -184,6 +186,12 @@
         reports::run_failed(self, now, run, failure);
     }
 
+    /// Limits the text of the results in one [`Action::WriteResults`], in bytes. A single result may
+    /// be longer.
+    pub fn limit_writes(&mut self, max_bytes: usize) {
+        self.max_write_bytes = Some(max_bytes);
+    }
+
     /// Records that the results in the last [`Action::WriteResults`] of a batch are durable.
     pub fn results_written(&mut self, key: BatchKey) {
         if let Some(batch) = self.batches.get_mut(key) {
@@ -282,7 +290,8 @@
         dispatch::dispatch(self, now);
         stragglers::move_slow(self, now);
         for (key, batch) in &mut self.batches {
-            if let Some(results) = batch.take_results(now) {
+            let max_bytes = self.max_write_bytes.unwrap_or(usize::MAX);
+            if let Some(results) = batch.take_results(now, max_bytes) {
                 self.actions.push(Action::WriteResults {
                     batch: key,
                     results,
--- a/crates/policy/tests/common/engines.rs
+++ b/crates/policy/tests/common/engines.rs
@@ -67,6 +67,10 @@
     pub max_concurrent_loads: usize,
     /// Whether load commands may be sent.
     pub may_command: bool,
+    /// How long a write to the store takes.
+    pub write_time: Duration,
+    /// The text of the results in the longest write, in bytes.
+    pub longest_write: usize,
     /// The ids of open batches by their keys.
     open_batches: BTreeMap<BatchKey, String>,
     runs: BTreeMap<u64, Run>,
@@ -96,6 +100,8 @@
             stops: BTreeMap::new(),
             max_concurrent_loads: 0,
             may_command: true,
+            write_time: WRITE_TIME,
+            longest_write: 0,
             open_batches: BTreeMap::new(),
             runs: BTreeMap::new(),
             writes: Vec::new(),
@@ -458,8 +464,10 @@
                 *self.stops.entry(reason).or_default() += 1;
             }
             Action::WriteResults { batch, results } => {
+                let bytes = results.iter().map(|result| result.text.len()).sum();
+                self.longest_write = self.longest_write.max(bytes);
                 self.writes
-                    .push((self.now.after(WRITE_TIME), batch, results));
+                    .push((self.now.after(self.write_time), batch, results));
             }
             Action::LoadWeights {
                 engine: key,
--- /dev/null
+++ b/crates/policy/tests/result_writes.rs
@@ -0,0 +1,32 @@
+//! The writes of results to the store.
+
+#[path = "common/engines.rs"]
+#[allow(dead_code, reason = "each test file uses a part")]
+mod engines;
+
+use std::time::Duration;
+
+use engines::Simulation;
+
+const EVENT_INTERVAL: Duration = Duration::from_millis(40);
+
+/// The limit on the text of the results in one write, in bytes.
+const MAX_BYTES: usize = 2000;
+
+/// Guards against a write that the store refuses as too long, again and again: the results of items
+/// that ended in an outage of the store were written together.
+#[test]
+fn results_that_wait_for_the_store_are_written_in_parts_that_it_accepts() {
+    let mut simulation = Simulation::new(4, 8, EVENT_INTERVAL);
+    simulation.scheduler.limit_writes(MAX_BYTES);
+    simulation.write_time = Duration::from_secs(4);
+    simulation.submit("s", 1, 2, &[("g0", &[1]), ("g1", &vec![40; 30])]);
+    let took = simulation.run_until_complete("s", 2);
+    assert!(
+        simulation.longest_write <= MAX_BYTES,
+        "{}",
+        simulation.longest_write
+    );
+    assert_eq!(simulation.results["s"].len(), 31);
+    assert!(took < Duration::from_secs(60), "{took:?}");
+}
