Count requests by client account and window, and report each window once

The platform wants the requests that servers began to run, by account and window, from exactly one gateway, and never two different reports of a window. Nothing counted them.

Every gateway counts its own requests when it is known that a server did not refuse them, at the time they were sent, and sends cumulative counts to the reporter and a deputy. The reporter holds the object duties/usage: one conditional write a window renews its lease and fixes the counts, after which it may send for half of the lease. A write without a response is repeated unchanged. A successor sends what is fixed unchanged under a higher fencing token. Without the duty in the settings nothing of this exists.

--- a/crates/gateway/src/batches/mod.rs
+++ b/crates/gateway/src/batches/mod.rs
@@ -21,7 +21,7 @@
 pub use accept::{Submission, accept, store_for_peer};
 pub use coordinator::{Coordinator, Tenure};
 pub use lease_loop::{find_holder, known_holder, request_lease};
-pub use lease_query::{answer_lease_query, yield_lease};
+pub use lease_query::{answer_lease_query, has_spare_cpu, yield_lease};
 pub use read::{end, end_for_peer, item_body, item_body_for_peer, results, results_for_peer};
 
 use std::rc::Rc;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -22,6 +22,7 @@
 use crate::store::Availability;
 use crate::streams::Streams;
 use crate::suspects::Suspects;
+use crate::usage::{self, Usage};
 
 /// The state of the process, shared by all tasks of its one thread.
 #[derive(Debug)]
@@ -60,6 +61,8 @@
     pub coordinator: Coordinator,
     /// The counters and histograms of the process.
     pub metrics: Metrics,
+    /// The counts of requests by account; none if usage is not reported.
+    pub usage: Option<Rc<Usage>>,
     /// The source of spans; none if no endpoint for them is configured.
     pub tracer: Option<Tracer>,
 }
@@ -70,13 +73,24 @@
         // JSON numbers are exact up to 53 bits.
         let incarnation = rand::random::<u64>() >> 11;
         let coordinator = Coordinator::new(&settings, incarnation);
+        let store = store::Client::new(settings.store);
+        let store_availability = Availability::default();
+        let http = http::Client::default();
+        let metrics = Metrics::new();
+        let usage = Usage::new(&settings, incarnation, || usage::Connections {
+            store: store.clone(),
+            store_availability: store_availability.clone(),
+            http: http.clone(),
+            reports: metrics.usage_reports.clone(),
+            late: metrics.usage_late.clone(),
+        });
         Self {
             incarnation,
             started_at: now(),
             metrics_port: options.metrics_port,
-            http: http::Client::default(),
-            store: store::Client::new(settings.store),
-            store_availability: Availability::default(),
+            http,
+            store,
+            store_availability,
             settings: RefCell::new(settings),
             table: RefCell::new(None),
             fleet: RefCell::new(Fleet::new(Limiter::new(rand::random()))),
@@ -87,7 +101,8 @@
             stopping_since: Cell::new(None),
             active_requests: Cell::new(0),
             coordinator,
-            metrics: Metrics::new(),
+            metrics,
+            usage: usage.map(Rc::new),
             tracer,
         }
     }
@@ -146,6 +161,14 @@
         })
 }
 
+/// The true time in milliseconds since the Unix epoch, as far as it is known.
+// Exchange for `policy::clock::Clock::estimate` once it is in this branch; steps of the time of day
+// move this value.
+#[allow(clippy::unnecessary_wraps, reason = "an estimate may be missing")]
+pub fn true_unix_ms() -> Option<u64> {
+    Some(unix_millis())
+}
+
 /// The address at which other gateways reach the gateway with these settings.
 pub fn peer_address(settings: &Settings) -> SocketAddr {
     SocketAddr::new(settings.address, settings.internal_ports.0)
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -17,6 +17,7 @@
 mod store;
 mod streams;
 mod suspects;
+mod usage;
 mod version;
 
 use std::rc::Rc;
@@ -54,6 +55,7 @@
         limits::share(&gateway);
         actix_rt::spawn(streams::run(Rc::clone(&gateway)));
         batches::start(&gateway);
+        usage::start(&gateway);
         stop::serve_until_stopped(&gateway).await;
         if let Some(tracer) = &gateway.tracer {
             tracer.stop();
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use prometheus::{Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry};
+use prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry};
 
 /// The upper bounds of latency buckets, in seconds: from a store call to a whole training step.
 const LATENCY_BUCKETS_S: [f64; 14] = [
@@ -40,6 +40,10 @@
     pub results: IntCounterVec,
     /// Load commands to engines, by outcome.
     pub load_commands: IntCounterVec,
+    /// Sends of usage reports, by outcome.
+    pub usage_reports: IntCounterVec,
+    /// Requests whose count arrived after their window was closed.
+    pub usage_late: IntCounter,
     /// 1 while this process holds the lease and schedules, else 0.
     pub scheduling: IntGauge,
     /// The version of the routes in force.
@@ -78,6 +82,14 @@
                 .expect("it is registered once");
             gauge
         };
+        let usage_late = IntCounter::new(
+            name("usage_late"),
+            "Requests whose count arrived after their window was closed.",
+        )
+        .expect("the name is a literal");
+        registry
+            .register(Box::new(usage_late.clone()))
+            .expect("it is registered once");
         Self {
             responses: counter("answers", "Responses to clients.", &["kind", "status"]),
             latency: histogram(
@@ -114,6 +126,8 @@
             batches: counter("batches", "Batches.", &["event"]),
             results: counter("results", "Durable results of batch items.", &["ending"]),
             load_commands: counter("orders", "Load commands to engines.", &["outcome"]),
+            usage_reports: counter("usage_reports", "Sends of usage reports.", &["outcome"]),
+            usage_late,
             scheduling: gauge(
                 "scheduling",
                 "1 while this process schedules batches, else 0.",
--- a/crates/gateway/src/peer/client.rs
+++ b/crates/gateway/src/peer/client.rs
@@ -34,6 +34,19 @@
     peer: SocketAddr,
     request: &PeerRequest,
     limit: Duration,
+) -> Result<PeerResponse, Error> {
+    call_with(&gateway.http, peer, request, limit).await
+}
+
+/// Sends a request to a peer with an HTTP client and waits up to `limit` for its response.
+///
+/// # Errors
+/// See [`Error`].
+pub async fn call_with(
+    http: &tamaracksail_http::Client,
+    peer: SocketAddr,
+    request: &PeerRequest,
+    limit: Duration,
 ) -> Result<PeerResponse, Error> {
     let no_response = |problem: String| Error::NoResponse(peer, problem);
     let body = Bytes::from(tamaracksail_wire::encode(request));
@@ -42,10 +55,10 @@
         .body(Full::new(body))
         .map_err(|error| no_response(error.to_string()))?;
     let exchange = async {
-        let mut reply = gateway.http.send(peer, request, CONNECT_TIMEOUT).await?;
+        let mut reply = http.send(peer, request, CONNECT_TIMEOUT).await?;
         let body = reply.read(tamaracksail_wire::codec::MAX_BYTES).await?;
         let code = reply.head.status;
-        reply.release(&gateway.http);
+        reply.release(http);
         Ok::<_, tamaracksail_http::Error>((code, body))
     };
     let (code, body) = match tokio::time::timeout(limit, exchange).await {
--- a/crates/gateway/src/peer/mod.rs
+++ b/crates/gateway/src/peer/mod.rs
@@ -6,7 +6,7 @@
 mod client;
 mod server;
 
-pub use client::{Error, call};
+pub use client::{Error, call, call_with};
 pub use server::listen;
 
 /// The path of requests between gateways.
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -21,6 +21,7 @@
 use super::execution::Execution;
 use super::trial::Trial;
 use crate::gateway::{Gateway, now};
+use crate::usage;
 use crate::version::{self, Source, observe_response};
 
 /// The time limit on connecting to a backend server. A healthy connect takes one round trip.
@@ -124,22 +125,32 @@
         let is_continuation = ingress::has_last_event(request.headers());
         let trial = self.trial.take();
         let execution = Execution::begin(&self.gateway, registration.clone(), content, id, trial);
+        let usage = content.usage.as_ref().map(usage::Request::send);
+        if let Some(usage) = &usage {
+            request.extensions_mut().insert(usage.mark());
+        }
         let response = version::send(
             &self.gateway,
             &registration,
             request,
             is_continuation,
             CONNECT_TIMEOUT,
-        )
-        .await;
+        );
+        let response = usage::count_unanswered(usage.as_ref(), response).await;
         match response {
             Ok(reply) => {
                 let response = ResponseHead::parse(&reply.head, (!id.is_empty()).then_some(id));
+                if let Some(usage) = usage {
+                    usage.settle(!response.is_not_run && !is_refusal(reply.head.status));
+                }
                 observe_response(&self.gateway, &registration, &response, Source::Request);
                 self.read_response(reply, response, execution).await
             }
             Err(error) => {
                 self.record_outcome(SendOutcome::Failed);
+                if let Some(usage) = usage {
+                    usage.settle(!error.is_unsent());
+                }
                 if error.is_unsent() {
                     execution.settle();
                     return Outcome::NotRun(error.to_string());
@@ -233,3 +244,14 @@
         self.record_outcome(SendOutcome::Abandoned(now().since(self.start)));
     }
 }
+
+/// Whether a status guarantees that the request has not run and never will.
+fn is_refusal(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+            | StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+    )
+}
--- a/crates/gateway/src/request/content.rs
+++ b/crates/gateway/src/request/content.rs
@@ -1,6 +1,7 @@
 //! The content of a request, by which it is recognised when a client sends it again under a new id.
 
 use std::cell::OnceCell;
+use std::rc::Rc;
 
 use bytes::Bytes;
 use hyper::header::{AUTHORIZATION, HOST, HeaderValue};
@@ -8,6 +9,8 @@
 use tamaracksail_adapter::names;
 use tamaracksail_model::id::{Fingerprint, fingerprint_of_parts};
 
+use crate::usage;
+
 /// What a server works on: the head and the body of a request.
 #[derive(Clone, Debug)]
 pub struct Content {
@@ -15,6 +18,8 @@
     pub head: Parts,
     /// The request's body.
     pub body: Bytes,
+    /// The usage that the request is counted in, if it is.
+    pub usage: Option<Rc<usage::Request>>,
     fingerprint: OnceCell<Fingerprint>,
 }
 
@@ -24,6 +29,7 @@
         Self {
             head,
             body,
+            usage: None,
             fingerprint: OnceCell::new(),
         }
     }
--- a/crates/gateway/src/request/forward.rs
+++ b/crates/gateway/src/request/forward.rs
@@ -128,6 +128,8 @@
         );
         service = origin.service;
         software = Some(origin.software);
+        // It was counted when it brought its first event.
+        content.usage = None;
     }
     let span = gateway.span("request", SpanKind::Server, &mut content.head.headers);
     let content = Rc::new(content);
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -24,6 +24,7 @@
 use crate::batches;
 use crate::connection::Body;
 use crate::gateway::{Gateway, now};
+use crate::usage;
 
 pub use attempt::{Attempt, Outcome};
 pub use content::Content;
@@ -157,7 +158,8 @@
     if is_batch {
         return batches::accept(gateway, route, &caller, &head, &id, body, deadline).await;
     }
-    let content = Content::new(head, body);
+    let mut content = Content::new(head, body);
+    content.usage = usage::request(gateway, &caller);
     forward::forward(gateway, route, content, &id, arrival, deadline).await
 }
 
--- a/crates/gateway/src/streams/membership.rs
+++ b/crates/gateway/src/streams/membership.rs
@@ -7,6 +7,7 @@
 use tamaracksail_adapter::store::Object;
 use tamaracksail_model::plain;
 
+use crate::batches::has_spare_cpu;
 use crate::gateway::Gateway;
 use crate::store::{self, Event};
 
@@ -24,6 +25,9 @@
     struct Record {
         /// The address at which it accepts requests of its peers.
         address: SocketAddr,
+        /// Whether its host has CPU time to spare. Stated only where gateways have duties.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        has_spare_cpu: Option<bool>,
     }
 }
 
@@ -40,6 +44,7 @@
     let host = gateway.settings.borrow().host.clone();
     let record = Record {
         address: gateway.peer_address(),
+        has_spare_cpu: gateway.usage.as_ref().map(|_| has_spare_cpu(&gateway)),
     };
     while let Err(error) = gateway.store.put(KIND, &host, &record).await {
         log::warn!(error:%; "gateway not registered");
@@ -78,7 +83,10 @@
     }
     let mut members = gateway.streams.members.borrow_mut();
     match object.spec::<Record>() {
-        Ok(record) => members.register(host, record.address, object.revision),
+        Ok(record) => {
+            members.register(host, record.address, object.revision);
+            members.set_spare_cpu(host, record.has_spare_cpu.unwrap_or(false));
+        }
         Err(error) => {
             log::warn!(host, error:%; "malformed record of a gateway ignored");
             members.remove(host);
--- a/crates/gateway/src/streams/state.rs
+++ b/crates/gateway/src/streams/state.rs
@@ -1,6 +1,6 @@
 //! State of the streams' origins that lives as long as the process.
 
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, Ref, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -30,6 +30,11 @@
         self.versions.borrow_mut().record_list(now());
     }
 
+    /// Returns the other gateways.
+    pub fn members(&self) -> Ref<'_, Members> {
+        self.members.borrow()
+    }
+
     /// Returns the only version that servers of a service have had for long enough that every stream
     /// began there; `None` also while the store does not answer.
     pub(super) fn settled(&self, gateway: &Gateway, service: &str) -> Option<String> {
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -14,6 +14,7 @@
 use tamaracksail_model::batch::{Ending, ItemResult};
 
 pub mod crashing;
+pub mod reporting;
 
 /// How long to wait for a condition before the test fails. Far longer than any should take.
 const CONDITION_TIMEOUT: Duration = Duration::from_mins(1);
@@ -46,11 +47,26 @@
         Self::start_with(host, store, 120, Some(endpoint))
     }
 
+    /// Starts a gateway with a settings file that `change` returns.
+    pub fn with_settings(host: &str, store: &Store, change: impl FnOnce(String) -> String) -> Self {
+        Self::start_changed(host, store, 120, None, change)
+    }
+
     fn start_with(host: &str, store: &Store, retention_s: u64, spans: Option<String>) -> Self {
+        Self::start_changed(host, store, retention_s, spans, |text| text)
+    }
+
+    fn start_changed(
+        host: &str,
+        store: &Store,
+        retention_s: u64,
+        spans: Option<String>,
+        change: impl FnOnce(String) -> String,
+    ) -> Self {
         let ip = address();
         let folder = std::env::temp_dir().join(format!("tamaracksail-{ip}"));
         std::fs::create_dir_all(&folder).expect("a folder for settings");
-        let text = settings::file(host, ip, store.address, retention_s);
+        let text = change(settings::file(host, ip, store.address, retention_s));
         std::fs::write(folder.join("settings"), text).expect("a settings file");
         let lines = Arc::default();
         let child = spawn(&folder, spans.as_deref(), &lines);
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -1,7 +1,7 @@
 //! One connection to a peer.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -14,6 +14,7 @@
 
 use crate::error::{Error, Stage};
 use crate::response::IncomingResponse;
+use crate::send_mark::SendMark;
 use crate::socket;
 
 /// The limit on the bytes of a response that are buffered, and so on its head. Heads are a few hundred
@@ -119,18 +120,25 @@
                 problem: "the idle connection had been closed".to_owned(),
             });
         }
-        self.sender
-            .send_request(request)
-            .await
-            .map_err(|error| Error {
-                stage: if error.is_canceled() {
+        let mark = request.extensions().get::<SendMark>().cloned();
+        if let Some(mark) = &mark {
+            mark.set(Some(Instant::now()));
+        }
+        self.sender.send_request(request).await.map_err(|error| {
+            let is_unsent = error.is_canceled();
+            if let Some(mark) = mark.filter(|_| is_unsent) {
+                mark.set(None);
+            }
+            Error {
+                stage: if is_unsent {
                     Stage::Connect
                 } else {
                     Stage::Head
                 },
                 peer,
                 problem: describe(&error),
-            })
+            }
+        })
     }
 }
 
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -8,9 +8,11 @@
 mod connection;
 mod error;
 mod response;
+mod send_mark;
 pub mod socket;
 
 pub use client::Client;
 pub use connection::Connection;
 pub use error::{Error, Stage};
 pub use response::IncomingResponse;
+pub use send_mark::SendMark;
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -25,3 +25,4 @@
 pub mod store;
 pub mod table;
 pub mod time;
+pub mod usage;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -19,7 +19,9 @@
 //! - [`reward::Queue`]: the calls that score the texts of items;
 //! - [`limit::Limiter`]: the request limits that backend servers state;
 //! - [`streams`]: where streams began that clients take up at any gateway;
-//! - [`lease::Lease`]: which process is the scheduling gateway.
+//! - [`lease::Lease`]: which process is the scheduling gateway;
+//! - [`duty::Duty`]: which process reports, and until when it may send;
+//! - [`usage`]: counts of requests by client account and window.
 //!
 //! The modules that they share are grouped by the lifetime of their state: [`request`],
 //! [`connection`], [`version`] and [`process`]. [`store`] has the calls to the platform's store.
@@ -28,6 +30,7 @@
 pub mod agent;
 pub mod batch;
 pub mod connection;
+pub mod duty;
 
 pub mod entry;
 pub mod fleet;
@@ -37,6 +40,7 @@
 pub mod request;
 pub mod reward;
 pub mod streams;
+pub mod usage;
 pub mod version;
 
 pub use tamaracksail_model::store;
--- a/crates/policy/src/streams/members.rs
+++ b/crates/policy/src/streams/members.rs
@@ -30,6 +30,8 @@
     failing_since: Option<Instant>,
     /// Until when it gets no copies.
     backoff_until: Instant,
+    /// Whether its host has CPU time to spare.
+    has_spare_cpu: bool,
 }
 
 /// The other gateways, by host.
@@ -44,10 +46,24 @@
             revision,
             failing_since: None,
             backoff_until: Instant(0),
+            has_spare_cpu: false,
         };
         self.0.insert(host.to_owned(), member);
     }
 
+    /// Records that a gateway's host has CPU time to spare, or has not.
+    pub fn set_spare_cpu(&mut self, host: &str, has_spare_cpu: bool) {
+        if let Some(member) = self.0.get_mut(host) {
+            member.has_spare_cpu = has_spare_cpu;
+        }
+    }
+
+    /// Returns the host and the address of each gateway, and whether its host has CPU time to spare.
+    pub fn hosts(&self) -> impl Iterator<Item = (&str, SocketAddr, bool)> {
+        let members = self.0.iter();
+        members.map(|(host, member)| (host.as_str(), member.address, member.has_spare_cpu))
+    }
+
     /// Removes a gateway.
     pub fn remove(&mut self, host: &str) {
         self.0.remove(host);
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -9,6 +9,7 @@
 use tamaracksail_model::batch::{ItemResult, PartialText};
 use tamaracksail_model::plain;
 use tamaracksail_model::rate::Rate;
+use tamaracksail_model::usage::{Report, Window};
 
 plain! {
     /// What a backend server stated about its request limit.
@@ -146,6 +147,40 @@
             /// The id of the client attempt that brought the first event.
             attempt: String,
         },
+        /// Tells the peer the sender's usage counts, or only asks who reports usage.
+        Usage {
+            /// The incarnation of the sender's process.
+            incarnation: u64,
+            /// The sender's counts since its start, for windows in which they changed.
+            reports: Vec<Report>,
+        },
+        /// Tells the peer who reports usage, and asks for all counts that it knows.
+        PullUsage {
+            /// The reporter.
+            reporter: Reporter,
+            /// The first window wanted.
+            from: Window,
+        },
+    }
+}
+
+plain! {
+    /// The gateway that reports usage.
+    pub struct Reporter {
+        /// Its fencing token. The reporter with the highest is the current one.
+        pub fence: u64,
+        /// The address at which it accepts requests of its peers.
+        pub address: SocketAddr,
+    }
+}
+
+plain! {
+    /// The usage counts of one process.
+    pub struct ProcessUsage {
+        /// The incarnation of the process.
+        pub incarnation: u64,
+        /// Its counts.
+        pub reports: Vec<Report>,
     }
 }
 
@@ -216,5 +251,17 @@
             /// The origin.
             origin: Option<StreamOrigin>,
         },
+        /// The peer has merged the sender's usage counts.
+        Usage {
+            /// The incarnation of the peer's process.
+            incarnation: u64,
+            /// Who reports usage, as far as the peer knows.
+            reporter: Option<Reporter>,
+        },
+        /// All usage counts that the peer knows.
+        UsageCounts {
+            /// The counts by process, the peer's own included.
+            processes: Vec<ProcessUsage>,
+        },
     }
 }
