--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -161,12 +161,27 @@
         })
 }
 
-/// The true time in milliseconds since the Unix epoch, as far as it is known.
-// Exchange for `policy::clock::Clock::estimate` once it is in this branch; steps of the time of day
-// move this value.
+/// A change of the difference between the time of day and the boot-time clock by more than this, in
+/// milliseconds, is a step of the time of day.
+const MAX_SLEW_MS: u64 = 250;
+
+/// The true time in milliseconds since the Unix epoch, as far as it is known. Steps of the time of day
+/// while the process runs do not move it.
+// Exchange for `policy::clock::Clock::estimate` once it is in this branch: it also corrects a process
+// that starts while the time of day is stepped.
 #[allow(clippy::unnecessary_wraps, reason = "an estimate may be missing")]
 pub fn true_unix_ms() -> Option<u64> {
-    Some(unix_millis())
+    thread_local! {
+        /// The time of day less the boot-time clock, in milliseconds.
+        static DIFFERENCE_MS: Cell<Option<u64>> = const { Cell::new(None) };
+    }
+    let boot_ms = now().0 / 1000;
+    let observed = unix_millis().saturating_sub(boot_ms);
+    let before = DIFFERENCE_MS.get().unwrap_or(observed);
+    let is_step = before.abs_diff(observed) > MAX_SLEW_MS;
+    let difference = if is_step { before } else { observed };
+    DIFFERENCE_MS.set(Some(difference));
+    Some(boot_ms + difference)
 }
 
 /// The address at which other gateways reach the gateway with these settings.
