Test usage reports when the reporter and a gateway, or all gateways, are killed

The counts of a killed gateway are reported by the deputy exactly; after all gateways were killed and started again a reporter exists within 3 s.

--- a/crates/gateway/tests/usage.rs
+++ b/crates/gateway/tests/usage.rs
@@ -8,6 +8,7 @@
 use common::{Gateway, World, run, wait_until};
 use hyper::Method;
 use tamaracksail_adapter_standins::{cloud, store};
+use tamaracksail_policy::duty::{Member, rank};
 
 #[test]
 fn each_window_is_reported_once_in_time_with_exact_counts() {
@@ -71,6 +72,80 @@
     });
 }
 
+#[test]
+fn counts_of_a_killed_gateway_are_reported_although_the_reporter_is_killed_with_it() {
+    run(async {
+        let mut site = Site::start(4).await;
+        wait_until("a reporter exists", async || site.reporter().is_some()).await;
+        let reporter = site.reporter().expect("a reporter");
+        let members = (0..4).map(|index| Member {
+            host: site.gateways[index].host().to_owned(),
+            address: site.gateways[index].ingress(),
+            has_spare_cpu: true,
+            is_scheduler: false,
+            is_unresponsive: false,
+        });
+        let ranked = rank("usage", members.collect());
+        let index = |member: &Member| {
+            let mut gateways = site.gateways.iter();
+            let found = gateways.position(|gateway| gateway.host() == member.host);
+            found.expect("a gateway")
+        };
+        // The deputy is the first besides the reporter.
+        let others: Vec<usize> = ranked
+            .iter()
+            .map(index)
+            .filter(|index| *index != reporter)
+            .collect();
+        let (deputy, victim) = (others[0], others[2]);
+        site.send_for(Duration::from_secs(2), &[victim]).await;
+        // It may lose what it counted in the last 300 ms.
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        site.gateways[victim].kill();
+        site.gateways[reporter].kill();
+        let killed = Instant::now();
+        wait_until("a successor exists", async || {
+            site.reporter() != Some(reporter)
+        })
+        .await;
+        let limit = Duration::from_secs(WINDOW_S);
+        assert!(killed.elapsed() < limit, "{:?}", killed.elapsed());
+        site.send_for(Duration::from_secs(2), &[deputy]).await;
+        site.wait_until_due().await;
+        site.check_reports(|_| false);
+    });
+}
+
+#[test]
+fn after_all_gateways_were_killed_a_reporter_exists_within_three_seconds() {
+    run(async {
+        let mut site = Site::start(4).await;
+        wait_until("a reporter exists", async || site.reporter().is_some()).await;
+        site.send_for(Duration::from_secs(1), &[0, 1, 2, 3]).await;
+        // Every window so far is fixed, and not necessarily confirmed.
+        tokio::time::sleep(Duration::from_secs(WINDOW_S + 3)).await;
+        let fence = |site: &Site| {
+            let record = site.world.store.spec("duties", "usage");
+            record.expect("a record")["fence"]
+                .as_u64()
+                .expect("a token")
+        };
+        let before = fence(&site);
+        site.gateways.iter_mut().for_each(Gateway::kill);
+        let restarted = Instant::now();
+        site.gateways.iter_mut().for_each(Gateway::restart);
+        wait_until("a reporter exists", async || fence(&site) > before).await;
+        let limit = Duration::from_secs(3);
+        assert!(restarted.elapsed() < limit, "{:?}", restarted.elapsed());
+        for gateway in &site.gateways {
+            gateway.wait_until_ready().await;
+        }
+        site.send_for(Duration::from_secs(2), &[0, 1, 2, 3]).await;
+        site.wait_until_due().await;
+        site.check_reports(|_| false);
+    });
+}
+
 #[test]
 fn reports_wait_for_a_cloud_that_is_down_and_are_sent_unchanged() {
     run(async {
