--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -22,6 +22,7 @@
 use crate::store::Availability;
 use crate::streams::Streams;
 use crate::suspects::Suspects;
+use crate::usage::{self, Usage};
 
 /// The state of the process, shared by all tasks of its one thread.
 #[derive(Debug)]
@@ -60,6 +61,8 @@
     pub coordinator: Coordinator,
     /// The counters and histograms of the process.
     pub metrics: Metrics,
+    /// The counts of requests by account; none if usage is not reported.
+    pub usage: Option<Rc<Usage>>,
     /// The source of spans; none if no endpoint for them is configured.
     pub tracer: Option<Tracer>,
 }
@@ -70,13 +73,24 @@
         // JSON numbers are exact up to 53 bits.
         let incarnation = rand::random::<u64>() >> 11;
         let coordinator = Coordinator::new(&settings, incarnation);
+        let store = store::Client::new(settings.store);
+        let store_availability = Availability::default();
+        let http = http::Client::default();
+        let metrics = Metrics::new();
+        let usage = Usage::new(&settings, incarnation, || usage::Connections {
+            store: store.clone(),
+            store_availability: store_availability.clone(),
+            http: http.clone(),
+            reports: metrics.usage_reports.clone(),
+            late: metrics.usage_late.clone(),
+        });
         Self {
             incarnation,
             started_at: now(),
             metrics_port: options.metrics_port,
-            http: http::Client::default(),
-            store: store::Client::new(settings.store),
-            store_availability: Availability::default(),
+            http,
+            store,
+            store_availability,
             settings: RefCell::new(settings),
             table: RefCell::new(None),
             fleet: RefCell::new(Fleet::new(Limiter::new(rand::random()))),
@@ -87,7 +101,8 @@
             stopping_since: Cell::new(None),
             active_requests: Cell::new(0),
             coordinator,
-            metrics: Metrics::new(),
+            metrics,
+            usage: usage.map(Rc::new),
             tracer,
         }
     }
@@ -146,6 +161,29 @@
         })
 }
 
+/// A change of the difference between the time of day and the boot-time clock by more than this, in
+/// milliseconds, is a step of the time of day.
+const MAX_SLEW_MS: u64 = 250;
+
+/// The true time in milliseconds since the Unix epoch, as far as it is known. Steps of the time of day
+/// while the process runs do not move it.
+// Exchange for `policy::clock::Clock::estimate` once it is in this branch: it also corrects a process
+// that starts while the time of day is stepped.
+#[allow(clippy::unnecessary_wraps, reason = "an estimate may be missing")]
+pub fn true_unix_ms() -> Option<u64> {
+    thread_local! {
+        /// The time of day less the boot-time clock, in milliseconds.
+        static DIFFERENCE_MS: Cell<Option<u64>> = const { Cell::new(None) };
+    }
+    let boot_ms = now().0 / 1000;
+    let observed = unix_millis().saturating_sub(boot_ms);
+    let before = DIFFERENCE_MS.get().unwrap_or(observed);
+    let is_step = before.abs_diff(observed) > MAX_SLEW_MS;
+    let difference = if is_step { before } else { observed };
+    DIFFERENCE_MS.set(Some(difference));
+    Some(boot_ms + difference)
+}
+
 /// The address at which other gateways reach the gateway with these settings.
 pub fn peer_address(settings: &Settings) -> SocketAddr {
     SocketAddr::new(settings.address, settings.internal_ports.0)
