--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -19,6 +19,7 @@
 //! - [`reward::Queue`]: the calls that score the texts of items;
 //! - [`limit::Limiter`]: the request limits that backend servers state;
 //! - [`streams`]: where streams began that clients take up at any gateway;
+//! - [`clock::Clock`]: true time, whatever steps the time of day makes;
 //! - [`lease::Lease`]: which process is the scheduling gateway.
 //!
 //! The modules that they share are grouped by the lifetime of their state: [`request`],
@@ -27,6 +28,7 @@
 pub mod acquire_delay;
 pub mod agent;
 pub mod batch;
+pub mod clock;
 pub mod connection;
 
 pub mod entry;
