Compare times by the estimate of true time

Each place now uses gateway::clock, which samples when the time is used and with each probe of the store, and exchanges times in lease queries: a peer's time counts only if it was under way for 250 ms at most, as a frozen process reads old messages. Manifests and published limits state the error of their time. Give-up and removal use the lower bound of an age; a batch is also as old as the process has known it, so that a process that is not sure of the time does not keep it longer. Published suspects state their time for operators only; nothing compares it.

--- a/crates/gateway/src/batches/accept.rs
+++ b/crates/gateway/src/batches/accept.rs
@@ -16,7 +16,7 @@
 use super::schema::{self, Manifest, Part};
 use super::{lease_loop, owner, reward_calls, takeover};
 use crate::connection::Body;
-use crate::gateway::{Gateway, now, unix_millis};
+use crate::gateway::{Gateway, now};
 use crate::peer::{self, Error as PeerError};
 use crate::request::{empty_response, retry_later};
 
@@ -175,12 +175,17 @@
         text,
         gateway.settings.borrow().max_value_bytes / PART_LENGTH_DIVISOR,
     );
+    let Some(submitted) = gateway.clock.estimate() else {
+        log::error!(batch = id, outcome = "not run"; "batch not stored, the time is not known");
+        return Outcome::NotStored;
+    };
     let manifest = Manifest {
         host: submission.host.clone(),
         path: submission.path.clone(),
         parts: parts.len(),
         total,
-        submitted: unix_millis(),
+        submitted: submitted.unix_ms,
+        submitted_error_ms: Some(submitted.error_ms),
         account: submission.account.clone(),
     };
     lease_loop::request_lease(gateway);
--- a/crates/gateway/src/batches/lease_loop.rs
+++ b/crates/gateway/src/batches/lease_loop.rs
@@ -188,18 +188,24 @@
         fence,
         sender: gateway.peer_address(),
         has_spare_cpu: has_spare_cpu(gateway),
+        time: {
+            let settings = gateway.settings.borrow();
+            gateway.clock.for_peer(&settings.host, Duration::ZERO)
+        },
     };
-    match peer::call(
-        gateway,
-        address,
-        &request,
-        LEASE_QUERY_WAIT + PEER_CALL_TIMEOUT,
-    )
-    .await
+    let limit = LEASE_QUERY_WAIT + PEER_CALL_TIMEOUT;
+    let response = peer::call(gateway, address, &request, limit).await;
+    if let Ok(PeerResponse::Holding {
+        time: Some(time), ..
+    }) = &response
     {
+        gateway.clock.record_response(at, time);
+    }
+    match response {
         Ok(PeerResponse::Holding {
             is_store_unreachable: false,
             revision,
+            ..
         }) => HolderState::Holds(revision),
         Ok(PeerResponse::Holding {
             is_store_unreachable: true,
--- a/crates/gateway/src/batches/lease_query.rs
+++ b/crates/gateway/src/batches/lease_query.rs
@@ -3,7 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use tamaracksail_wire::peer::Response as PeerResponse;
+use tamaracksail_model::time::Instant;
+use tamaracksail_wire::peer::{PeerTime, Response as PeerResponse};
 
 use crate::gateway::{Gateway, now};
 
@@ -33,7 +34,8 @@
             release_to(gateway, successor, "a peer has more CPU time");
         }
     }
-    let deadline = now().after(LEASE_QUERY_WAIT);
+    let arrival = now();
+    let deadline = arrival.after(LEASE_QUERY_WAIT);
     let first = coordinator.lease.borrow().revision();
     loop {
         if !holds(gateway, fence) {
@@ -52,6 +54,7 @@
             return PeerResponse::Holding {
                 is_store_unreachable,
                 revision,
+                time: time_for_peer(gateway, arrival),
             };
         }
         let left = end.since(now());
@@ -60,6 +63,13 @@
     }
 }
 
+/// The time to state in the response to a query that arrived at `arrival`.
+fn time_for_peer(gateway: &Gateway, arrival: Instant) -> Option<PeerTime> {
+    let settings = gateway.settings.borrow();
+    let held = now().since(arrival);
+    gateway.clock.for_peer(&settings.host, held)
+}
+
 /// Stops scheduling in favour of a peer that reaches the store, if this process does not.
 pub fn yield_lease(gateway: &Gateway, fence: u64, successor: SocketAddr) -> PeerResponse {
     let coordinator = &gateway.coordinator;
@@ -69,6 +79,7 @@
         return PeerResponse::Holding {
             is_store_unreachable: false,
             revision: coordinator.lease.borrow().revision(),
+            time: None,
         };
     }
     if is_held {
--- a/crates/gateway/src/batches/retention.rs
+++ b/crates/gateway/src/batches/retention.rs
@@ -6,9 +6,10 @@
 use std::time::Duration;
 
 use tamaracksail_adapter::store::Error;
+use tamaracksail_policy::batch::{Retention, Stored};
 
 use super::schema::{self, BatchStatus, Manifest};
-use crate::gateway::{Gateway, unix_millis};
+use crate::gateway::{Gateway, now};
 use crate::store;
 
 /// The number of removal passes per retention period, so that a batch stays at most a quarter
@@ -18,15 +19,13 @@
 /// The shortest time between two passes. Each lists all manifests.
 const MIN_PASS_INTERVAL: Duration = Duration::from_secs(1);
 
-/// The factor on the retention of a batch that its client never ended.
-const OPEN_BATCH_FACTOR: u32 = 30;
-
 /// Removes expired batches periodically. The coordinator aborts it when scheduling stops.
 pub async fn run(gateway: Rc<Gateway>) {
+    let mut known = Retention::default();
     loop {
         let retention = gateway.settings.borrow().retention;
         tokio::time::sleep((retention / PASSES_PER_RETENTION).max(MIN_PASS_INTERVAL)).await;
-        match expired(&gateway, retention).await {
+        match expired(&gateway, &mut known, retention).await {
             Ok(batches) => {
                 for id in batches {
                     if let Err(error) = remove(&gateway, &id).await {
@@ -40,9 +39,13 @@
 }
 
 /// Returns the batches whose retention has ended.
-async fn expired(gateway: &Gateway, retention: Duration) -> Result<Vec<String>, Error> {
+async fn expired(
+    gateway: &Gateway,
+    known: &mut Retention,
+    retention: Duration,
+) -> Result<Vec<String>, Error> {
     let (manifests, _) = store::list(&gateway.store, schema::MANIFESTS).await?;
-    let mut expired = Vec::new();
+    let mut stored = Vec::new();
     for object in manifests {
         let manifest = match object.spec::<Manifest>() {
             Ok(manifest) => manifest,
@@ -52,18 +55,13 @@
             }
         };
         let status = object.status::<BatchStatus>().unwrap_or_default();
-        let is_ended = status.is_some_and(|status| status.is_ended);
-        let age = Duration::from_millis(unix_millis().saturating_sub(manifest.submitted));
-        let limit = if is_ended {
-            retention
-        } else {
-            retention * OPEN_BATCH_FACTOR
-        };
-        if age > limit {
-            expired.push(object.name);
-        }
+        stored.push(Stored {
+            id: object.name,
+            submitted: manifest.submitted(),
+            is_ended: status.is_some_and(|status| status.is_ended),
+        });
     }
-    Ok(expired)
+    Ok(known.expired(now(), gateway.clock.estimate(), stored, retention))
 }
 
 /// Removes a batch. The manifest is removed last, so that a later pass resumes an interrupted
--- a/crates/gateway/src/batches/schema.rs
+++ b/crates/gateway/src/batches/schema.rs
@@ -11,6 +11,7 @@
 
 use tamaracksail_model::batch::ItemResult;
 use tamaracksail_model::plain;
+use tamaracksail_policy::clock::Estimate;
 
 /// The kind of manifests.
 pub const MANIFESTS: &str = "batches";
@@ -43,6 +44,10 @@
         pub total: usize,
         /// The time of submission, in milliseconds since the Unix epoch.
         pub submitted: u64,
+        /// How far that may be from true time, in milliseconds; `None` in manifests of gateways that
+        /// stated a time of day.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub submitted_error_ms: Option<u64>,
         /// The name of the client account that submitted it; `None` if it was submitted without a
         /// key.
         #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -50,6 +55,19 @@
     }
 }
 
+impl Manifest {
+    /// Returns the time of submission.
+    pub fn submitted(&self) -> Estimate {
+        self.submitted_error_ms.map_or_else(
+            || Estimate::of_time_of_day(self.submitted),
+            |error_ms| Estimate {
+                unix_ms: self.submitted,
+                error_ms,
+            },
+        )
+    }
+}
+
 plain! {
     /// The status of a batch.
     pub struct BatchStatus {
--- a/crates/gateway/src/batches/takeover.rs
+++ b/crates/gateway/src/batches/takeover.rs
@@ -10,14 +10,14 @@
 use tamaracksail_adapter::store::{Error, Object};
 use tamaracksail_adapter::{batch, names};
 use tamaracksail_model::batch::ItemResult;
-use tamaracksail_policy::batch::{BatchKey, Submission};
+use tamaracksail_policy::batch::{BatchKey, Submission, item_expiry};
 use tokio::sync::Notify;
 
 use super::coordinator::resolve_service;
 use super::result_log::ResultLog;
 use super::schema::{self, BatchStatus, Chunk, Manifest, Part};
 use super::{partial_texts, retention};
-use crate::gateway::{Gateway, now, unix_millis};
+use crate::gateway::{Gateway, now};
 use crate::store::{self, Event};
 
 /// The delay before a failed read of a batch is repeated.
@@ -351,7 +351,8 @@
     let route = table.find(&manifest.host, &manifest.path);
     let batching = route.and_then(|route| route.batching.as_ref());
     let patience = batching.map_or(DEFAULT_PATIENCE, |batching| batching.patience);
-    let age = Duration::from_millis(unix_millis().saturating_sub(manifest.submitted));
+    let (at, time) = (now(), gateway.clock.estimate());
+    let expires = item_expiry(at, time, manifest.submitted(), patience);
     let item_bodies: Vec<(String, Bytes)> = submission
         .items
         .iter()
@@ -368,11 +369,12 @@
         with_result,
         is_single_version: batching.is_some_and(|batching| batching.is_single_version),
         max_attempts: route.map_or(1, |route| route.max_attempts),
-        expires: now().after(patience.saturating_sub(age)),
+        expires,
     };
     log::info!(
         batch = id, step = submission.step, min_version = scheduler_submission.min_version,
-        items = scheduler_submission.items.len(), listed = results.len();
+        items = scheduler_submission.items.len(), listed = results.len(),
+        left_ms = expires.since(at).as_millis(), time_error_ms = time.map(|time| time.error_ms);
         "batch added to the scheduler"
     );
     let batch =
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -16,6 +16,7 @@
 use tamaracksail_process::trace::{Span, SpanKind, TRACEPARENT, Tracer};
 
 use crate::batches::Coordinator;
+use crate::clock::ProcessClock;
 use crate::limits::Limits;
 use crate::metrics::Metrics;
 use crate::options::Options;
@@ -32,6 +33,8 @@
     pub incarnation: u64,
     /// When the process started.
     pub started_at: Instant,
+    /// The estimate of true time.
+    pub clock: ProcessClock,
     /// The port of the metrics; none if they are not served.
     pub metrics_port: Option<u16>,
     /// The HTTP client for backend servers and peers.
@@ -73,6 +76,7 @@
         Self {
             incarnation,
             started_at: now(),
+            clock: ProcessClock::start(options.time_offset_file.clone()),
             metrics_port: options.metrics_port,
             http: http::Client::default(),
             store: store::Client::new(settings.store),
@@ -137,15 +141,6 @@
     Instant(seconds * 1_000_000 + nanos / 1000)
 }
 
-/// The current time in milliseconds since the Unix epoch, for records that other hosts read.
-pub fn unix_millis() -> u64 {
-    std::time::SystemTime::now()
-        .duration_since(std::time::UNIX_EPOCH)
-        .map_or(0, |since| {
-            u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
-        })
-}
-
 /// The address at which other gateways reach the gateway with these settings.
 pub fn peer_address(settings: &Settings) -> SocketAddr {
     SocketAddr::new(settings.address, settings.internal_ports.0)
--- a/crates/gateway/src/limits/sharing.rs
+++ b/crates/gateway/src/limits/sharing.rs
@@ -7,13 +7,13 @@
 use tamaracksail_adapter::store::Object;
 use tamaracksail_policy::fleet::ServerKey;
 use tamaracksail_policy::limit::Authority;
-use tamaracksail_wire::peer::Request as PeerRequest;
+use tamaracksail_wire::peer::{Request as PeerRequest, ServerLimit};
 
 use super::acquisition::{call_holder, describe, observe};
 use super::authority::refresh;
 use super::publication::{KIND, NAME, Publication};
 use crate::batches;
-use crate::gateway::{Gateway, now, unix_millis};
+use crate::gateway::{Gateway, now};
 use crate::store::{self, Event};
 
 /// The time over which changes are collected, and the time between two writes.
@@ -49,7 +49,12 @@
 
 async fn publish(gateway: &Rc<Gateway>) {
     let servers: Vec<ServerKey> = gateway.fleet.borrow().limiter().observed().collect();
-    let publication = Publication::new(unix_millis(), describe(gateway, now(), &servers));
+    let Some(written_at) = gateway.clock.estimate() else {
+        log::warn!("request limits not published, the time is not known");
+        gateway.store_availability.pause(SHARE_INTERVAL).await;
+        return gateway.limits.record_change();
+    };
+    let publication = Publication::new(written_at, describe(gateway, now(), &servers));
     let write = gateway.store.put(KIND, NAME, &publication);
     let error = match tokio::time::timeout(TIMEOUT, write).await {
         Ok(Ok(object)) => {
@@ -92,15 +97,26 @@
         KIND,
         WATCH_DEBOUNCE,
         |event| match event {
-            Event::All(objects) => objects.iter().for_each(|object| merge(&gateway, object)),
-            Event::Changed(object) => merge(&gateway, object),
+            Event::All(objects) => objects
+                .iter()
+                .for_each(|object| merge(&gateway, object, Written::Before)),
+            Event::Changed(object) => merge(&gateway, object, Written::JustNow),
             Event::Removed(_) | Event::StoreFailed => {}
         },
     )
     .await;
 }
 
-fn merge(gateway: &Rc<Gateway>, object: &Object) {
+/// When an object that was read was written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Written {
+    /// Before this process began to watch it.
+    Before,
+    /// While this process watched it.
+    JustNow,
+}
+
+fn merge(gateway: &Rc<Gateway>, object: &Object, written: Written) {
     let publication: Publication = match object.spec() {
         Ok(publication) => publication,
         Err(error) => {
@@ -108,7 +124,10 @@
             return;
         }
     };
-    for limit in publication.servers(unix_millis()) {
+    for (limit, uncertainty) in publication.servers(gateway.clock.estimate()) {
+        if written == Written::Before && is_known_later(gateway, &limit, uncertainty) {
+            continue;
+        }
         if let (Some(_), true) = observe(gateway, &limit) {
             gateway.limits.forget_refusals();
             log::info!(
@@ -118,3 +137,14 @@
         }
     }
 }
+
+/// Whether what this process knows of a server may be newer than a published limit, which may be
+/// older than it states by `uncertainty`.
+fn is_known_later(gateway: &Gateway, limit: &ServerLimit, uncertainty: Duration) -> bool {
+    let fleet = gateway.fleet.borrow();
+    let key = fleet.key_of(&limit.instance, limit.started_at_ms);
+    let Some(known) = key.and_then(|key| fleet.limiter().observation(key)) else {
+        return false;
+    };
+    now().since(known.at) < limit.age_ms.saturating_add(uncertainty)
+}
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -6,6 +6,7 @@
 //! [`batches`], and the process itself.
 
 mod batches;
+mod clock;
 mod connection;
 mod gateway;
 mod limits;
--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -1,5 +1,7 @@
 //! The gateway's command-line options.
 
+use std::path::PathBuf;
+
 use log::LevelFilter;
 use tamaracksail_process::logs::Format;
 use tamaracksail_process::settings::{About, Parser};
@@ -15,6 +17,8 @@
   --log-level LEVEL         off, error, warn, info, debug or trace (default info)
   --otlp-endpoint URL       the collector of spans, over OTLP/HTTP (default: no spans)
   --metrics-port PORT       the port of /metrics, on the host's address (default: not served)
+  --time-offset-file PATH   a file with milliseconds to add to the time of day, to test steps of the
+                            clock (default: none)
   --help, --version
 
 Each option may also be given as an environment variable, such as TAMARACKSAIL_LOG_LEVEL.
@@ -31,6 +35,8 @@
     pub metrics_port: Option<u16>,
     /// The collector that spans are sent to; without it no spans are created.
     pub otlp_endpoint: Option<String>,
+    /// A file with milliseconds to add to the time of day, for tests.
+    pub time_offset_file: Option<PathBuf>,
 }
 
 impl Options {
@@ -46,12 +52,14 @@
         let log_level = parser.with_default("--log-level", LevelFilter::Info);
         let metrics_port = parser.optional("--metrics-port");
         let otlp_endpoint = parser.optional("--otlp-endpoint");
+        let time_offset_file = parser.optional("--time-offset-file");
         parser.finish();
         Self {
             log_format,
             log_level,
             metrics_port,
             otlp_endpoint,
+            time_offset_file,
         }
     }
 }
--- a/crates/gateway/src/peer/server.rs
+++ b/crates/gateway/src/peer/server.rs
@@ -86,7 +86,13 @@
             fence,
             sender,
             has_spare_cpu,
-        } => batches::answer_lease_query(gateway, fence, has_spare_cpu.then_some(sender)).await,
+            time,
+        } => {
+            if let Some(time) = &time {
+                gateway.clock.record_request(time);
+            }
+            batches::answer_lease_query(gateway, fence, has_spare_cpu.then_some(sender)).await
+        }
         PeerRequest::Yield { fence, successor } => batches::yield_lease(gateway, fence, successor),
         PeerRequest::Keep {
             batch,
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -78,9 +78,12 @@
 
     /// Probes the store in an endless loop. When it answers again, all tasks waiting in
     /// [`Availability::recovered`] are woken.
-    pub async fn run_probes(self, client: Client) {
+    ///
+    /// Calls `before_probe` before each probe.
+    pub async fn run_probes(self, client: Client, before_probe: impl Fn()) {
         loop {
             tokio::time::sleep(PROBE_INTERVAL).await;
+            before_probe();
             let probe = client.get_stale(PROBE_KIND, PROBE_NAME);
             let is_answered = matches!(
                 tokio::time::timeout(PROBE_TIMEOUT, probe).await,
--- a/crates/gateway/src/suspects/publication.rs
+++ b/crates/gateway/src/suspects/publication.rs
@@ -6,6 +6,7 @@
 use serde_with::{DisplayFromStr, DurationMilliSeconds};
 use tamaracksail_model::id::{Fingerprint, Host};
 use tamaracksail_model::plain;
+use tamaracksail_policy::clock::Estimate;
 use tamaracksail_wire::Suspect;
 
 /// The kind of these objects. Each has the name of the gateway's host.
@@ -17,8 +18,9 @@
 plain! {
     /// The contents that one gateway suspects.
     pub struct Publication {
-        /// When it was written, in milliseconds since the Unix epoch. For operators only.
-        written_at_ms: u64,
+        /// When it was written, in milliseconds since the Unix epoch, if that was known. For operators
+        /// only: gateways use it in no comparison.
+        written_at_ms: Option<u64>,
         contents: Vec<Content>,
     }
 }
@@ -43,7 +45,7 @@
 
 impl Publication {
     /// Returns an object with these suspects.
-    pub fn new(written_at_ms: u64, suspects: Vec<Suspect>) -> Self {
+    pub fn new(written_at: Option<Estimate>, suspects: Vec<Suspect>) -> Self {
         let contents = suspects.into_iter().map(|suspect| Content {
             fingerprint: suspect.fingerprint.0,
             servers: suspect
@@ -55,7 +57,7 @@
             valid_ms: suspect.valid,
         });
         Self {
-            written_at_ms,
+            written_at_ms: written_at.map(|time| time.unix_ms),
             contents: contents.collect(),
         }
     }
--- a/crates/gateway/src/suspects/sharing.rs
+++ b/crates/gateway/src/suspects/sharing.rs
@@ -9,7 +9,7 @@
 use tamaracksail_wire::Suspect;
 
 use super::publication::{KIND, MAX_CONTENTS, Publication};
-use crate::gateway::{Gateway, now, unix_millis};
+use crate::gateway::{Gateway, now};
 use crate::store::{self, Event};
 
 /// The delay before the first crash of a content is published. Most requests under which a server
@@ -178,7 +178,7 @@
             continue;
         }
         let count = unexpired.len();
-        let publication = Publication::new(unix_millis(), unexpired);
+        let publication = Publication::new(gateway.clock.estimate(), unexpired);
         let host = gateway.settings.borrow().host.clone();
         let write = gateway.store.put(KIND, &host, &publication);
         let error = match tokio::time::timeout(WRITE_TIMEOUT, write).await {
--- a/crates/gateway/src/version/mod.rs
+++ b/crates/gateway/src/version/mod.rs
@@ -15,13 +15,15 @@
 
 /// Starts the probes of the store and all watches.
 pub fn watch_all(gateway: &Rc<Gateway>) {
-    actix_rt::spawn(
-        gateway
-            .store_availability
-            .clone()
-            .run_probes(gateway.store.clone()),
-    );
+    actix_rt::spawn(probe_store(Rc::clone(gateway)));
     actix_rt::spawn(routes::watch(Rc::clone(gateway)));
     actix_rt::spawn(servers::watch(Rc::clone(gateway)));
     actix_rt::spawn(retirements::watch(Rc::clone(gateway)));
 }
+
+/// Probes the store, and samples the time of day with each probe.
+async fn probe_store(gateway: Rc<Gateway>) {
+    let availability = gateway.store_availability.clone();
+    let sample = || gateway.clock.sample();
+    availability.run_probes(gateway.store.clone(), sample).await;
+}
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -18,6 +18,9 @@
 /// How long to wait for a condition before the test fails. Far longer than any should take.
 const CONDITION_TIMEOUT: Duration = Duration::from_mins(1);
 
+/// The name of the file with the offset of a gateway's time of day.
+const TIME_OFFSET: &str = "time-offset";
+
 /// A gateway process, which is killed when dropped.
 pub struct Gateway {
     child: Child,
@@ -46,6 +49,35 @@
         Self::start_with(host, store, 120, Some(endpoint))
     }
 
+    /// Starts a gateway whose time of day is `offset_ms` milliseconds ahead.
+    pub fn with_time_offset(host: &str, store: &Store, offset_ms: i64) -> Self {
+        Self::with_time_offset_and_retention(host, store, offset_ms, 120)
+    }
+
+    /// Starts a gateway whose time of day is `offset_ms` milliseconds ahead and that keeps results
+    /// for `retention_s` seconds.
+    pub fn with_time_offset_and_retention(
+        host: &str,
+        store: &Store,
+        offset_ms: i64,
+        retention_s: u64,
+    ) -> Self {
+        let mut gateway = Self::start_with(host, store, retention_s, None);
+        gateway.kill();
+        gateway.step_time(offset_ms);
+        gateway.restart();
+        gateway
+    }
+
+    /// Sets how far the time of day of the gateway is ahead, in milliseconds. Only for gateways that
+    /// were started with an offset.
+    pub fn step_time(&self, offset_ms: i64) {
+        let path = self.folder.join(TIME_OFFSET);
+        let next = path.with_extension("next");
+        std::fs::write(&next, offset_ms.to_string()).expect("an offset is written");
+        std::fs::rename(next, path).expect("an offset is replaced");
+    }
+
     fn start_with(host: &str, store: &Store, retention_s: u64, spans: Option<String>) -> Self {
         let ip = address();
         let folder = std::env::temp_dir().join(format!("tamaracksail-{ip}"));
@@ -163,6 +195,10 @@
     if let Some(endpoint) = spans {
         command.env("TAMARACKSAIL_OTLP_ENDPOINT", endpoint);
     }
+    let time_offset = folder.join(TIME_OFFSET);
+    if time_offset.exists() {
+        command.env("TAMARACKSAIL_TIME_OFFSET_FILE", time_offset);
+    }
     let mut child = command
         .env(settings::PATH_VARIABLE, folder.join("settings"))
         .stdout(Stdio::piped())
--- a/crates/policy/src/clock/estimate.rs
+++ b/crates/policy/src/clock/estimate.rs
@@ -11,7 +11,19 @@
     pub error_ms: u64,
 }
 
+/// The largest error of a time of day that may have stepped, in milliseconds.
+const MAX_TIME_OF_DAY_ERROR_MS: u64 = 30_350;
+
 impl Estimate {
+    /// Returns the time that the clock of a host showed, which may have stepped.
+    #[must_use]
+    pub fn of_time_of_day(unix_ms: u64) -> Self {
+        Self {
+            unix_ms,
+            error_ms: MAX_TIME_OF_DAY_ERROR_MS,
+        }
+    }
+
     /// Returns how long ago an event must have been at least, which another estimate, of this or
     /// another host, placed at `event`. Zero if it may not have happened yet.
     #[must_use]
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -52,6 +52,20 @@
     }
 }
 
+plain! {
+    /// The true time as the sender of a message estimates it.
+    #[serde_as]
+    pub struct PeerTime {
+        /// The sender's host.
+        pub host: String,
+        /// The time when the message was sent, in milliseconds since the Unix epoch.
+        pub unix_ms: u64,
+        /// For a response, how long after the arrival of the request it was sent.
+        #[serde_as(as = "DurationMilliSeconds<u64>")]
+        pub held_ms: Duration,
+    }
+}
+
 plain! {
     /// A request to another gateway, the peer.
     pub enum Request {
@@ -66,6 +80,9 @@
             /// Whether the sender has enough spare CPU time to schedule.
             #[serde(rename = "is_strong")]
             has_spare_cpu: bool,
+            /// The sender's time, if it is known.
+            #[serde(default)]
+            time: Option<PeerTime>,
         },
         /// Asks a lease holder that cannot reach the store to stop scheduling.
         Yield {
@@ -159,6 +176,9 @@
             is_store_unreachable: bool,
             /// The store's revision of the lease at the peer's last renewal.
             revision: u64,
+            /// The peer's time, if it is known.
+            #[serde(default)]
+            time: Option<PeerTime>,
         },
         /// The peer does not hold the lease and will not act under the fencing token again.
         Released {
