Record the software versions of a service in the store

When all gateways are killed at once, the copies of where streams began are lost, and a version counted only after 20 s of a gateway's own observation, while clients give up after 2 s. An object software/SERVICE now has the versions at which streams may have begun. The first event of a resumable stream waits until the store has acknowledged its version there, and servers of other versions are avoided. A stream of which no gateway has a copy continues at the only version in a record that is read from the store after the interruption, if the record is complete: from its creation with bootstrap, otherwise after 20 s of observation. A version is removed after no server of it was registered for 20 s, which a list read from the store confirms, and never while no other version is registered.

--- a/crates/gateway/src/request/forward.rs
+++ b/crates/gateway/src/request/forward.rs
@@ -69,6 +69,8 @@
     deadline: Instant,
     /// The servers of all attempts so far, in order.
     tried: Vec<ServerKey>,
+    /// The servers of all attempts so far, and those at which no stream can begin yet.
+    avoided: Vec<ServerKey>,
     /// Whether an attempt failed in such a way that the server may have executed the request.
     may_have_run: bool,
     /// When the client should retry, set once the request limits of all servers were used up.
@@ -109,7 +111,9 @@
     let mut service = target.service.clone();
     let mut software = None;
     if let Some(resumed) = Resumed::parse(route, &content.head.headers) {
-        let origin = streams::find(gateway, resumed.attempt.as_deref(), &service).await;
+        let attempt = resumed.attempt.as_deref();
+        let is_only_service = route.targets.iter().all(|found| found.service == service);
+        let origin = streams::find(gateway, attempt, &service, is_only_service).await;
         let origin = origin.filter(|origin| {
             let targets = &mut route.targets.iter();
             targets.any(|target| target.service == origin.service)
@@ -140,6 +144,7 @@
         id,
         deadline,
         tried: Vec::new(),
+        avoided: Vec::new(),
         may_have_run: false,
         limit_retry_after: None,
     };
@@ -195,6 +200,12 @@
                         return client_response(head, Body::full(body));
                     }
                     Outcome::Streaming(_, reply, execution) if self.is_resumable() => {
+                        if !self.may_begin(key).await {
+                            self.log_failure(key, "the software version is not recorded");
+                            // The server ends the stream when its connection is closed.
+                            drop((reply, execution));
+                            return empty_response(StatusCode::BAD_GATEWAY);
+                        }
                         return streaming::relay(self.into_stream(key), *reply, execution);
                     }
                     Outcome::Streaming(first, reply, execution) => {
@@ -229,6 +240,23 @@
         self.route.kind == Kind::Stream && self.route.is_resumable
     }
 
+    /// Waits until the software version of a server is recorded, if a resumable stream begins at it.
+    /// Returns `false` if that takes too long.
+    async fn may_begin(&self, key: ServerKey) -> bool {
+        if self.software.is_some() {
+            return true;
+        }
+        let version = {
+            let fleet = self.gateway.fleet.borrow();
+            fleet.registration(key).map(|found| found.software.clone())
+        };
+        // A stream whose version is not known could be resumed at another one.
+        let Some(version) = version else {
+            return false;
+        };
+        streams::wait_until_recorded(self.gateway, self.service, &version).await
+    }
+
     /// Hands the request over to the relay of a resumable stream.
     fn into_stream(self, key: ServerKey) -> Stream {
         let fleet = self.gateway.fleet.borrow();
@@ -277,6 +305,11 @@
         if !self.has_attempts() || now() >= self.deadline {
             return None;
         }
+        self.avoided.clone_from(&self.tried);
+        if self.is_resumable() && self.software.is_none() {
+            let unrecorded = streams::unrecorded(self.gateway, self.service);
+            self.avoided.extend(unrecorded);
+        }
         match self.verdict() {
             Verdict::Unrestricted => return self.next_shared_attempt().await,
             Verdict::Refused => return None,
@@ -311,7 +344,7 @@
         Candidates {
             service: self.service,
             software: self.software,
-            avoided: &self.tried,
+            avoided: &self.avoided,
             excluded: &[],
         }
     }
--- a/crates/gateway/src/streams/lookup.rs
+++ b/crates/gateway/src/streams/lookup.rs
@@ -10,6 +10,7 @@
 use tamaracksail_wire::peer::{Request as PeerRequest, Response as PeerResponse, StreamOrigin};
 
 use super::membership::record_failure;
+use super::software;
 use crate::gateway::Gateway;
 use crate::peer;
 
@@ -17,15 +18,26 @@
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Returns where the stream began whose first event was brought by the client attempt `attempt`. A
-/// stream of `service` of which no gateway knows began at the only software version that the service
-/// has had for long, if there is one. Returns `None` if the origin cannot be determined.
-pub async fn find(gateway: &Rc<Gateway>, attempt: Option<&str>, service: &str) -> Option<Origin> {
+/// stream of `service` of which no gateway knows began at the only software version that the store has
+/// recorded, unless it may have begun at another service (`is_only_service`), or at the only one that
+/// the service has had for long, if there is one. Returns `None` if the origin cannot be determined.
+pub async fn find(
+    gateway: &Rc<Gateway>,
+    attempt: Option<&str>,
+    service: &str,
+    is_only_service: bool,
+) -> Option<Origin> {
     if let Some(attempt) = attempt
         && let Some(origin) = find_copy(gateway, attempt).await
     {
         return Some(origin);
     }
-    let software = gateway.streams.settled(gateway, service)?;
+    let recorded = if is_only_service {
+        software::only(gateway, service).await
+    } else {
+        None
+    };
+    let software = recorded.or_else(|| gateway.streams.settled(gateway, service))?;
     Some(Origin {
         service: service.to_owned(),
         software,
--- a/crates/gateway/src/streams/membership.rs
+++ b/crates/gateway/src/streams/membership.rs
@@ -7,6 +7,7 @@
 use tamaracksail_adapter::store::Object;
 use tamaracksail_model::plain;
 
+use super::software;
 use crate::gateway::Gateway;
 use crate::store::{self, Event};
 
@@ -29,9 +30,12 @@
 
 /// Registers this gateway and starts to watch the others, once for the process.
 pub fn join(gateway: &Rc<Gateway>) {
+    // The routes may have further services with resumable streams.
+    gateway.streams.software.check();
     if gateway.streams.has_joined.replace(true) {
         return;
     }
+    software::start(gateway);
     actix_rt::spawn(register(Rc::clone(gateway)));
     actix_rt::spawn(watch(Rc::clone(gateway)));
 }
--- a/crates/gateway/src/streams/mod.rs
+++ b/crates/gateway/src/streams/mod.rs
@@ -9,9 +9,11 @@
 mod lookup;
 mod membership;
 mod recording;
+mod software;
 mod state;
 
 pub use lookup::{find, origin_for_peer};
 pub use membership::join;
 pub use recording::{begin, copy, record_server, run};
+pub use software::{unrecorded, wait_until_recorded};
 pub use state::Streams;
--- a/crates/gateway/src/streams/recording.rs
+++ b/crates/gateway/src/streams/recording.rs
@@ -9,6 +9,7 @@
 use tamaracksail_wire::peer::{Request as PeerRequest, Response as PeerResponse, StreamOrigin};
 
 use super::membership::record_failure;
+use super::software;
 use crate::gateway::{Gateway, now};
 use crate::peer;
 
@@ -35,6 +36,7 @@
 /// Records the software version of a server that is registered, or was until now. Streams that began
 /// before a service had a second version are sent to other gateways then.
 pub fn record_server(gateway: &Gateway, server: &Registration) {
+    software::observe(gateway, server);
     let mut versions = gateway.streams.versions.borrow_mut();
     if versions.record(now(), server) {
         drop(versions);
--- a/crates/gateway/src/streams/state.rs
+++ b/crates/gateway/src/streams/state.rs
@@ -8,6 +8,7 @@
 use tamaracksail_wire::peer::StreamOrigin;
 use tokio::sync::Notify;
 
+use super::software::Software;
 use crate::gateway::{Gateway, now};
 
 /// State of the streams' origins that lives as long as the process.
@@ -16,6 +17,7 @@
     pub(super) origins: RefCell<Origins>,
     pub(super) members: RefCell<Members>,
     pub(super) versions: RefCell<Versions>,
+    pub(super) software: Software,
     /// Copies that have not been sent, by the gateway that shall keep them.
     pub(super) unsent: RefCell<BTreeMap<SocketAddr, Vec<StreamOrigin>>>,
     /// Wakes the task that sends copies.
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -49,6 +49,17 @@
         Self::start_with(host, store, 120, Some(endpoint))
     }
 
+    /// Starts a gateway of a new deployment.
+    pub fn with_bootstrap(host: &str, store: &Store) -> Self {
+        let mut gateway = Self::start(host, store);
+        gateway.kill();
+        let path = gateway.folder.join("settings");
+        let text = std::fs::read_to_string(&path).expect("a settings file");
+        std::fs::write(path, settings::with_bootstrap(&text)).expect("a settings file");
+        gateway.restart();
+        gateway
+    }
+
     /// Starts a gateway whose time of day is `offset_ms` milliseconds ahead.
     pub fn with_time_offset(host: &str, store: &Store, offset_ms: i64) -> Self {
         Self::with_time_offset_and_retention(host, store, offset_ms, 120)
--- a/crates/policy/src/streams/mod.rs
+++ b/crates/policy/src/streams/mod.rs
@@ -3,12 +3,14 @@
 //! A stream may only continue at a server whose software has the version of the server that began
 //! it. [`Origins`] keeps the version by the id of the client attempt, [`Members`] chooses the
 //! gateways that keep copies, and [`Versions`] tells whether a service has had only one version for
-//! so long that every stream began there. A stream whose version is not known is not continued.
+//! so long that every stream began there. [`SoftwareRecord`] outlives all gateways. A stream whose version is not known is not continued.
 
 mod members;
 mod origins;
+mod software_record;
 mod versions;
 
 pub use members::{Members, READ_COPIES};
 pub use origins::{Origin, Origins};
-pub use versions::Versions;
+pub use software_record::{Observed, SoftwareRecord};
+pub use versions::{SETTLE_TIME, Versions};
--- a/crates/policy/src/streams/versions.rs
+++ b/crates/policy/src/streams/versions.rs
@@ -1,6 +1,6 @@
 //! The software versions of each service, over time.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use tamaracksail_model::backend::Registration;
@@ -9,7 +9,7 @@
 /// How long a service must have had servers of one version only until every stream that a client may
 /// take up began there. Longer than a stream lasts, and than a server serves requests after its
 /// registration has ended.
-const SETTLE_TIME: Duration = Duration::from_secs(20);
+pub const SETTLE_TIME: Duration = Duration::from_secs(20);
 
 /// The software versions that were registered, by service and version, and when last.
 #[derive(Clone, Debug, Default)]
@@ -38,6 +38,22 @@
         versions.len() > 1
     }
 
+    /// Whether registrations have been observed for [`SETTLE_TIME`].
+    #[must_use]
+    pub fn is_settled(&self, now: Instant) -> bool {
+        self.observed_since
+            .is_some_and(|since| now.since(since) >= SETTLE_TIME)
+    }
+
+    /// Returns the versions of servers of `service` that were registered within [`SETTLE_TIME`]. Those
+    /// of servers that are registered now are not always among them.
+    #[must_use]
+    pub fn recent(&self, now: Instant, service: &str) -> BTreeSet<String> {
+        let seen = self.last_seen.get(service).into_iter().flatten();
+        let recent = seen.filter(|(_, at)| now.since(**at) < SETTLE_TIME);
+        recent.map(|(version, _)| version.clone()).collect()
+    }
+
     /// Returns the only version that servers of `service` have had for long enough, given all
     /// servers that are registered now.
     #[must_use]
