--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -16,6 +16,7 @@
 use tamaracksail_process::trace::{Span, SpanKind, TRACEPARENT, Tracer};
 
 use crate::batches::Coordinator;
+use crate::clock::ProcessClock;
 use crate::limits::Limits;
 use crate::metrics::Metrics;
 use crate::options::Options;
@@ -33,6 +34,8 @@
     pub incarnation: u64,
     /// When the process started.
     pub started_at: Instant,
+    /// The estimate of true time.
+    pub clock: ProcessClock,
     /// The port of the metrics; none if they are not served.
     pub metrics_port: Option<u16>,
     /// The HTTP client for backend servers and peers.
@@ -87,6 +90,7 @@
         Self {
             incarnation,
             started_at: now(),
+            clock: ProcessClock::start(options.time_offset_file.clone()),
             metrics_port: options.metrics_port,
             http,
             store,
@@ -152,38 +156,6 @@
     Instant(seconds * 1_000_000 + nanos / 1000)
 }
 
-/// The current time in milliseconds since the Unix epoch, for records that other hosts read.
-pub fn unix_millis() -> u64 {
-    std::time::SystemTime::now()
-        .duration_since(std::time::UNIX_EPOCH)
-        .map_or(0, |since| {
-            u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
-        })
-}
-
-/// A change of the difference between the time of day and the boot-time clock by more than this, in
-/// milliseconds, is a step of the time of day.
-const MAX_SLEW_MS: u64 = 250;
-
-/// The true time in milliseconds since the Unix epoch, as far as it is known. Steps of the time of day
-/// while the process runs do not move it.
-// Exchange for `policy::clock::Clock::estimate` once it is in this branch: it also corrects a process
-// that starts while the time of day is stepped.
-#[allow(clippy::unnecessary_wraps, reason = "an estimate may be missing")]
-pub fn true_unix_ms() -> Option<u64> {
-    thread_local! {
-        /// The time of day less the boot-time clock, in milliseconds.
-        static DIFFERENCE_MS: Cell<Option<u64>> = const { Cell::new(None) };
-    }
-    let boot_ms = now().0 / 1000;
-    let observed = unix_millis().saturating_sub(boot_ms);
-    let before = DIFFERENCE_MS.get().unwrap_or(observed);
-    let is_step = before.abs_diff(observed) > MAX_SLEW_MS;
-    let difference = if is_step { before } else { observed };
-    DIFFERENCE_MS.set(Some(difference));
-    Some(boot_ms + difference)
-}
-
 /// The address at which other gateways reach the gateway with these settings.
 pub fn peer_address(settings: &Settings) -> SocketAddr {
     SocketAddr::new(settings.address, settings.internal_ports.0)
--- a/crates/gateway/src/usage/connect.rs
+++ b/crates/gateway/src/usage/connect.rs
@@ -11,7 +11,7 @@
 use super::request::Request;
 use super::state::View;
 use crate::batches::has_spare_cpu;
-use crate::gateway::{Gateway, now, true_unix_ms};
+use crate::gateway::{Gateway, now};
 use crate::streams;
 
 /// The time between two checks of what is to be done.
@@ -59,7 +59,7 @@
     let others = others.hosts().filter(|(host, ..)| *host != own_host);
     let others = others.map(|(host, address, has_spare_cpu)| member(host, address, has_spare_cpu));
     View {
-        unix_ms: true_unix_ms(),
+        unix_ms: gateway.clock.estimate().map(|time| time.unix_ms),
         is_scheduler_known: scheduler.is_some(),
         members: std::iter::once(own).chain(others).collect(),
     }
