Pass configurations between gateways that the store does not serve

Cause: a gateway that the store rejects or does not answer went on accepting revoked keys until the store served it again, up to 9 s.

Change: policy::relay decides what is adopted (versions only rise, the first configuration comes from the store alone), how old the knowledge is, and when whom to ask: at most 3 gateways each 500 ms, and only while probes or reads of the store fail. The module configuration of the gateway carries it out; the routes' watch connects it. Texts between gateways have digests in place of keys. With accounts, gateways register as they do for resumable streams, and a watch of the configuration waits 2.5 s instead of 30 s, so that a lost report is caught up within 4 s. Without accounts nothing of this runs.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -16,6 +16,7 @@
 use tamaracksail_process::trace::{Span, SpanKind, TRACEPARENT, Tracer};
 
 use crate::batches::Coordinator;
+use crate::configuration::Configuration;
 use crate::limits::Limits;
 use crate::metrics::Metrics;
 use crate::options::Options;
@@ -42,6 +43,8 @@
     pub store_availability: Availability,
     /// The routes in force; none until the first have been read.
     pub table: RefCell<Option<Rc<Table>>>,
+    /// What is known of the newest routes.
+    pub configuration: Configuration,
     /// The backend servers.
     pub fleet: RefCell<Fleet>,
     /// The state of the servers' request limits.
@@ -79,6 +82,7 @@
             store_availability: Availability::default(),
             settings: RefCell::new(settings),
             table: RefCell::new(None),
+            configuration: Configuration::new(rand::random()),
             fleet: RefCell::new(Fleet::new(Limiter::new(rand::random()))),
             limits: Limits::default(),
             streams: Streams::default(),
--- a/crates/gateway/src/limits/sharing.rs
+++ b/crates/gateway/src/limits/sharing.rs
@@ -94,7 +94,7 @@
         |event| match event {
             Event::All(objects) => objects.iter().for_each(|object| merge(&gateway, object)),
             Event::Changed(object) => merge(&gateway, object),
-            Event::Removed(_) | Event::StoreFailed => {}
+            Event::Removed(_) | Event::Answered(_) | Event::StoreFailed => {}
         },
     )
     .await;
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -6,6 +6,7 @@
 //! [`batches`], and the process itself.
 
 mod batches;
+mod configuration;
 mod connection;
 mod gateway;
 mod limits;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -44,6 +44,12 @@
     pub scheduling: IntGauge,
     /// The version of the routes in force.
     pub routes_version: IntGauge,
+    /// How long ago the routes in force were confirmed to be the newest, in milliseconds.
+    pub routes_age_ms: IntGauge,
+    /// 1 while this age exceeds its bound, else 0.
+    pub routes_overdue: IntGauge,
+    /// Questions to other gateways for newer routes, by outcome.
+    pub routes_questions: IntCounterVec,
 }
 
 impl Metrics {
@@ -118,6 +124,19 @@
                 "scheduling",
                 "1 while this process schedules batches, else 0.",
             ),
+            routes_age_ms: gauge(
+                "routes_age_milliseconds",
+                "How long ago the routes in force were confirmed to be the newest.",
+            ),
+            routes_overdue: gauge(
+                "routes_overdue",
+                "1 while the age of the routes in force exceeds its bound, else 0.",
+            ),
+            routes_questions: counter(
+                "routes_questions",
+                "Questions to other gateways for newer routes.",
+                &["outcome"],
+            ),
             routes_version: gauge("routes_version", "The version of the routes in force."),
             registry,
         }
--- a/crates/gateway/src/peer/server.rs
+++ b/crates/gateway/src/peer/server.rs
@@ -24,6 +24,7 @@
 use crate::limits;
 use crate::request::{empty_response, response_with_body};
 use crate::streams;
+use crate::version;
 
 /// Listens on the host's first internal port.
 ///
@@ -134,6 +135,13 @@
             PeerResponse::Kept
         }
         PeerRequest::FindOrigin { attempt } => streams::origin_for_peer(gateway, attempt),
+        PeerRequest::Configuration {
+            version: asked,
+            age_ms,
+        } => {
+            log::debug!(version = asked, age_ms; "another gateway asks for newer routes");
+            version::routes_for_peer(gateway, asked)
+        }
         PeerRequest::Drafts { part, parts } => PeerResponse::Drafts {
             partial_texts: gateway.coordinator.partial_texts(part, parts),
             groups: gateway.coordinator.past_groups(),
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -6,8 +6,11 @@
 use std::time::Duration;
 
 use tamaracksail_adapter::store::{Changes, Client, Error, Object};
+use tamaracksail_model::time::Instant;
 use tokio::sync::Notify;
 
+use crate::gateway::now;
+
 /// How long a watch waits for a change: the longest that the platform allows, because each watch is
 /// charged. The kernel's keep-alive probes detect a dead connection much sooner.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(30);
@@ -41,6 +44,7 @@
 pub struct Availability {
     recovered: Rc<Notify>,
     is_unavailable: Rc<Cell<bool>>,
+    probed: Rc<Notify>,
 }
 
 impl Availability {
@@ -49,6 +53,13 @@
         self.recovered.notified().await;
     }
 
+    /// Waits for the end of a probe, and returns whether the store answered it. Only one task may
+    /// wait.
+    pub async fn probed(&self) -> bool {
+        self.probed.notified().await;
+        !self.is_unavailable.get()
+    }
+
     /// Fails while the store is known not to answer, so that callers fail at once instead of after
     /// a timeout. `call` names the refused call in the error.
     ///
@@ -87,6 +98,7 @@
                 Ok(Ok(_) | Err(Error::Missing { .. }))
             );
             let was_unavailable = self.is_unavailable.replace(!is_answered);
+            self.probed.notify_one();
             if is_answered && was_unavailable {
                 log::info!("store available again, watches restarted");
                 self.recovered.notify_waiters();
@@ -106,6 +118,8 @@
     Changed(&'a Object),
     /// An object was removed.
     Removed(&'a Object),
+    /// The store answered a call, and all changes until this time are reported.
+    Answered(Instant),
     /// A call to the store failed; reported once until a call succeeds.
     StoreFailed,
 }
@@ -119,12 +133,29 @@
     availability: Availability,
     kind: &str,
     debounce: Duration,
+    report: impl FnMut(Event),
+) {
+    watch_kind_within(client, availability, kind, debounce, || None, report).await;
+}
+
+/// As [`watch_kind`], with a limit on the time that a watch may take: a change whose report is lost
+/// is seen by the next watch. `limit` returns it before each watch; without one, lost connections
+/// alone end a watch early.
+pub async fn watch_kind_within(
+    client: Client,
+    availability: Availability,
+    kind: &str,
+    debounce: Duration,
+    limit: impl Fn() -> Option<Duration>,
     mut report: impl FnMut(Event),
 ) {
     let mut pause = MIN_RETRY_DELAY;
     let mut is_failing = false;
     let mut revision = None;
     loop {
+        let limit = limit();
+        let started_at = now();
+        let mut known_at = started_at;
         let outcome = match revision {
             None => match list(&client, kind).await {
                 Ok((objects, at)) => {
@@ -133,7 +164,7 @@
                 }
                 Err(error) => Err(error),
             },
-            Some(at) => match watch(&client, &availability, kind, at).await {
+            Some(at) => match watch(&client, &availability, kind, at, limit).await {
                 Ok(changes) => {
                     for change in &changes.events {
                         report(if change.is_removed {
@@ -144,6 +175,11 @@
                     }
                     if !changes.events.is_empty() {
                         tokio::time::sleep(debounce).await;
+                    } else if let Some(limit) = limit
+                        && now() >= started_at.after(limit)
+                    {
+                        // The store waited that long for a change.
+                        known_at = started_at.after(limit);
                     }
                     Ok(changes.revision)
                 }
@@ -156,6 +192,7 @@
                     log::info!(kind, revision = at; "store calls succeed again");
                     is_failing = false;
                 }
+                report(Event::Answered(known_at));
                 revision = Some(at);
                 pause = MIN_RETRY_DELAY;
             }
@@ -176,16 +213,30 @@
     }
 }
 
-/// Watches until a change. If the store recovers from an outage meanwhile, asks again for changes
-/// since `at`, as the pending watch may never complete.
+/// Watches until a change, or until `limit`. If the store recovers from an outage meanwhile, asks
+/// again for changes since `at`, as the pending watch may never complete.
 async fn watch(
     client: &Client,
     availability: &Availability,
     kind: &str,
     at: u64,
+    limit: Option<Duration>,
 ) -> Result<Changes, Error> {
+    let pending = async {
+        let Some(limit) = limit else {
+            return client.watch(kind, at, WATCH_TIMEOUT).await;
+        };
+        let watch = client.watch(kind, at, limit);
+        let changes = tokio::time::timeout(limit + PROBE_TIMEOUT, watch).await;
+        changes.unwrap_or_else(|_| {
+            Err(Error::Unknown {
+                call: format!("watch of {kind}"),
+                problem: "no response in time".to_owned(),
+            })
+        })
+    };
     tokio::select! {
-        changes = client.watch(kind, at, WATCH_TIMEOUT) => changes,
+        changes = pending => changes,
         () = availability.recovered() => client.watch(kind, at, Duration::ZERO).await,
     }
 }
--- a/crates/gateway/src/streams/membership.rs
+++ b/crates/gateway/src/streams/membership.rs
@@ -65,7 +65,7 @@
             }
             Event::Changed(object) => add(&gateway, object),
             Event::Removed(object) => members.borrow_mut().remove(&object.name),
-            Event::StoreFailed => {}
+            Event::Answered(_) | Event::StoreFailed => {}
         },
     )
     .await;
--- a/crates/gateway/src/streams/mod.rs
+++ b/crates/gateway/src/streams/mod.rs
@@ -4,7 +4,8 @@
 //! While a service has several software versions, the gateway at which a stream begins sends the version
 //! to two others. Nothing waits for that: a stream whose origin cannot be found is not continued. The
 //! gateways find each other by one object each in the platform's store, which exists only while a
-//! route has streams that may be resumed.
+//! route has streams that may be resumed, or client accounts are configured: see
+//! [`crate::configuration`].
 
 mod lookup;
 mod membership;
--- a/crates/gateway/src/streams/state.rs
+++ b/crates/gateway/src/streams/state.rs
@@ -25,6 +25,11 @@
 }
 
 impl Streams {
+    /// Returns the addresses of the other gateways.
+    pub fn peers(&self) -> Vec<SocketAddr> {
+        self.members.borrow().addresses()
+    }
+
     /// Records that the list of backend servers has been read.
     pub fn record_list(&self) {
         self.versions.borrow_mut().record_list(now());
--- a/crates/gateway/src/suspects/sharing.rs
+++ b/crates/gateway/src/suspects/sharing.rs
@@ -63,7 +63,7 @@
                     publish_missing(&gateway, &[]);
                 }
             }
-            Event::StoreFailed => {}
+            Event::Answered(_) | Event::StoreFailed => {}
         },
     )
     .await;
--- a/crates/gateway/src/version/mod.rs
+++ b/crates/gateway/src/version/mod.rs
@@ -7,6 +7,7 @@
 mod servers;
 
 pub use confirmation::{identify, send};
+pub use routes::for_peer as routes_for_peer;
 pub use servers::{Source, observe_response};
 
 use std::rc::Rc;
--- a/crates/gateway/src/version/servers.rs
+++ b/crates/gateway/src/version/servers.rs
@@ -80,6 +80,7 @@
                     remove(&gateway, &object.name);
                 }
             }
+            Event::Answered(_) => {}
             Event::StoreFailed => failed_at.set(Some(now())),
         },
     )
--- a/crates/gateway/tests/accounts.rs
+++ b/crates/gateway/tests/accounts.rs
@@ -51,7 +51,9 @@
         assert_eq!(accepted.expect("a response").status, 202);
         read_results(&client, "batch", 2).await;
         let servers = world.engines.iter().chain([&world.app]);
-        let arrivals: Vec<_> = servers.flat_map(|server| server.arrivals()).collect();
+        let arrivals: Vec<_> = servers
+            .flat_map(tamaracksail_adapter_standins::Engine::arrivals)
+            .collect();
         assert_eq!(arrivals.len(), 4);
         for arrival in arrivals {
             assert_eq!(arrival.accounts, ["north"], "{}", arrival.call);
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -18,6 +18,9 @@
 /// How long to wait for a condition before the test fails. Far longer than any should take.
 const CONDITION_TIMEOUT: Duration = Duration::from_mins(1);
 
+/// The port on which gateways serve metrics.
+const METRICS_PORT: u16 = 7010;
+
 /// A gateway process, which is killed when dropped.
 pub struct Gateway {
     child: Child,
@@ -137,6 +140,26 @@
         found.cloned().collect()
     }
 
+    /// Returns all log lines so far.
+    pub fn all_log_lines(&self) -> Vec<Value> {
+        self.lines.lock().expect("no reader panics").clone()
+    }
+
+    /// Returns the sum of a metric over its labels; 0 if it was never set.
+    pub async fn metric(&self, name: &str) -> u64 {
+        let client = Client::new(SocketAddr::new(self.ip, METRICS_PORT));
+        let response = client.request("metrics", "/metrics", "").await;
+        let body = response.expect("the metrics").body;
+        let text = String::from_utf8_lossy(&body).into_owned();
+        let prefix = format!("tamaracksail_gateway_{name}");
+        let values = text.lines().filter_map(|line| {
+            let (label, value) = line.strip_prefix(&prefix)?.rsplit_once(' ')?;
+            let is_exact = label.is_empty() || label.starts_with('{');
+            is_exact.then(|| value.parse::<u64>().expect("a number"))
+        });
+        values.sum()
+    }
+
     /// Waits for a log line with an event, and returns the first.
     pub async fn wait_for_log(&self, event: &str) -> Value {
         wait_until(event, async || !self.log_lines(event).is_empty()).await;
@@ -164,6 +187,7 @@
         command.env("TAMARACKSAIL_OTLP_ENDPOINT", endpoint);
     }
     let mut child = command
+        .env("TAMARACKSAIL_METRICS_PORT", METRICS_PORT.to_string())
         .env(settings::PATH_VARIABLE, folder.join("settings"))
         .stdout(Stdio::piped())
         .spawn()
--- a/crates/model/src/account.rs
+++ b/crates/model/src/account.rs
@@ -20,6 +20,18 @@
         let is_possible = !text.is_empty() && text.len() <= MAX_KEY_BYTES;
         is_possible.then(|| Self(Sha256::digest(text).into()))
     }
+
+    /// Returns the key with a digest.
+    #[must_use]
+    pub fn from_bytes(digest: [u8; 32]) -> Self {
+        Self(digest)
+    }
+
+    /// Returns the digest.
+    #[must_use]
+    pub fn to_bytes(self) -> [u8; 32] {
+        self.0
+    }
 }
 
 impl fmt::Debug for Key {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -19,6 +19,7 @@
 //! - [`reward::Queue`]: the calls that score the texts of items;
 //! - [`limit::Limiter`]: the request limits that backend servers state;
 //! - [`streams`]: where streams began that clients take up at any gateway;
+//! - [`relay::Relay`]: the configuration in force at a gateway, and whom it asks for a newer one;
 //! - [`lease::Lease`]: which process is the scheduling gateway.
 //!
 //! The modules that they share are grouped by the lifetime of their state: [`request`],
@@ -34,6 +35,7 @@
 pub mod lease;
 pub mod limit;
 pub mod process;
+pub mod relay;
 pub mod request;
 pub mod reward;
 pub mod streams;
--- a/crates/policy/src/streams/members.rs
+++ b/crates/policy/src/streams/members.rs
@@ -58,6 +58,12 @@
         self.0.retain(|host, _| hosts.contains(&host.as_str()));
     }
 
+    /// Returns the addresses of all gateways.
+    #[must_use]
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.0.values().map(|member| member.address).collect()
+    }
+
     /// Returns the gateways that should keep a copy of the origin of a stream.
     #[must_use]
     pub fn keepers(&self, now: Instant, attempt: &str) -> Vec<SocketAddr> {
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -52,6 +52,16 @@
     }
 }
 
+plain! {
+    /// The text of a configuration, in which keys are replaced by their digests.
+    pub struct Configuration {
+        /// The store's revision of the object.
+        pub revision: u64,
+        /// The text.
+        pub text: String,
+    }
+}
+
 plain! {
     /// A request to another gateway, the peer.
     pub enum Request {
@@ -146,6 +156,13 @@
             /// The id of the client attempt that brought the first event.
             attempt: String,
         },
+        /// Asks for a newer configuration, from a gateway that the store does not serve.
+        Configuration {
+            /// The version that the sender uses.
+            version: u64,
+            /// How long ago the sender's version was confirmed to be the newest, in milliseconds.
+            age_ms: Option<u64>,
+        },
     }
 }
 
@@ -216,5 +233,14 @@
             /// The origin.
             origin: Option<StreamOrigin>,
         },
+        /// The peer's configuration.
+        Configuration {
+            /// The version that the peer uses; none if it has none or no accounts are configured.
+            version: Option<u64>,
+            /// How long ago it was confirmed to be the newest, in milliseconds.
+            age_ms: Option<u64>,
+            /// The configuration, if it is newer than the sender's.
+            newer: Option<Configuration>,
+        },
     }
 }
