--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -7,6 +7,7 @@
 
 mod batches;
 mod clock;
+mod configuration;
 mod connection;
 mod gateway;
 mod limits;
--- a/crates/gateway/src/peer/server.rs
+++ b/crates/gateway/src/peer/server.rs
@@ -25,6 +25,7 @@
 use crate::request::{empty_response, response_with_body};
 use crate::streams;
 use crate::usage;
+use crate::version;
 
 /// Listens on the host's first internal port.
 ///
@@ -150,6 +151,13 @@
         PeerRequest::PullUsage { reporter, from } => {
             usage::counts_for_peer(gateway, reporter, from)
         }
+        PeerRequest::Configuration {
+            version: asked,
+            age_ms,
+        } => {
+            log::debug!(version = asked, age_ms; "another gateway asks for newer routes");
+            version::routes_for_peer(gateway, asked)
+        }
         PeerRequest::Drafts { part, parts } => PeerResponse::Drafts {
             partial_texts: gateway.coordinator.partial_texts(part, parts),
             groups: gateway.coordinator.past_groups(),
--- a/crates/gateway/src/usage/reporting.rs
+++ b/crates/gateway/src/usage/reporting.rs
@@ -122,7 +122,7 @@
             Event::Removed(object) if object.name == NAME => {
                 self.duty.borrow_mut().observe_absent(now());
             }
-            Event::Changed(_) | Event::Removed(_) | Event::StoreFailed => {}
+            Event::Changed(_) | Event::Removed(_) | Event::Answered(_) | Event::StoreFailed => {}
         }
     }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -19,6 +19,7 @@
 //! - [`reward::Queue`]: the calls that score the texts of items;
 //! - [`limit::Limiter`]: the request limits that backend servers state;
 //! - [`streams`]: where streams began that clients take up at any gateway;
+//! - [`relay::Relay`]: the configuration in force at a gateway, and whom it asks for a newer one;
 //! - [`clock::Clock`]: true time, whatever steps the time of day makes;
 //! - [`lease::Lease`]: which process is the scheduling gateway;
 //! - [`duty::Duty`]: which process reports, and until when it may send;
@@ -39,6 +40,7 @@
 pub mod lease;
 pub mod limit;
 pub mod process;
+pub mod relay;
 pub mod request;
 pub mod reward;
 pub mod streams;
