Share a full service fairly among client accounts

Cause: requests of client accounts went to the servers in the order of their arrival.

Change: `policy::admission::Queue` decides, per gateway and service, who begins, waits or is refused: by priority, start-time fair queueing over accounts, then order. `request::admission` puts it in front of the choice of a server where accounts are configured. What cannot begin in time is refused at once with a spread Retry-After; a request whose client disconnects leaves the queue. Among waiting items of batches the account with the fewest running items goes first.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -15,6 +15,7 @@
 use tamaracksail_policy::limit::Limiter;
 use tamaracksail_process::trace::{Span, SpanKind, TRACEPARENT, Tracer};
 
+use crate::admission::Queues;
 use crate::batches::Coordinator;
 use crate::limits::Limits;
 use crate::metrics::Metrics;
@@ -44,6 +45,8 @@
     pub table: RefCell<Option<Rc<Table>>>,
     /// The backend servers.
     pub fleet: RefCell<Fleet>,
+    /// The requests of client accounts that run or wait.
+    pub admission: Queues,
     /// The state of the servers' request limits.
     pub limits: Limits,
     /// The origins of streams.
@@ -80,6 +83,7 @@
             settings: RefCell::new(settings),
             table: RefCell::new(None),
             fleet: RefCell::new(Fleet::new(Limiter::new(rand::random()))),
+            admission: Queues::default(),
             limits: Limits::default(),
             streams: Streams::default(),
             suspects: Suspects::default(),
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -5,6 +5,7 @@
 //! lifetime of what they handle: [`request`], [`connection`], [`version`] (routes and servers),
 //! [`batches`], and the process itself.
 
+mod admission;
 mod batches;
 mod connection;
 mod gateway;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -13,6 +13,8 @@
 #[derive(Debug)]
 pub struct Metrics {
     registry: Registry,
+    /// Requests of client accounts, by whether they began at once, waited or were refused.
+    pub admissions: IntCounterVec,
     /// Responses to clients, by route kind and status.
     pub responses: IntCounterVec,
     /// The seconds from a request's arrival to its response.
@@ -79,6 +81,11 @@
             gauge
         };
         Self {
+            admissions: counter(
+                "admissions",
+                "Requests of client accounts, by how they got a slot.",
+                &["outcome"],
+            ),
             responses: counter("answers", "Responses to clients.", &["kind", "status"]),
             latency: histogram(
                 "latency_seconds",
@@ -140,6 +147,11 @@
         self.continuations.with_label_values(&[label]).inc();
     }
 
+    /// Counts a request of a client account that got a slot or was refused.
+    pub fn record_admission(&self, outcome: &str) {
+        self.admissions.with_label_values(&[outcome]).inc();
+    }
+
     /// Counts a response to a client and records its latency.
     pub fn record_response(&self, kind: &str, status: u16, latency: Duration) {
         self.responses
--- a/crates/gateway/src/request/forward.rs
+++ b/crates/gateway/src/request/forward.rs
@@ -11,6 +11,7 @@
 use hyper::header::HeaderMap;
 use hyper::{Response, StatusCode};
 use tamaracksail_adapter::ingress;
+use tamaracksail_model::account::Caller;
 use tamaracksail_model::route::{Kind, Route};
 use tamaracksail_model::table::draw_target;
 use tamaracksail_model::time::Instant;
@@ -19,6 +20,7 @@
 use tamaracksail_process::trace::SpanKind;
 use tokio::sync::mpsc;
 
+use super::admission::{self, Admitted};
 use super::attempt::{Attempt, Outcome};
 use super::content::Content;
 use super::execution::Execution;
@@ -73,6 +75,8 @@
     may_have_run: bool,
     /// When the client should retry, set once the request limits of all servers were used up.
     limit_retry_after: Option<Duration>,
+    /// The request's slot; none without client accounts.
+    admitted: Option<Admitted>,
 }
 
 /// A stream that a request resumes.
@@ -97,6 +101,7 @@
 pub async fn forward(
     gateway: &Rc<Gateway>,
     route: &Route,
+    caller: &Caller,
     mut content: Content,
     id: &str,
     arrival: Instant,
@@ -131,7 +136,8 @@
     }
     let span = gateway.span("request", SpanKind::Server, &mut content.head.headers);
     let content = Rc::new(content);
-    let forwarding = Forwarding {
+    let admitted = admission::admit(gateway, route, &service, caller, deadline).await;
+    let forwarding = admitted.map(|admitted| Forwarding {
         gateway,
         route,
         service: &service,
@@ -142,8 +148,12 @@
         tried: Vec::new(),
         may_have_run: false,
         limit_retry_after: None,
+        admitted,
+    });
+    let response = match forwarding {
+        Ok(forwarding) => forwarding.run().await,
+        Err(retry_after) => retry_later(retry_after),
     };
-    let response = forwarding.run().await;
     let latency = now().since(arrival);
     let code = response.status().as_u16();
     let kind = match route.kind {
@@ -185,6 +195,7 @@
             tokio::select! {
                 Some((key, outcome)) = pending.next() => match self.count_outcome(outcome) {
                     Outcome::Complete(head, body) => {
+                        self.record_served();
                         let is_failure = head.status.is_server_error();
                         if is_failure && self.may_repeat() {
                             self.log_failure(key, head.status.as_str());
@@ -198,7 +209,9 @@
                         return streaming::relay(self.into_stream(key), *reply, execution);
                     }
                     Outcome::Streaming(first, reply, execution) => {
-                        return self.relay_chunks(first, *reply, execution);
+                        self.record_served();
+                        let admitted = self.admitted.take();
+                        return self.relay_chunks(first, *reply, execution, admitted);
                     }
                     Outcome::NotRun(problem) => self.log_failure(key, &problem),
                     Outcome::Failed(problem) => {
@@ -224,6 +237,12 @@
         }
     }
 
+    fn record_served(&self) {
+        if let Some(admitted) = &self.admitted {
+            admitted.record_served();
+        }
+    }
+
     /// Whether the response is a stream that another server may continue.
     fn is_resumable(&self) -> bool {
         self.route.kind == Kind::Stream && self.route.is_resumable
@@ -248,6 +267,7 @@
             deadline: self.deadline,
             attempts_left: (self.route.max_attempts as usize).saturating_sub(self.tried.len()),
             tried: self.tried,
+            admitted: self.admitted,
         }
     }
 
@@ -355,6 +375,9 @@
     fn send(&self, attempt: Attempt, cause: Cause) -> PendingAttempt<'a> {
         let key = attempt.key;
         cause.count(self.gateway, key);
+        if let Some(admitted) = &self.admitted {
+            admitted.record_sent();
+        }
         if let Some(registration) = self.gateway.fleet.borrow().registration(key) {
             log::debug!(
                 request = self.id, server = registration.instance.as_str(), attempt = self.tried.len();
@@ -431,12 +454,14 @@
         first: Bytes,
         mut reply: tamaracksail_http::IncomingResponse,
         execution: Execution,
+        admitted: Option<Admitted>,
     ) -> Response<Body> {
         let (sender, chunks) = mpsc::channel(MAX_BUFFERED_CHUNKS);
         let length = reply.length().map(|left| left + first.len() as u64);
         let head = reply.head.clone();
         let end = self.deadline.after(RELAY_MARGIN).since(now());
         actix_rt::spawn(async move {
+            let _admitted = admitted;
             let mut end = pin!(tokio::time::sleep(end));
             if sender.send(Ok(first)).await.is_err() {
                 return;
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -1,5 +1,6 @@
 //! Handling of one request of a client.
 
+mod admission;
 mod attempt;
 mod content;
 mod execution;
@@ -158,7 +159,7 @@
         return batches::accept(gateway, route, &caller, &head, &id, body, deadline).await;
     }
     let content = Content::new(head, body);
-    forward::forward(gateway, route, content, &id, arrival, deadline).await
+    forward::forward(gateway, route, &caller, content, &id, arrival, deadline).await
 }
 
 /// Reads a body of at most `max_bytes`.
--- a/crates/gateway/src/request/streaming.rs
+++ b/crates/gateway/src/request/streaming.rs
@@ -13,6 +13,7 @@
 use tamaracksail_policy::request::suspects::Verdict;
 use tokio::sync::mpsc;
 
+use super::admission::Admitted;
 use super::attempt::{Attempt, Outcome};
 use super::content::Content;
 use super::execution::Execution;
@@ -45,6 +46,8 @@
     pub attempts_left: usize,
     /// The servers of all attempts so far, in order.
     pub tried: Vec<ServerKey>,
+    /// The stream's slot, which it keeps until it ends; none without client accounts.
+    pub admitted: Option<Admitted>,
 }
 
 /// Relays a stream to the client event by event. The client gets the head of the first server's
@@ -87,6 +90,9 @@
             let problem = match relay_events(&mut reply, &client, &mut last).await {
                 Ok(()) => {
                     execution.complete();
+                    if let Some(admitted) = &self.admitted {
+                        admitted.record_served();
+                    }
                     reply.release(&self.gateway.http);
                     return;
                 }
--- a/crates/gateway/tests/accounts.rs
+++ b/crates/gateway/tests/accounts.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use common::{Gateway, World, read_results, run, wait_until};
 use hyper::Method;
+use tamaracksail_adapter_standins::Engine;
 use tamaracksail_adapter_standins::settings::{self, with_accounts};
 
 /// The time between two events of a stream.
@@ -51,7 +52,7 @@
         assert_eq!(accepted.expect("a response").status, 202);
         read_results(&client, "batch", 2).await;
         let servers = world.engines.iter().chain([&world.app]);
-        let arrivals: Vec<_> = servers.flat_map(|server| server.arrivals()).collect();
+        let arrivals: Vec<_> = servers.flat_map(Engine::arrivals).collect();
         assert_eq!(arrivals.len(), 4);
         for arrival in arrivals {
             assert_eq!(arrival.accounts, ["north"], "{}", arrival.call);
--- a/crates/model/src/account.rs
+++ b/crates/model/src/account.rs
@@ -50,6 +50,8 @@
 pub struct Accounts {
     by_key: BTreeMap<Key, Arc<Account>>,
     names: Vec<String>,
+    /// The priorities of the accounts that state one.
+    priorities: BTreeMap<String, u8>,
 }
 
 impl Accounts {
@@ -67,6 +69,9 @@
             }
         }
         self.names.push(account.name.clone());
+        if let Some(priority) = account.priority {
+            self.priorities.insert(account.name.clone(), priority);
+        }
         Ok(())
     }
 
@@ -76,6 +81,12 @@
         self.by_key.get(&key)
     }
 
+    /// Returns the priority of the account with this name, if it states one.
+    #[must_use]
+    pub fn priority(&self, name: &str) -> Option<u8> {
+        self.priorities.get(name).copied()
+    }
+
     /// Returns the names of all accounts.
     pub fn names(&self) -> impl Iterator<Item = &str> {
         self.names.iter().map(String::as_str)
--- a/crates/policy/src/batch/dispatch.rs
+++ b/crates/policy/src/batch/dispatch.rs
@@ -11,6 +11,7 @@
 use super::run::Run;
 use super::scheduler::Scheduler;
 use super::scoring;
+use super::sharing::Order;
 use super::task::{Stage, TaskKey};
 
 /// Starts waiting items on engines with free slots.
@@ -22,8 +23,11 @@
         .values()
         .map(Engine::free_slots)
         .sum();
-    let waiting: Vec<(u64, TaskKey)> = scheduler.queue.iter().copied().collect();
-    for (rank, key) in waiting {
+    if free_slots == 0 {
+        return;
+    }
+    let mut order = Order::new(scheduler);
+    while let Some((rank, key)) = order.take_next() {
         if free_slots == 0 {
             return;
         }
@@ -55,6 +59,7 @@
         {
             scheduler.queue.remove(&(rank, key));
             start_run(scheduler, now, key, engine);
+            order.record_start();
             free_slots -= 1;
         }
     }
--- a/crates/policy/src/batch/mod.rs
+++ b/crates/policy/src/batch/mod.rs
@@ -19,6 +19,7 @@
 mod run;
 mod scheduler;
 mod scoring;
+mod sharing;
 mod stragglers;
 mod submission;
 mod task;
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -1,5 +1,7 @@
 //! The backend servers that requests may be sent to, and the choice among them.
 
+mod room;
+
 use std::cmp::Ordering;
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -15,6 +15,7 @@
 //! The gateway, which sends requests directly to servers and keeps durable state in the
 //! platform's store, uses:
 //! - [`fleet::Fleet`]: the choice of a backend server for a request;
+//! - [`admission::Queue`]: which account's request begins next while a service is full;
 //! - [`batch::Scheduler`]: the items of batches, their results and the weights of engines;
 //! - [`reward::Queue`]: the calls that score the texts of items;
 //! - [`limit::Limiter`]: the request limits that backend servers state;
@@ -25,6 +26,7 @@
 //! [`connection`], [`version`] and [`process`]. [`store`] has the calls to the platform's store.
 
 pub mod acquire_delay;
+pub mod admission;
 pub mod agent;
 pub mod batch;
 pub mod connection;
