--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -15,6 +15,7 @@
 use tamaracksail_policy::limit::Limiter;
 use tamaracksail_process::trace::{Span, SpanKind, TRACEPARENT, Tracer};
 
+use crate::admission::Queues;
 use crate::batches::Coordinator;
 use crate::clock::ProcessClock;
 use crate::configuration::Configuration;
@@ -51,6 +52,8 @@
     pub configuration: Configuration,
     /// The backend servers.
     pub fleet: RefCell<Fleet>,
+    /// The requests of client accounts that run or wait.
+    pub admission: Queues,
     /// The state of the servers' request limits.
     pub limits: Limits,
     /// The origins of streams.
@@ -102,6 +105,7 @@
             table: RefCell::new(None),
             configuration: Configuration::new(rand::random()),
             fleet: RefCell::new(Fleet::new(Limiter::new(rand::random()))),
+            admission: Queues::default(),
             limits: Limits::default(),
             streams: Streams::default(),
             suspects: Suspects::default(),
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -1,5 +1,6 @@
 //! Handling of one request of a client.
 
+mod admission;
 mod attempt;
 mod content;
 mod execution;
@@ -160,7 +161,7 @@
     }
     let mut content = Content::new(head, body);
     content.usage = usage::request(gateway, &caller);
-    forward::forward(gateway, route, content, &id, arrival, deadline).await
+    forward::forward(gateway, route, &caller, content, &id, arrival, deadline).await
 }
 
 /// Reads a body of at most `max_bytes`.
--- a/crates/policy/src/batch/mod.rs
+++ b/crates/policy/src/batch/mod.rs
@@ -21,6 +21,7 @@
 mod run;
 mod scheduler;
 mod scoring;
+mod sharing;
 mod stragglers;
 mod submission;
 mod task;
