Choose servers and engines by the pace that they state

Cause: servers share hosts, so a third of them is lastingly slower and each has slow phases of 600 ms. Choices followed averages of durations that lag behind.

Change: the fourth figure of the load header is parsed. policy::pace keeps a lasting and a momentary pace. The fleet uses it for the expected latency, for how long a reported load stays in use and for whether a second attempt pays; the batch scheduler for the placement of long and optional items, for what counts as a slow engine and for moves to permanently faster engines. Figures that disagree with durations are not used.

The new tests were not run without the change, except by comparison.

--- a/crates/gateway/src/batches/item_run.rs
+++ b/crates/gateway/src/batches/item_run.rs
@@ -17,6 +17,7 @@
 
 use crate::gateway::{Gateway, now};
 use crate::limits::Cause;
+use crate::request;
 use crate::version::{self, Source, observe_response};
 
 /// How long connecting to an engine may take. With a healthy engine it takes one round trip.
@@ -125,6 +126,10 @@
     let mut response = result.map_err(|error| broken(error.to_string()))?;
     let head = ResponseHead::parse(&response.head, Some(&item.id));
     observe_response(gateway, registration, &head, Source::Request);
+    if let Some(reading) = request::stated_pace(registration, &head) {
+        let mut scheduler = gateway.coordinator.scheduler.borrow_mut();
+        scheduler.record_pace(now(), run, reading);
+    }
     let code = response.head.status;
     if head.is_not_run {
         return Err((Failure::Refused, format!("{code}: not run")));
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -19,6 +19,7 @@
 
 use super::content::Content;
 use super::execution::Execution;
+use super::pace;
 use super::trial::Trial;
 use crate::gateway::{Gateway, now};
 use crate::version::{self, Source, observe_response};
@@ -160,6 +161,7 @@
             let mut fleet = self.gateway.fleet.borrow_mut();
             fleet.record_load(now(), self.key, load.running + load.waiting);
         }
+        pace::record(now(), &self.gateway.fleet, self.key, &response);
         let code = reply.head.status;
         // Without this request's id the response may belong to an earlier request on the connection.
         if !response.matches_request && !response.is_not_run {
--- a/crates/gateway/src/request/forward.rs
+++ b/crates/gateway/src/request/forward.rs
@@ -22,6 +22,7 @@
 use super::attempt::{Attempt, Outcome};
 use super::content::Content;
 use super::execution::Execution;
+use super::pace;
 use super::response::{UNAVAILABLE_RETRY_AFTER, empty_response, retry_later};
 use super::streaming::{self, Stream};
 use super::trial::Trial;
@@ -38,6 +39,9 @@
 /// second server.
 const HEDGE_AFTER_SHARE: f64 = 0.5;
 
+/// When a second attempt that does not pay is considered again. Slots become free within this time.
+const HEDGE_RETRY: Duration = Duration::from_millis(20);
+
 /// The share of the route's latency objective for which a request waits for a permit.
 const PERMIT_WAIT_SHARE: f64 = 0.5;
 
@@ -169,7 +173,8 @@
     /// Makes attempts until one yields the response, none is left or the deadline passes.
     async fn run(mut self) -> Response<Body> {
         let mut pending: FuturesUnordered<PendingAttempt<'a>> = FuturesUnordered::new();
-        let hedge_at = now().after(self.route.objective.mul_f64(HEDGE_AFTER_SHARE));
+        let overdue_at = now().after(self.route.objective);
+        let mut hedge_at = now().after(self.route.objective.mul_f64(HEDGE_AFTER_SHARE));
         let mut last_failure = None;
         loop {
             if pending.is_empty() {
@@ -210,7 +215,9 @@
                     }
                 },
                 () = tokio::time::sleep(hedge_at.since(now())), if may_hedge && self.tried.len() == 1 => {
-                    if let Some(next) = self.hedge() {
+                    if !self.hedge_pays(now() >= overdue_at) {
+                        hedge_at = now().after(HEDGE_RETRY);
+                    } else if let Some(next) = self.hedge() {
                         log::info!(request = self.id; "request hedged to a second server");
                         pending.push(next);
                     }
@@ -306,6 +313,16 @@
         }
     }
 
+    /// Whether a second attempt pays now. `is_overdue` says that the objective has passed.
+    fn hedge_pays(&self, is_overdue: bool) -> bool {
+        let settings = self.gateway.settings.borrow();
+        let query = self.candidates().query(&settings.domain, &[]);
+        let fleet = self.gateway.fleet.borrow();
+        self.tried
+            .first()
+            .is_none_or(|first| pace::hedge_pays(now(), &fleet, self.id, *first, query, is_overdue))
+    }
+
     /// The servers that may take the request. Those not tried yet are preferred.
     fn candidates(&self) -> Candidates<'_> {
         Candidates {
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod manifest;
 pub mod object;
 pub mod outcome;
+pub mod pace;
 pub mod rate;
 pub mod reward;
 pub mod route;
--- a/crates/policy/src/batch/dispatch.rs
+++ b/crates/policy/src/batch/dispatch.rs
@@ -7,6 +7,7 @@
 use super::action::Action;
 use super::ending;
 use super::engine::{Engine, EngineKey};
+use super::placement;
 use super::pool::Requirements;
 use super::run::Run;
 use super::scheduler::Scheduler;
@@ -85,6 +86,7 @@
         min_version,
         version,
         software: task.text.software.as_deref(),
+        preference: placement::preference(task, batch.longest),
     }
 }
 
--- a/crates/policy/src/batch/engine.rs
+++ b/crates/policy/src/batch/engine.rs
@@ -5,6 +5,8 @@
 use tamaracksail_model::backend::{Registration, State};
 use tamaracksail_model::time::Instant;
 
+use crate::pace::Pace;
+
 slotmap::new_key_type! {
     /// Identifies one incarnation of one engine.
     pub struct EngineKey;
@@ -25,6 +27,17 @@
 /// by about ten samples.
 const INTERVAL_SMOOTHING: f64 = 0.1;
 
+/// The time over which the interval of an engine that states its pace is averaged. Shorter averages
+/// would take a slow phase of 600 ms for a slow engine.
+const LASTING_TIME_MS: f64 = 20_000.0;
+
+/// The least time that the lasting average covers before it is used.
+const MIN_LASTING_MS: f64 = 2000.0;
+
+/// How long the intervals of an engine that states its pace must be too long before it counts as
+/// slow: two slow phases and a half.
+const LASTING_SLOWNESS: Duration = Duration::from_millis(1500);
+
 /// A load of weights in progress.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) struct Loading {
@@ -43,6 +56,14 @@
     /// The moving average of the time between two events of a run, in milliseconds; `None` before
     /// the first sample.
     pub(crate) event_interval_ms: Option<f64>,
+    /// The same over a longer time, and the milliseconds that it covers.
+    lasting_interval_ms: (f64, f64),
+    /// When the last interval ended.
+    last_interval_at: Option<Instant>,
+    /// Since when the moving average exceeds the median by too much.
+    slow_since: Option<Instant>,
+    /// The pace that the engine states in its responses.
+    pub(crate) pace: Pace,
     /// When the engine may get work again after failures.
     pub(crate) backoff_until: Instant,
     /// Failures since the last event.
@@ -62,6 +83,10 @@
             registration,
             running: 0,
             event_interval_ms: None,
+            lasting_interval_ms: (0.0, 0.0),
+            last_interval_at: None,
+            slow_since: None,
+            pace: Pace::default(),
             backoff_until: Instant(0),
             failures: 0,
             loading: None,
@@ -96,9 +121,45 @@
     }
 
     /// Records the time between two events.
-    pub(crate) fn record_interval(&mut self, millis: f64) {
+    pub(crate) fn record_interval(&mut self, now: Instant, millis: f64) {
         let old = self.event_interval_ms.unwrap_or(millis);
         self.event_interval_ms = Some(old + (millis - old) * INTERVAL_SMOOTHING);
+        // Runs side by side tell about the same time, which counts once.
+        let last = self.last_interval_at.replace(now);
+        let elapsed = last.map_or(millis, |last| now.since(last).as_secs_f64() * 1000.0);
+        let weight = elapsed.min(millis);
+        let (average, covered) = self.lasting_interval_ms;
+        let covered = (covered + weight).min(LASTING_TIME_MS);
+        if covered > 0.0 {
+            let average = average + (millis - average) * (weight / covered);
+            self.lasting_interval_ms = (average, covered);
+        }
+    }
+
+    /// Returns the lasting time between two events of a run in milliseconds, if it is known.
+    pub(crate) fn lasting_interval_ms(&self) -> Option<f64> {
+        let (average, covered) = self.lasting_interval_ms;
+        (covered >= MIN_LASTING_MS).then_some(average)
+    }
+
+    /// Returns how long work lastingly takes compared with other engines, whose median interval is
+    /// `median_ms`: by the observed intervals, and by the stated pace while too few are known.
+    pub(crate) fn lasting_factor(&self, median_ms: Option<f64>) -> f64 {
+        match (self.lasting_interval_ms(), median_ms) {
+            (Some(interval), Some(median)) if median > 0.0 => interval / median,
+            _ => self.pace.lasting(),
+        }
+    }
+
+    /// Records whether the intervals are too long at the moment.
+    pub(crate) fn record_slowness(&mut self, now: Instant, is_slow: bool) {
+        self.slow_since = is_slow.then(|| self.slow_since.unwrap_or(now));
+    }
+
+    /// Whether the intervals are too long for longer than a slow phase lasts.
+    pub(crate) fn is_lastingly_slow(&self) -> bool {
+        let at = self.last_interval_at;
+        matches!((self.slow_since, at), (Some(since), Some(at)) if at.since(since) >= LASTING_SLOWNESS)
     }
 
     /// Records a failure, and starts or extends the backoff once there are [`BACKOFF_FAILURES`].
--- a/crates/policy/src/batch/mod.rs
+++ b/crates/policy/src/batch/mod.rs
@@ -14,6 +14,7 @@
 mod ending;
 mod engine;
 mod open_batch;
+mod placement;
 mod pool;
 mod reports;
 mod run;
--- a/crates/policy/src/batch/open_batch.rs
+++ b/crates/policy/src/batch/open_batch.rs
@@ -37,6 +37,8 @@
     /// The number of complete groups that the trainer waits for.
     pub(crate) target_groups: usize,
     pub(crate) groups: Vec<Group>,
+    /// The number of events of the longest item that the trainer waits for.
+    pub(crate) longest: u64,
     pub(crate) tasks: Vec<TaskKey>,
     /// Whether each text must come from one version.
     pub(crate) is_single_version: bool,
--- a/crates/policy/src/batch/pool.rs
+++ b/crates/policy/src/batch/pool.rs
@@ -7,6 +7,7 @@
 use tamaracksail_model::time::Instant;
 
 use super::engine::{Engine, EngineKey};
+use super::placement::{self, Preference};
 
 /// An engine is slow if its event interval exceeds the median by this factor. Intervals of fully
 /// loaded engines of one kind differ by a tenth.
@@ -22,6 +23,8 @@
     pub(crate) version: Option<u64>,
     /// The only version of the software allowed, if the item has text.
     pub(crate) software: Option<&'a str>,
+    /// Which of several engines it prefers.
+    pub(crate) preference: Preference,
 }
 
 /// All engines.
@@ -113,13 +116,41 @@
         intervals.get(intervals.len() / 2).copied()
     }
 
-    /// Whether an engine is slower than the median by [`SLOW_FACTOR`].
+    /// Returns the median of the lasting event intervals of the engines that state their pace, in
+    /// milliseconds.
+    pub(crate) fn lasting_median_ms(&self) -> Option<f64> {
+        let stating = self
+            .engines
+            .values()
+            .filter(|engine| engine.pace.is_known());
+        let mut intervals: Vec<f64> = stating.filter_map(Engine::lasting_interval_ms).collect();
+        intervals.sort_by(f64::total_cmp);
+        intervals.get(intervals.len() / 2).copied()
+    }
+
+    /// Records which engines that state their pace are slow at the moment.
+    pub(crate) fn record_slowness(&mut self, now: Instant, median_ms: Option<f64>) {
+        for engine in self.engines.values_mut() {
+            let is_slow = exceeds(engine.event_interval_ms, median_ms);
+            engine.record_slowness(now, is_slow);
+        }
+    }
+
+    /// Whether an engine is slower than the median by [`SLOW_FACTOR`]. One that states its pace must
+    /// be so for longer than a slow phase lasts.
     pub(crate) fn is_slow(&self, key: EngineKey, median_ms: Option<f64>) -> bool {
+        if let Some(engine) = self
+            .engines
+            .get(key)
+            .filter(|engine| engine.pace.is_known())
+        {
+            return engine.is_lastingly_slow();
+        }
         let interval = self
             .engines
             .get(key)
             .and_then(|engine| engine.event_interval_ms);
-        matches!((interval, median_ms), (Some(ms), Some(median)) if ms > median * SLOW_FACTOR)
+        exceeds(interval, median_ms)
     }
 
     /// Whether only a version is allowed that no engine of the service holds or will load. `newest` is
@@ -155,7 +186,8 @@
     }
 
     /// Chooses an engine with a free slot for an item. Engines that are not slow come first, then
-    /// those assigned to the item's model, then those with the lowest share of used slots.
+    /// those assigned to the item's model, then those of the pace that the item prefers, then those
+    /// with the lowest share of used slots.
     pub(crate) fn choose(
         &self,
         now: Instant,
@@ -163,6 +195,7 @@
         median_ms: Option<f64>,
         excluded: Option<EngineKey>,
     ) -> Option<EngineKey> {
+        let lasting_median_ms = self.lasting_median_ms();
         self.engines
             .iter()
             .filter(|(key, engine)| {
@@ -174,12 +207,20 @@
                 let is_assigned_elsewhere = requirements.model.is_some()
                     && engine.assigned_model.as_deref() != requirements.model;
                 let fill = engine.running * 100 / engine.registration.slots.max(1);
-                (self.is_slow(*key, median_ms), is_assigned_elsewhere, fill)
+                let (before, after) =
+                    placement::order(now, engine, requirements.preference, lasting_median_ms);
+                let is_slow = self.is_slow(*key, median_ms);
+                (is_slow, is_assigned_elsewhere, before, fill, after)
             })
             .map(|(key, _)| key)
     }
 }
 
+/// Whether an interval exceeds the median by [`SLOW_FACTOR`].
+fn exceeds(interval_ms: Option<f64>, median_ms: Option<f64>) -> bool {
+    matches!((interval_ms, median_ms), (Some(ms), Some(median)) if ms > median * SLOW_FACTOR)
+}
+
 /// Whether an engine accepts work and meets the requirements of an item.
 fn can_run(now: Instant, engine: &Engine, requirements: &Requirements) -> bool {
     if engine.registration.service != requirements.service || !engine.accepts_work(now) {
--- a/crates/policy/src/batch/reports.rs
+++ b/crates/policy/src/batch/reports.rs
@@ -72,7 +72,7 @@
     if let Some(engine) = scheduler.pool.engines.get_mut(engine) {
         engine.record_success();
         if !is_first {
-            engine.record_interval(millis);
+            engine.record_interval(now, millis);
         }
     }
     true
--- a/crates/policy/src/batch/scheduler.rs
+++ b/crates/policy/src/batch/scheduler.rs
@@ -7,6 +7,7 @@
 use tamaracksail_model::backend::Registration;
 use tamaracksail_model::batch::PartialText;
 use tamaracksail_model::checkpoint::Checkpoint;
+use tamaracksail_model::pace::Reading;
 use tamaracksail_model::reward::Call;
 use tamaracksail_model::time::Instant;
 
@@ -17,7 +18,9 @@
 use super::run::Run;
 use super::submission::{self, Submission};
 use super::task::{Task, TaskKey};
-use super::{affinity, checkpointing, dispatch, ending, reports, scoring, stragglers, weights};
+use super::{
+    affinity, checkpointing, dispatch, ending, placement, reports, scoring, stragglers, weights,
+};
 use crate::fleet::Fleet;
 use crate::reward::{self, CallKey};
 
@@ -162,6 +165,11 @@
         reports::response_started(self, now, run, version)
     }
 
+    /// Records the pace that an engine stated in the response of a run.
+    pub fn record_pace(&mut self, now: Instant, run: u64, reading: Reading) {
+        placement::record_pace(self, now, run, reading);
+    }
+
     /// Appends an event to an item's text. Returns false if the run must be closed.
     pub fn record_event(
         &mut self,
@@ -281,6 +289,7 @@
         }
         dispatch::dispatch(self, now);
         stragglers::move_slow(self, now);
+        placement::move_to_faster(self, now);
         for (key, batch) in &mut self.batches {
             if let Some(results) = batch.take_results(now) {
                 self.actions.push(Action::WriteResults {
--- a/crates/policy/src/batch/stragglers.rs
+++ b/crates/policy/src/batch/stragglers.rs
@@ -37,6 +37,7 @@
 /// runs after [`dispatch::dispatch`], so the free slots are of no use to them.
 pub(super) fn move_slow(scheduler: &mut Scheduler, now: Instant) {
     let median_ms = scheduler.pool.median_interval_ms();
+    scheduler.pool.record_slowness(now, median_ms);
     let slow_runs: Vec<u64> = scheduler
         .runs
         .iter()
--- a/crates/policy/src/batch/submission.rs
+++ b/crates/policy/src/batch/submission.rs
@@ -68,6 +68,8 @@
     for name in &names {
         scheduler.past_groups.insert(name.clone(), now);
     }
+    let awaited = (0..lengths.len()).filter(|group| !optional.contains(group));
+    let longest = awaited.map(|group| lengths[group]).max().unwrap_or(0);
     let groups = names
         .into_iter()
         .enumerate()
@@ -84,6 +86,7 @@
         min_version: submission.min_version,
         target_groups: target,
         groups,
+        longest,
         tasks: Vec::new(),
         is_single_version: submission.is_single_version,
         max_attempts: submission.max_attempts,
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -1,5 +1,7 @@
 //! The backend servers that requests may be sent to, and the choice among them.
 
+mod pace;
+
 use std::cmp::Ordering;
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
@@ -11,6 +13,7 @@
 
 use crate::connection::choice;
 use crate::limit::Limiter;
+use crate::pace::Latency;
 use crate::request::survival::Listing;
 
 slotmap::new_key_type! {
@@ -18,12 +21,6 @@
     pub struct ServerKey;
 }
 
-/// The latency that is assumed for a server that has not responded yet.
-const INITIAL_LATENCY: Duration = Duration::from_millis(25);
-
-/// The weight of the newest sample in the moving average of a server's latency.
-const LATENCY_SAMPLE_WEIGHT: f64 = 0.2;
-
 /// How long a load that a server reported is used. Requests last tens of milliseconds.
 const LOAD_VALIDITY: Duration = Duration::from_millis(300);
 
@@ -76,8 +73,8 @@
     pub registration: Registration,
     /// Requests that this gateway sent to the server and that have not ended.
     in_flight: u32,
-    /// The moving average of latencies.
-    latency_seconds: f64,
+    /// How long requests take.
+    latency: Latency,
     /// The load that the server reported last, and when.
     load: Option<(u32, Instant)>,
     backoff_until: Instant,
@@ -94,7 +91,7 @@
         Self {
             registration,
             in_flight: 0,
-            latency_seconds: INITIAL_LATENCY.as_secs_f64(),
+            latency: Latency::default(),
             load: None,
             backoff_until: Instant(0),
             failures: 0,
@@ -107,7 +104,7 @@
     fn load(&self, now: Instant) -> u32 {
         let reported = self
             .load
-            .filter(|(_, at)| now.since(*at) < LOAD_VALIDITY)
+            .filter(|(_, at)| now.since(*at) < self.load_validity())
             .map_or(0, |(load, _)| load);
         self.in_flight.max(reported)
     }
@@ -123,7 +120,7 @@
         } else {
             CROSS_DOMAIN_COST.as_secs_f64()
         };
-        self.latency_seconds * (1.0 + utilization.max(utilization * utilization))
+        self.latency.expected_seconds(now) * (1.0 + utilization.max(utilization * utilization))
             + cross_domain_cost
     }
 }
@@ -418,13 +415,15 @@
         server.in_flight = server.in_flight.saturating_sub(1);
         match outcome {
             SendOutcome::Responded(latency) => {
-                server.record_latency(latency);
+                server.record_latency(now, latency);
                 server.failures = 0;
                 server.backoff_until = Instant(0);
             }
             // The response would have taken at least this long.
-            SendOutcome::Abandoned(latency) if latency.as_secs_f64() > server.latency_seconds => {
-                server.record_latency(latency);
+            SendOutcome::Abandoned(latency)
+                if latency.as_secs_f64() > server.latency.expected_seconds(now) =>
+            {
+                server.record_latency(now, latency);
             }
             SendOutcome::Abandoned(_) => {}
             SendOutcome::Refused => server.load = Some((server.registration.slots * 2, now)),
@@ -460,10 +459,4 @@
     fn is_backing_off(&self, now: Instant) -> bool {
         now < self.backoff_until
     }
-
-    /// Adds a sample to the moving average.
-    fn record_latency(&mut self, latency: Duration) {
-        self.latency_seconds +=
-            (latency.as_secs_f64() - self.latency_seconds) * LATENCY_SAMPLE_WEIGHT;
-    }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -17,6 +17,7 @@
 //! - [`fleet::Fleet`]: the choice of a backend server for a request;
 //! - [`batch::Scheduler`]: the items of batches, their results and the weights of engines;
 //! - [`reward::Queue`]: the calls that score the texts of items;
+//! - [`pace::Pace`]: how fast a server works, lastingly and at this moment;
 //! - [`limit::Limiter`]: the request limits that backend servers state;
 //! - [`streams`]: where streams began that clients take up at any gateway;
 //! - [`lease::Lease`]: which process is the scheduling gateway.
@@ -33,6 +34,7 @@
 pub mod fleet;
 pub mod lease;
 pub mod limit;
+pub mod pace;
 pub mod process;
 pub mod request;
 pub mod reward;
--- a/crates/policy/tests/common/engines.rs
+++ b/crates/policy/tests/common/engines.rs
@@ -6,6 +6,7 @@
 use tamaracksail_model::backend::{Registration, State};
 use tamaracksail_model::batch::{Ending, Item, ItemResult};
 use tamaracksail_model::checkpoint::Checkpoint;
+use tamaracksail_model::pace::Reading;
 use tamaracksail_model::time::Instant;
 use tamaracksail_policy::batch::{
     Action, BatchKey, CHECKPOINT_SLOTS, EngineKey, Failure, Scheduler, Submission, join_segments,
@@ -50,6 +51,12 @@
     due_at: Instant,
 }
 
+/// Returns how long work takes at the engine with this name.
+fn pace_of(pace: Option<fn(usize, Instant) -> f64>, engine: &str, now: Instant) -> f64 {
+    let number = engine[1..].parse().expect("a number follows the letter");
+    pace.map_or(1.0, |pace| pace(number, now))
+}
+
 /// The simulation. It checks each start and each result.
 pub struct Simulation {
     pub now: Instant,
@@ -65,6 +72,10 @@
     pub stops: BTreeMap<&'static str, usize>,
     /// The highest number of concurrent loads.
     pub max_concurrent_loads: usize,
+    /// How long work takes at an engine at a moment, by the engine's number. Without it, always normal.
+    pub pace: Option<fn(usize, Instant) -> f64>,
+    /// Whether engines state their pace in responses.
+    pub states_pace: bool,
     /// Whether load commands may be sent.
     pub may_command: bool,
     /// The ids of open batches by their keys.
@@ -95,6 +106,8 @@
             load_count: 0,
             stops: BTreeMap::new(),
             max_concurrent_loads: 0,
+            pace: None,
+            states_pace: false,
             may_command: true,
             open_batches: BTreeMap::new(),
             runs: BTreeMap::new(),
@@ -392,7 +405,8 @@
             drop(generated_by.split_off(&run.next));
             generated_by.insert(run.next, engine.version);
             run.next += 1;
-            run.due_at = self.now.after(engine.event_interval);
+            let pace = pace_of(self.pace, &run.engine, self.now);
+            run.due_at = self.now.after(engine.event_interval.mul_f64(pace));
             if !is_wanted {
                 self.runs.remove(&number);
             }
@@ -431,7 +445,12 @@
                 assert!(!is_elsewhere, "{} runs twice", item.id);
                 let event_interval = self.engines[&engine].event_interval;
                 let next = after.unwrap_or(0) + 1;
-                let due_at = self.now.after(event_interval);
+                let pace = pace_of(self.pace, &engine, self.now);
+                let due_at = self.now.after(event_interval.mul_f64(pace));
+                if self.states_pace {
+                    let reading = Reading::from_percent(pace * 100.0).expect("a usable figure");
+                    self.scheduler.record_pace(self.now, run, reading);
+                }
                 let item = item.id.clone();
                 let software = self.engines[&engine].software;
                 if after.is_none() {
--- /dev/null
+++ b/crates/policy/tests/placement.rs
@@ -0,0 +1,110 @@
+//! Which engines items run on where engines state their pace. All times are virtual.
+
+#[path = "common/engines.rs"]
+#[allow(dead_code, reason = "each test file uses a part")]
+mod engines;
+#[path = "common/paces.rs"]
+#[allow(dead_code, reason = "each test file uses a part")]
+mod paces;
+
+use std::time::Duration;
+
+use engines::Simulation;
+use tamaracksail_model::time::Instant;
+
+const EVENT_INTERVAL: Duration = Duration::from_millis(40);
+
+/// Plays steps of groups of four items, one in sixteen items five times as long, and returns the mean
+/// duration of a step in milliseconds. Warms up with two steps.
+fn train(simulation: &mut Simulation, steps: usize, groups: usize) -> f64 {
+    let mut total = Duration::ZERO;
+    for step in 0..steps + 2 {
+        let lengths = |group: usize| {
+            let long = if group % 4 == 3 { 100 } else { 20 };
+            [18, 20, 22 + (group as u64 % 5), long]
+        };
+        let submitted: Vec<(String, [u64; 4])> = (0..groups)
+            .map(|group| (format!("s{step}g{group}"), lengths(group)))
+            .collect();
+        let slices: Vec<(&str, &[u64])> = submitted
+            .iter()
+            .map(|(name, lengths)| (name.as_str(), &lengths[..]))
+            .collect();
+        let id = format!("step-{step}");
+        simulation.submit(&id, 1, groups, &slices);
+        let took = simulation.run_until_complete(&id, groups);
+        if step >= 2 {
+            total += took;
+        }
+        simulation.end(&id);
+        simulation.run_for(Duration::from_millis(500));
+    }
+    total.as_secs_f64() * 1000.0 / f64::from(u32::try_from(steps).expect("few steps"))
+}
+
+fn play(pace: fn(usize, Instant) -> f64, states_pace: bool, groups: usize) -> (f64, Simulation) {
+    let mut simulation = Simulation::new(12, 8, EVENT_INTERVAL);
+    simulation.pace = Some(pace);
+    simulation.states_pace = states_pace;
+    let mean = train(&mut simulation, 8, groups);
+    println!(
+        "{groups} groups, pace stated: {states_pace}: {mean:.0} ms a step, stops {:?}",
+        simulation.stops
+    );
+    (mean, simulation)
+}
+
+fn hosts(engine: usize, _: Instant) -> f64 {
+    paces::lasting(engine)
+}
+
+fn phases(engine: usize, now: Instant) -> f64 {
+    if paces::is_in_phase(engine, now) {
+        2.5
+    } else {
+        1.0
+    }
+}
+
+/// Guards against long items on slow hosts, which decide when a step is complete.
+#[test]
+fn steps_are_faster_if_engines_state_their_pace() {
+    for groups in [10, 20, 24] {
+        let (without, _) = play(paces::mixed, false, groups);
+        let (with, _) = play(paces::mixed, true, groups);
+        assert!(
+            with < without,
+            "{groups} groups: {with} ms, without {without} ms"
+        );
+    }
+}
+
+/// Guards against long items on slow hosts where there are enough fast ones: without phases, a step
+/// takes as long as its longest item on a fast engine, after one tick per event.
+#[test]
+fn long_items_run_on_engines_that_are_permanently_fast() {
+    let (with, _) = play(hosts, true, 10);
+    assert!(with < 100.0 * 45.0, "{with} ms");
+}
+
+/// Guards against draining of an engine that is slow only for the moment.
+#[test]
+fn an_engine_in_a_slow_phase_keeps_its_items() {
+    let (_, simulation) = play(phases, true, 20);
+    assert_eq!(simulation.stops.get("the engine is slow"), None);
+}
+
+/// Guards against items that stay at an engine which has become slow for good.
+#[test]
+fn an_engine_that_stays_slow_loses_its_items() {
+    fn pace(engine: usize, now: Instant) -> f64 {
+        let is_late = now > Instant::from_millis(1_010_000);
+        if engine == 4 && is_late { 3.5 } else { 1.0 }
+    }
+    let (_, simulation) = play(pace, true, 20);
+    assert!(
+        simulation.stops.contains_key("the engine is slow"),
+        "{:?}",
+        simulation.stops
+    );
+}
