Let a reporter that schedules batches leave the duty to another gateway

Candidates that schedule batches come last, but the scheduling lease is often acquired after the duty, and the busiest gateway then also reported. A holder that schedules, and has held the duty for 10 s, marks the object as released when a gateway with CPU time to spare does not schedule; another candidate may acquire it half a lease later, when the right to send has ended.

--- a/crates/gateway/src/usage/reporting.rs
+++ b/crates/gateway/src/usage/reporting.rs
@@ -6,7 +6,7 @@
 use tamaracksail_adapter::store::{Error, Object};
 use tamaracksail_model::time::Instant;
 use tamaracksail_model::usage::Report;
-use tamaracksail_policy::duty::{Record, Write, rank};
+use tamaracksail_policy::duty::{Member, Record, Write, rank};
 use tamaracksail_wire::peer::Reporter;
 
 use super::state::{Usage, View};
@@ -33,6 +33,10 @@
 /// arrive.
 const SETTLE_TIME: Duration = Duration::from_secs(1);
 
+/// How long a gateway keeps the duty before it leaves it to another. The scheduling lease may move
+/// with each batch.
+const MIN_HOLDING_TIME: Duration = Duration::from_secs(10);
+
 /// The time between two attempts to write the object.
 const WRITE_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -68,7 +72,8 @@
             self.duty.borrow_mut().record_store_unavailable(now);
         }
         if is_store_available && now.since(self.written_at.get()) >= WRITE_INTERVAL {
-            let write = self.next_write(now, unix_ms, position);
+            let is_released = self.is_to_be_released(now, &ranked);
+            let write = self.next_write(now, unix_ms, position, is_released);
             if let Some(write) = write {
                 self.written_at.set(now);
                 actix_rt::spawn(Rc::clone(self).write(write));
@@ -163,8 +168,29 @@
         outbox.set(now(), fixed, |window| confirmed.contains(&window));
     }
 
+    /// Whether this process, if it holds the duty, should leave it: it schedules batches, and a gateway
+    /// that does not has CPU time to spare.
+    fn is_to_be_released(&self, now: Instant, ranked: &[Member]) -> bool {
+        let mut members = ranked.iter();
+        let is_scheduler = members.any(|own| own.host == self.own.host && own.is_scheduler);
+        let has_better = ranked
+            .first()
+            .is_some_and(|best| !best.is_scheduler && !best.is_unresponsive && best.has_spare_cpu);
+        let is_held_long = self
+            .acquired_at
+            .get()
+            .is_some_and(|at| now.since(at) >= MIN_HOLDING_TIME);
+        is_scheduler && has_better && is_held_long
+    }
+
     /// Returns the write of the object that is due. `position` is that among the candidates.
-    fn next_write(&self, now: Instant, unix_ms: u64, position: Option<usize>) -> Option<Write> {
+    fn next_write(
+        &self,
+        now: Instant,
+        unix_ms: u64,
+        position: Option<usize>,
+        is_released: bool,
+    ) -> Option<Write> {
         let mut duty = self.duty.borrow_mut();
         if let Some(write) = duty.retry() {
             return Some(write);
@@ -198,7 +224,9 @@
             });
             window = window.next();
         }
-        self.duty.borrow_mut().renew(now, first_open, fixed)
+        self.duty
+            .borrow_mut()
+            .renew(now, first_open, fixed, is_released)
     }
 
     /// Writes the object.
--- a/crates/gateway/tests/common/reporting.rs
+++ b/crates/gateway/tests/common/reporting.rs
@@ -42,29 +42,39 @@
 impl Site {
     /// Starts a platform and gateways.
     pub async fn start(gateways: usize) -> Self {
-        let world = World::start(1, 3, Duration::from_millis(5)).await;
+        Self::start_with(gateways, Duration::from_millis(5)).await
+    }
+
+    /// Starts a platform, whose servers send three events at an interval, and gateways.
+    pub async fn start_with(gateways: usize, interval: Duration) -> Self {
+        let world = World::start(1, 3, interval).await;
         let routes = with_accounts(settings::routes(2), &ACCOUNTS);
         world.store.put_routes(routes);
         let cloud = Cloud::start(SocketAddr::new(address(), 7300)).await;
         let cloud = cloud.expect("the cloud starts");
-        let mut started = Vec::new();
-        for number in 0..gateways {
-            started.push(Gateway::with_settings(
-                &format!("front-{number}"),
-                &world.store,
-                |text| with_cloud(&text, cloud.address, 5.0),
-            ));
-        }
-        for gateway in &started {
-            gateway.wait_until_ready().await;
-        }
-        Self {
+        let mut site = Self {
             world,
             cloud,
-            gateways: started,
+            gateways: Vec::new(),
             truth: BTreeMap::new(),
             number: 0,
+        };
+        for _ in 0..gateways {
+            site.add_gateway();
         }
+        for gateway in &site.gateways {
+            gateway.wait_until_ready().await;
+        }
+        site
+    }
+
+    /// Starts a further gateway.
+    pub fn add_gateway(&mut self) {
+        let host = format!("front-{}", self.gateways.len());
+        let cloud = self.cloud.address;
+        let change = |text: String| with_cloud(&text, cloud, 5.0);
+        let gateway = Gateway::with_settings(&host, &self.world.store, change);
+        self.gateways.push(gateway);
     }
 
     /// Sends a request of an account to a gateway. It begins in the present window: close to a
--- a/crates/gateway/tests/usage.rs
+++ b/crates/gateway/tests/usage.rs
@@ -146,6 +146,39 @@
     });
 }
 
+#[test]
+fn a_reporter_that_schedules_batches_leaves_the_duty_to_another_gateway() {
+    run(async {
+        // Items take a minute, so the batch stays open.
+        let mut site = Site::start_with(1, Duration::from_secs(20)).await;
+        wait_until("a reporter exists", async || site.reporter().is_some()).await;
+        let client = site.gateways[0].client().with_key("key-of-north");
+        let accepted = client.submit("batch", &["i1"], 1).await;
+        assert_eq!(accepted.expect("a response").status, 202);
+        site.gateways[0].wait_for_log("scheduling started").await;
+        site.add_gateway();
+        site.gateways[1].wait_until_ready().await;
+        let begin = Instant::now();
+        wait_until("the other gateway reports", async || {
+            site.reporter() == Some(1)
+        })
+        .await;
+        // It is left at the end of a window that lies 10 s after its acquisition.
+        assert!(
+            begin.elapsed() < Duration::from_secs(20),
+            "{:?}",
+            begin.elapsed()
+        );
+        tokio::time::sleep(Duration::from_secs(2 * WINDOW_S)).await;
+        let arrivals = site.cloud.arrivals();
+        assert_eq!(
+            arrivals.last().expect("a report").holder,
+            site.gateways[1].host()
+        );
+        site.check_unique();
+    });
+}
+
 #[test]
 fn reports_wait_for_a_cloud_that_is_down_and_are_sent_unchanged() {
     run(async {
--- a/crates/policy/src/duty/machine.rs
+++ b/crates/policy/src/duty/machine.rs
@@ -186,7 +186,11 @@
         let gone_at = observed
             .gone_at
             .or(is_restarted.then_some(observed.fence_since));
-        let free_at = gone_at.map_or(expiry, |gone_at| gone_at.min(expiry));
+        // The right to send of a holder that leaves the duty ends half a lease after its last write.
+        let released_at = observed.changed_at.after(self.terms.lease / 2);
+        let released_at = Some(released_at).filter(|_| record.is_released);
+        let free_at = [gone_at, released_at].into_iter().flatten();
+        let free_at = free_at.fold(expiry, Instant::min);
         if record.previous.contains(&self.own.host) {
             return Some(free_at.max(observed.fence_since.after(self.terms.lease)));
         }
@@ -216,6 +220,7 @@
                         writes: record.writes + 1,
                         previous,
                         next: record.next,
+                        is_released: false,
                         fixed: record.fixed.clone(),
                     },
                 }
@@ -228,6 +233,7 @@
                     writes: 1,
                     previous: Vec::new(),
                     next: first,
+                    is_released: false,
                     fixed: Vec::new(),
                 },
             },
@@ -237,8 +243,15 @@
 
     /// Returns the write that renews the lease and fixes reports up to before the window `next`.
     /// `fixed` are those and the unconfirmed ones fixed before. None if this process is not the holder or has a
-    /// write pending.
-    pub fn renew(&mut self, now: Instant, next: Window, fixed: Vec<Report>) -> Option<Write> {
+    /// write pending. With
+    /// `is_released` another candidate may acquire the duty once the right to send has ended.
+    pub fn renew(
+        &mut self,
+        now: Instant,
+        next: Window,
+        fixed: Vec<Report>,
+        is_released: bool,
+    ) -> Option<Write> {
         if self.pending.is_some() || !self.is_holder() {
             return None;
         }
@@ -248,6 +261,7 @@
             record: Record {
                 writes: observed.record.writes + 1,
                 next: next.max(observed.record.next),
+                is_released,
                 fixed,
                 ..observed.record.clone()
             },
--- a/crates/policy/src/duty/record.rs
+++ b/crates/policy/src/duty/record.rs
@@ -30,6 +30,9 @@
         pub previous: Vec<String>,
         /// The first window whose counts are not fixed.
         pub next: Window,
+        /// Whether the holder leaves the duty to another candidate.
+        #[serde(default)]
+        pub is_released: bool,
         /// The reports that are fixed and were not confirmed when the object was written.
         pub fixed: Vec<Report>,
     }
--- a/crates/policy/tests/duty.rs
+++ b/crates/policy/tests/duty.rs
@@ -61,7 +61,7 @@
     let (mut duty, _) = acquired(1);
     assert_eq!(duty.fence_to_send(at(1499)), Some(1));
     assert_eq!(duty.fence_to_send(at(1500)), None);
-    let write = duty.renew(at(5000), Window(8), vec![report(7, 1)]);
+    let write = duty.renew(at(5000), Window(8), vec![report(7, 1)], false);
     let write = write.expect("it is the holder");
     assert_eq!(duty.fence_to_send(at(5001)), None, "not acknowledged");
     duty.record_written(at(6400), 2, &write);
@@ -96,13 +96,31 @@
     assert_eq!(restarted.acquirable_from(), Some(at(8100)));
 }
 
+#[test]
+fn a_duty_that_is_released_is_free_when_the_right_to_send_has_ended() {
+    let (mut duty, _) = acquired(1);
+    let write = duty.renew(at(5000), Window(8), vec![report(7, 1)], true);
+    let write = write.expect("it is the holder");
+    duty.record_written(at(5010), 2, &write);
+    assert_eq!(duty.fence_to_send(at(6499)), Some(1));
+    let mut successor = self::duty(2);
+    successor.observe(at(5005), 2, write.record);
+    assert_eq!(successor.acquirable_from(), Some(at(6505)));
+    let acquisition = successor.acquire(at(6505), Window(99));
+    assert!(!acquisition.record.is_released);
+    assert_eq!(acquisition.record.fixed, [report(7, 1)]);
+}
+
 #[test]
 fn a_write_without_a_response_is_repeated_unchanged() {
     let (mut duty, record) = acquired(1);
-    let write = duty.renew(at(5000), Window(8), vec![report(7, 1)]);
+    let write = duty.renew(at(5000), Window(8), vec![report(7, 1)], false);
     let write = write.expect("it is the holder");
     duty.record_failure(true);
-    assert_eq!(duty.renew(at(6000), Window(8), vec![report(7, 2)]), None);
+    assert_eq!(
+        duty.renew(at(6000), Window(8), vec![report(7, 2)], false),
+        None
+    );
     assert_eq!(duty.retry(), Some(write.clone()));
     assert_eq!(duty.retry(), None, "it is in flight");
     // A refusal of the second attempt tells nothing about the first.
@@ -251,7 +269,12 @@
         self.next_count += 1;
         let mut fixed = record.fixed;
         fixed.push(report(record.next.0, self.next_count));
-        duty.renew(now, record.next.next(), fixed)
+        duty.renew(
+            now,
+            record.next.next(),
+            fixed,
+            self.next_count.is_multiple_of(2),
+        )
     }
 
     fn act(&mut self, host: usize, fate: Fate) {
