--- a/crates/gateway/tests/accounts.rs
+++ b/crates/gateway/tests/accounts.rs
@@ -8,6 +8,7 @@
 use common::{Gateway, World, read_results, run, wait_until};
 use hyper::Method;
 use tamaracksail_adapter_standins::Engine;
+use tamaracksail_adapter::names;
 use tamaracksail_adapter_standins::settings::{self, with_accounts};
 
 /// The time between two events of a stream.
@@ -39,10 +40,11 @@
     run(async {
         let (world, gateways) = start(1).await;
         let client = gateways[0].client().with_key("second-key-of-north");
+        let listed = format!("{}, authorization", names::ACCOUNT);
         let spoofed = [
-            ("x-tamaracksail-tenant", "south"),
-            ("X-Tamaracksail-Tenant", "south"),
-            ("connection", "x-tamaracksail-tenant, authorization"),
+            (names::ACCOUNT, "south"),
+            (&*names::ACCOUNT.to_uppercase(), "south"),
+            ("connection", &*listed),
         ];
         let sent = client.send(Method::POST, "/plain/a", &spoofed, Bytes::new());
         assert_eq!(sent.await.expect("a response").status, 200);
