--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -24,6 +24,8 @@
     /// Texts and streams that continue at another server, by whether its software has the version of
     /// the server that began them.
     pub continuations: IntCounterVec,
+    /// Streams that clients took up, by what told where they began.
+    pub resumptions: IntCounterVec,
     /// Responses that broke off, by the state of the server afterwards.
     pub broken_responses: IntCounterVec,
     /// Runs of items, by outcome.
@@ -44,6 +46,8 @@
     pub scheduling: IntGauge,
     /// The version of the routes in force.
     pub routes_version: IntGauge,
+    /// The error of the estimate of true time, in milliseconds.
+    pub clock_error_ms: IntGauge,
 }
 
 impl Metrics {
@@ -99,6 +103,11 @@
                 "Texts and streams that continue at another server, by its software version.",
                 &["software"],
             ),
+            resumptions: counter(
+                "resumptions",
+                "Streams that clients took up, by what told where they began.",
+                &["origin"],
+            ),
             broken_responses: counter(
                 "broken_responses",
                 "Responses that broke off, by the state of the server afterwards.",
@@ -119,6 +128,10 @@
                 "1 while this process schedules batches, else 0.",
             ),
             routes_version: gauge("routes_version", "The version of the routes in force."),
+            clock_error_ms: gauge(
+                "clock_error_ms",
+                "The error of the estimate of true time, in milliseconds.",
+            ),
             registry,
         }
     }
--- a/crates/gateway/src/request/forward.rs
+++ b/crates/gateway/src/request/forward.rs
@@ -8,7 +8,6 @@
 use bytes::Bytes;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
-use hyper::header::HeaderMap;
 use hyper::{Response, StatusCode};
 use tamaracksail_adapter::ingress;
 use tamaracksail_model::route::{Kind, Route};
@@ -23,6 +22,7 @@
 use super::content::Content;
 use super::execution::Execution;
 use super::response::{UNAVAILABLE_RETRY_AFTER, empty_response, retry_later};
+use super::resumed::Resumed;
 use super::streaming::{self, Stream};
 use super::trial::Trial;
 use crate::connection::Body;
@@ -77,24 +77,6 @@
     limit_retry_after: Option<Duration>,
 }
 
-/// A stream that a request resumes.
-struct Resumed {
-    /// The id of the client attempt that brought its first event, if the request names it.
-    attempt: Option<String>,
-}
-
-impl Resumed {
-    /// Returns the stream that a request on `route` resumes; none if it begins one.
-    fn parse(route: &Route, headers: &HeaderMap) -> Option<Self> {
-        if route.kind != Kind::Stream || !route.is_resumable {
-            return None;
-        }
-        let attempt = ingress::resumed_attempt(headers).map(str::to_owned);
-        let is_resumed = attempt.is_some() || ingress::has_last_event(headers);
-        is_resumed.then_some(Self { attempt })
-    }
-}
-
 /// Forwards a request and returns the response for the client.
 pub async fn forward(
     gateway: &Rc<Gateway>,
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -7,6 +7,7 @@
 mod identity;
 mod liveness;
 mod response;
+mod resumed;
 mod streaming;
 mod trial;
 
--- a/crates/gateway/src/streams/lookup.rs
+++ b/crates/gateway/src/streams/lookup.rs
@@ -27,21 +27,27 @@
     service: &str,
     is_only_service: bool,
 ) -> Option<Origin> {
+    let count = |origin: &str| {
+        let resumptions = &gateway.metrics.resumptions;
+        resumptions.with_label_values(&[origin]).inc();
+    };
     if let Some(attempt) = attempt
         && let Some(origin) = find_copy(gateway, attempt).await
     {
+        count("copy");
         return Some(origin);
     }
-    let recorded = if is_only_service {
-        software::only(gateway, service).await
-    } else {
-        None
-    };
-    let software = recorded.or_else(|| gateway.streams.settled(gateway, service))?;
-    Some(Origin {
+    let began_at = |software: String| Origin {
         service: service.to_owned(),
         software,
-    })
+    };
+    if is_only_service && let Some(software) = software::only(gateway, service).await {
+        count("record");
+        return Some(began_at(software));
+    }
+    let settled = gateway.streams.settled(gateway, service);
+    count(settled.as_ref().map_or("unknown", |_| "settled"));
+    settled.map(began_at)
 }
 
 /// Returns the origin of a stream that this or another gateway keeps.
--- a/crates/gateway/src/version/mod.rs
+++ b/crates/gateway/src/version/mod.rs
@@ -24,6 +24,11 @@
 /// Probes the store, and samples the time of day with each probe.
 async fn probe_store(gateway: Rc<Gateway>) {
     let availability = gateway.store_availability.clone();
-    let sample = || gateway.clock.sample();
+    let sample = || {
+        if let Some(time) = gateway.clock.estimate() {
+            let error_ms = i64::try_from(time.error_ms).unwrap_or(i64::MAX);
+            gateway.metrics.clock_error_ms.set(error_ms);
+        }
+    };
     availability.run_probes(gateway.store.clone(), sample).await;
 }
