--- a/crates/gateway/tests/stepped_clocks.rs
+++ b/crates/gateway/tests/stepped_clocks.rs
@@ -5,26 +5,18 @@
 use std::time::Duration;
 
 use common::{Gateway, World, assert_complete, read_results, run, wait_until};
-use serde_json::json;
 use tamaracksail_adapter_standins::settings;
 use tamaracksail_model::batch::Ending;
 
-/// An item takes 2 s, of the 5 s that its route gives it.
+/// An item takes 2 s.
 const EVENTS: u64 = 40;
 const EVENT_INTERVAL: Duration = Duration::from_millis(50);
 
 /// A step of the time of day, in milliseconds.
 const STEP_MS: i64 = 30_000;
 
-/// Returns routes on which the items of a batch may take 8 s.
-fn routes() -> serde_json::Value {
-    let mut routes = settings::routes(2);
-    let list = routes["routes"].as_array_mut().expect("a list of routes");
-    for route in list {
-        route["max-queue-s"] = json!(8.0);
-    }
-    routes
-}
+/// The seconds that the items of a batch may take.
+const PATIENCE_S: f64 = 8.0;
 
 /// The observed fault: a batch is accepted at a gateway whose time of day is 30 s behind, and the one
 /// that takes over lists its items as aborted.
@@ -33,7 +25,8 @@
     for starts_behind in [false, true] {
         run(async {
             let world = World::start(2, EVENTS, EVENT_INTERVAL).await;
-            world.store.put_routes(routes());
+            let routes = settings::with_patience(settings::routes(2), PATIENCE_S);
+            world.store.put_routes(routes);
             let before = if starts_behind { -STEP_MS } else { 0 };
             let mut first = Gateway::with_time_offset("front-0", &world.store, before);
             first.wait_until_ready().await;
