--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -26,6 +26,8 @@
     /// Texts and streams that continue at another server, by whether its software has the version of
     /// the server that began them.
     pub continuations: IntCounterVec,
+    /// Streams that clients took up, by what told where they began.
+    pub resumptions: IntCounterVec,
     /// Responses that broke off, by the state of the server afterwards.
     pub broken_responses: IntCounterVec,
     /// Runs of items, by outcome.
@@ -56,6 +58,8 @@
     pub routes_overdue: IntGauge,
     /// Questions to other gateways for newer routes, by outcome.
     pub routes_questions: IntCounterVec,
+    /// The error of the estimate of true time, in milliseconds.
+    pub clock_error_ms: IntGauge,
 }
 
 impl Metrics {
@@ -124,6 +128,11 @@
                 "Texts and streams that continue at another server, by its software version.",
                 &["software"],
             ),
+            resumptions: counter(
+                "resumptions",
+                "Streams that clients took up, by what told where they began.",
+                &["origin"],
+            ),
             broken_responses: counter(
                 "broken_responses",
                 "Responses that broke off, by the state of the server afterwards.",
@@ -159,6 +168,10 @@
                 &["outcome"],
             ),
             routes_version: gauge("routes_version", "The version of the routes in force."),
+            clock_error_ms: gauge(
+                "clock_error_ms",
+                "The error of the estimate of true time, in milliseconds.",
+            ),
             registry,
         }
     }
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -9,6 +9,7 @@
 mod liveness;
 mod pace;
 mod response;
+mod resumed;
 mod streaming;
 mod trial;
 
