Keep batches, texts and groups within their client account

Cause: a later batch found retained texts and groups by the id of an item and the name of a group alone, so that it could carry over those of another account. Parts of a body are stored before the manifest names the account: a second account that submitted the same id would have accepted the parts of the first. Items of a batch without an account could name one in their headers.

Change: texts, groups and runs of ended batches are found by account and name (model::carried); without an account the stored form is as before. Names of parts contain the account. Items lose account and credentials once accounts are configured.

The new tests were not run against the code before.

--- a/crates/gateway/src/batches/accept.rs
+++ b/crates/gateway/src/batches/accept.rs
@@ -189,7 +189,7 @@
         let part = Part {
             text: part.to_owned(),
         };
-        let name = schema::part_name(number);
+        let name = schema::part_name(submission.account.as_deref(), number);
         if let Err(error) = create(gateway, &kind, &name, &part, deadline).await {
             // Without its manifest the batch is not accepted, and no manifest was sent.
             log::warn!(batch = id, error:%, outcome = "not run"; "batch not stored");
--- a/crates/gateway/src/batches/coordinator.rs
+++ b/crates/gateway/src/batches/coordinator.rs
@@ -9,6 +9,7 @@
 use tamaracksail_adapter::settings::Settings;
 use tamaracksail_model::backend::Registration;
 use tamaracksail_model::batch::PartialText;
+use tamaracksail_model::carried::Carried;
 use tamaracksail_model::table::{Table, draw_target};
 use tamaracksail_model::time::Instant;
 use tamaracksail_policy::acquire_delay::AcquireDelay;
@@ -271,7 +272,7 @@
 
     /// Returns the partial texts of unfinished items, divided into `parts` parts, of which this is
     /// number `part`.
-    pub fn partial_texts(&self, part: usize, parts: usize) -> Vec<(String, PartialText)> {
+    pub fn partial_texts(&self, part: usize, parts: usize) -> Vec<(Carried, PartialText)> {
         let partial_texts = self.scheduler.borrow().partial_texts(now());
         partial_texts
             .into_iter()
@@ -281,7 +282,7 @@
     }
 
     /// Returns groups of earlier batches that later batches may contain again.
-    pub fn past_groups(&self) -> Vec<String> {
+    pub fn past_groups(&self) -> Vec<Carried> {
         self.scheduler.borrow().past_groups()
     }
 
--- a/crates/gateway/src/batches/item_run.rs
+++ b/crates/gateway/src/batches/item_run.rs
@@ -92,8 +92,16 @@
     };
     let host = gateway.coordinator.submission_host(run).unwrap_or_default();
     let account = gateway.coordinator.account_of(run);
-    let mut request = build_request(item, &host, account.as_deref(), &request_headers)
+    let mut request = build_request(item, &host, &request_headers)
         .map_err(|error| (Failure::Impossible, error.to_string()))?;
+    // An item without an account must not name one either, once accounts are configured.
+    let has_accounts = gateway
+        .table()
+        .is_some_and(|table| table.accounts.is_some());
+    if has_accounts || account.is_some() {
+        ingress::set_account(request.headers_mut(), account.as_deref())
+            .map_err(|error| (Failure::Impossible, error.to_string()))?;
+    }
     let span = gateway.span("run", SpanKind::Client, request.headers_mut());
     let outcome = exchange(gateway, run, registration, item, request).await;
     if let Some(span) = span {
@@ -202,7 +210,6 @@
 fn build_request(
     item: &Item,
     host: &str,
-    account: Option<&str>,
     request_headers: &RequestHeaders,
 ) -> Result<Request<Full<bytes::Bytes>>, Malformed> {
     let what = "item";
@@ -215,9 +222,6 @@
         let value = HeaderValue::from_str(value).map_err(|e| Malformed::new(what, e))?;
         headers.insert(name, value);
     }
-    if account.is_some() {
-        ingress::set_account(headers, account)?;
-    }
     let header_value = |header_value: &str| {
         HeaderValue::from_str(header_value).map_err(|e| Malformed::new(what, e))
     };
--- a/crates/gateway/src/batches/partial_texts.rs
+++ b/crates/gateway/src/batches/partial_texts.rs
@@ -10,6 +10,7 @@
 use futures_util::future::join_all;
 use tamaracksail_adapter::store::Error;
 use tamaracksail_model::batch::PartialText;
+use tamaracksail_model::carried::Carried;
 use tamaracksail_model::checkpoint::Checkpoint;
 use tamaracksail_policy::batch::{CHECKPOINT_SLOTS, join_segments};
 use tamaracksail_wire::peer::{Request as PeerRequest, Response as PeerResponse};
@@ -108,15 +109,15 @@
 }
 
 /// Partial texts by item, and groups that later batches may contain again.
-type Loaded = (Vec<(String, PartialText)>, Vec<String>);
+type Loaded = (Vec<(Carried, PartialText)>, Vec<Carried>);
 
 /// What the previous holder has sent.
 #[derive(Debug, Default)]
 struct Transferred {
     /// Partial texts by item.
-    partial_texts: Vec<(String, PartialText)>,
+    partial_texts: Vec<(Carried, PartialText)>,
     /// Groups that later batches may contain again.
-    groups: Vec<String>,
+    groups: Vec<Carried>,
     /// Whether all parts were received.
     is_complete: bool,
 }
@@ -188,7 +189,7 @@
     });
     let checkpoints: Vec<Checkpoint> = join_all(reads).await.into_iter().flatten().collect();
     let newest = checkpoints.iter().map(|found| found.fence).max();
-    let groups: BTreeSet<String> = checkpoints
+    let groups: BTreeSet<Carried> = checkpoints
         .iter()
         .filter(|found| Some(found.fence) == newest)
         .flat_map(|found| found.groups.iter().cloned())
--- a/crates/gateway/src/batches/read.rs
+++ b/crates/gateway/src/batches/read.rs
@@ -398,8 +398,8 @@
 async fn stored_item_body(gateway: &Gateway, id: &str, item: &str) -> Result<Option<Bytes>, Error> {
     gateway.store_availability.check("body of an item")?;
     let object = gateway.store.get(schema::MANIFESTS, id).await?;
-    let parts = match object.spec::<Manifest>() {
-        Ok(manifest) => manifest.parts,
+    let manifest = match object.spec::<Manifest>() {
+        Ok(manifest) => manifest,
         Err(error) => {
             log::error!(batch = id, error:%; "stored batch is malformed");
             return Ok(None);
@@ -407,8 +407,9 @@
     };
     let kind = schema::batch_kind(id);
     let mut text = String::new();
-    for number in 0..parts {
-        let object = gateway.store.get(&kind, &schema::part_name(number)).await?;
+    for number in 0..manifest.parts {
+        let name = schema::part_name(manifest.account.as_deref(), number);
+        let object = gateway.store.get(&kind, &name).await?;
         match object.spec::<Part>() {
             Ok(part) => text.push_str(&part.text),
             Err(error) => log::error!(batch = id, number, error:%; "stored part is malformed"),
--- a/crates/gateway/src/batches/schema.rs
+++ b/crates/gateway/src/batches/schema.rs
@@ -2,7 +2,8 @@
 //!
 //! - `batches/ID`: a [`Manifest`]. Creating it accepts the batch, so it is written after all parts.
 //!   Its status is a [`BatchStatus`].
-//! - `batch-ID/part.N`: a [`Part`] of the body as the client sent it.
+//! - `batch-ID/part.N`, or `batch-ID/part.ACCOUNT.N` with the account's name in hexadecimal: a [`Part`]
+//!   of the body as the client sent it.
 //! - `batch-ID/results.N`: a [`Chunk`] of results. Creating it fixes the positions of its results.
 //!   An empty chunk is a seal: it occupies the number, so that a chunk that an earlier scheduler
 //!   sent before it lost the lease can no longer be created.
@@ -83,9 +84,14 @@
     format!("batch-{batch}")
 }
 
-/// Returns the name of a part.
-pub fn part_name(number: usize) -> String {
-    format!("{PART}{number:05}")
+/// Returns the name of a part of a body that `account` submitted. Parts are stored before the manifest
+/// names the account, so two accounts that submit a batch with the same id must not share them.
+pub fn part_name(account: Option<&str>, number: usize) -> String {
+    let Some(account) = account else {
+        return format!("{PART}{number:05}");
+    };
+    let account: Vec<String> = account.bytes().map(|byte| format!("{byte:02x}")).collect();
+    format!("{PART}{}.{number:05}", account.concat())
 }
 
 /// Returns the name of a chunk.
--- a/crates/gateway/src/batches/takeover.rs
+++ b/crates/gateway/src/batches/takeover.rs
@@ -263,6 +263,12 @@
 ) -> Result<(Bytes, Vec<ItemResult>, usize), Error> {
     let kind = schema::batch_kind(id);
     let (objects, _) = store::list(&gateway.store, &kind).await?;
+    let account = manifest.account.as_deref();
+    let parts: BTreeSet<String> = (0..manifest.parts)
+        .map(|number| schema::part_name(account, number))
+        .collect();
+    // Another account may have stored parts under the same id before.
+    let is_part = |name: &str| parts.contains(name);
     let mut body = String::new();
     let mut results = Vec::new();
     let mut chunks = 0;
@@ -273,7 +279,7 @@
                 Err(error) => log::error!(batch = id, error:%; "stored results are malformed"),
             }
             chunks += 1;
-        } else {
+        } else if is_part(&object.name) {
             match object.spec::<Part>() {
                 Ok(part) => body.push_str(&part.text),
                 Err(error) => log::error!(batch = id, error:%; "stored part is malformed"),
--- a/crates/gateway/tests/revocation.rs
+++ b/crates/gateway/tests/revocation.rs
@@ -183,6 +183,8 @@
         site.stores[1].set_fault(Fault::Busy);
         site.stores[2].set_fault(Fault::Silent);
         site.gateways[2].signal("STOP");
+        // Watches that end with the fault are answered before the key is revoked.
+        tokio::time::sleep(Duration::from_millis(100)).await;
         let mut revoked_at = Instant::now();
         for version in 3..9 {
             revoked_at = site.revoke(version);
--- a/crates/model/src/checkpoint.rs
+++ b/crates/model/src/checkpoint.rs
@@ -3,6 +3,7 @@
 
 use std::collections::BTreeSet;
 
+use crate::carried::Carried;
 use crate::reward;
 
 plain! {
@@ -14,7 +15,7 @@
         #[serde(rename = "pieces")]
         pub segments: Vec<Segment>,
         /// Groups of earlier batches, which count as carried over if a later batch submits them.
-        pub groups: Vec<String>,
+        pub groups: Vec<Carried>,
     }
 }
 
@@ -22,7 +23,7 @@
     /// A part of one item's text.
     pub struct Segment {
         /// The id of the item.
-        pub item: String,
+        pub item: Carried,
         /// The number of the series: segments with the same number under the same fencing token
         /// form one text. An item that starts over gets a new number.
         #[serde(rename = "life")]
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod account;
 pub mod backend;
 pub mod batch;
+pub mod carried;
 pub mod change;
 pub mod check;
 pub mod checkpoint;
--- a/crates/policy/src/batch/checkpointing.rs
+++ b/crates/policy/src/batch/checkpointing.rs
@@ -7,6 +7,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use tamaracksail_model::batch::PartialText;
+use tamaracksail_model::carried::Carried;
 use tamaracksail_model::checkpoint::{Checkpoint, Segment};
 use tamaracksail_model::time::Instant;
 
@@ -84,7 +85,7 @@
             |saved| saved.series,
         );
         segments.push(Segment {
-            item: task.item.id.clone(),
+            item: task.carried.clone(),
             series,
             after: continued.map(|saved| saved.last),
             last,
@@ -121,16 +122,17 @@
 
 /// Returns the groups that count as carried over if a later batch submits them: all groups seen but
 /// those that are new in an open batch.
-pub(super) fn past_groups(scheduler: &Scheduler) -> Vec<String> {
-    let newly_seen: BTreeSet<&String> = scheduler
+pub(super) fn past_groups(scheduler: &Scheduler) -> Vec<Carried> {
+    let newly_seen: BTreeSet<Carried> = scheduler
         .batches
         .values()
         .filter(|batch| batch.ended_at.is_none())
-        .flat_map(|batch| &batch.groups)
-        .filter(|group| !group.is_carried_over)
-        .map(|group| &group.name)
+        .flat_map(|batch| {
+            let groups = batch.groups.iter().filter(|group| !group.is_carried_over);
+            groups.map(|group| Carried::new(batch.account.as_deref(), &group.name))
+        })
         .collect();
-    let is_seen_before = |name: &&String| !newly_seen.contains(name);
+    let is_seen_before = |name: &&Carried| !newly_seen.contains(*name);
     scheduler
         .past_groups
         .keys()
@@ -140,7 +142,7 @@
 }
 
 /// Adds groups that an earlier scheduler has seen.
-pub(super) fn restore_past_groups(scheduler: &mut Scheduler, now: Instant, groups: Vec<String>) {
+pub(super) fn restore_past_groups(scheduler: &mut Scheduler, now: Instant, groups: Vec<Carried>) {
     for name in groups {
         scheduler.past_groups.insert(name, now);
     }
@@ -149,8 +151,8 @@
 /// Joins the segments of checkpoints to texts. Returns, for each item, the longest text that starts
 /// with the first event and has no gap.
 #[must_use]
-pub fn join_segments(checkpoints: Vec<Checkpoint>) -> Vec<(String, PartialText)> {
-    let mut by_series: BTreeMap<(String, u64, u64), BTreeMap<Option<u64>, Segment>> =
+pub fn join_segments(checkpoints: Vec<Checkpoint>) -> Vec<(Carried, PartialText)> {
+    let mut by_series: BTreeMap<(Carried, u64, u64), BTreeMap<Option<u64>, Segment>> =
         BTreeMap::new();
     for checkpoint in checkpoints {
         for segment in checkpoint.segments {
@@ -161,7 +163,7 @@
                 .insert(segment.after, segment);
         }
     }
-    let mut partial_texts: BTreeMap<String, PartialText> = BTreeMap::new();
+    let mut partial_texts: BTreeMap<Carried, PartialText> = BTreeMap::new();
     for ((item, ..), mut segments) in by_series {
         let mut partial_text = PartialText::default();
         while let Some(segment) = segments.remove(&partial_text.last) {
--- a/crates/policy/src/batch/dispatch.rs
+++ b/crates/policy/src/batch/dispatch.rs
@@ -135,7 +135,7 @@
     };
     stop_run(scheduler, run_id, reason);
     if scheduler.is_batch_ended(run.task) {
-        let id = scheduler.tasks[run.task].item.id.clone();
+        let id = scheduler.tasks[run.task].carried.clone();
         scheduler.detached.remove(&id);
         ending::remove_task(scheduler, now, run.task);
     } else {
--- a/crates/policy/src/batch/ending.rs
+++ b/crates/policy/src/batch/ending.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use tamaracksail_model::batch::PartialText;
+use tamaracksail_model::carried::Carried;
 use tamaracksail_model::time::Instant;
 
 use super::action::Action;
@@ -51,7 +52,7 @@
         if let Stage::Running(run) = task.stage {
             let generated_by = scheduler.runs.get(&run).and_then(|run| run.version);
             if newest.is_some() && generated_by >= newest && task.text.meets_min_version(newest) {
-                scheduler.detached.insert(task.item.id.clone(), key);
+                scheduler.detached.insert(task.carried.clone(), key);
                 continue;
             }
             dispatch::stop_run(scheduler, run, "the batch has ended");
@@ -76,7 +77,7 @@
     {
         scheduler
             .retained_texts
-            .insert(task.item.id.clone(), (now, task.text));
+            .insert(task.carried, (now, task.text));
     }
 }
 
@@ -92,7 +93,7 @@
                 .is_some_and(|ended_at| now.since(ended_at) >= DETACHED_RUN_TIMEOUT)
         })
     };
-    let late: Vec<(String, TaskKey)> = scheduler
+    let late: Vec<(Carried, TaskKey)> = scheduler
         .detached
         .iter()
         .filter(|(_, key)| is_late(key))
@@ -111,7 +112,7 @@
 }
 
 /// Returns the retained texts that another scheduler may need.
-pub(super) fn partial_texts(scheduler: &Scheduler, now: Instant) -> Vec<(String, PartialText)> {
+pub(super) fn partial_texts(scheduler: &Scheduler, now: Instant) -> Vec<(Carried, PartialText)> {
     scheduler
         .retained_texts
         .iter()
@@ -124,7 +125,7 @@
 pub(super) fn restore_partial_text(
     scheduler: &mut Scheduler,
     now: Instant,
-    item: String,
+    item: Carried,
     partial_text: PartialText,
 ) {
     let extent = |text: &PartialText| (text.last, text.is_whole);
--- a/crates/policy/src/batch/reports.rs
+++ b/crates/policy/src/batch/reports.rs
@@ -87,7 +87,7 @@
     let task = &mut scheduler.tasks[run.task];
     if is_batch_ended {
         task.text.is_whole = task.text.last.is_some();
-        scheduler.detached.remove(&task.item.id.clone());
+        scheduler.detached.remove(&task.carried);
         ending::remove_task(scheduler, now, run.task);
         return;
     }
@@ -116,7 +116,7 @@
         engine.record_failure(now);
     }
     if scheduler.is_batch_ended(run.task) {
-        let id = scheduler.tasks[run.task].item.id.clone();
+        let id = scheduler.tasks[run.task].carried.clone();
         scheduler.detached.remove(&id);
         ending::remove_task(scheduler, now, run.task);
         return;
--- a/crates/policy/src/batch/scheduler.rs
+++ b/crates/policy/src/batch/scheduler.rs
@@ -6,6 +6,7 @@
 use slotmap::SlotMap;
 use tamaracksail_model::backend::Registration;
 use tamaracksail_model::batch::PartialText;
+use tamaracksail_model::carried::Carried;
 use tamaracksail_model::checkpoint::Checkpoint;
 use tamaracksail_model::reward::Call;
 use tamaracksail_model::time::Instant;
@@ -52,11 +53,11 @@
     /// The number of items in the largest step of each model.
     pub(super) largest_steps: BTreeMap<String, usize>,
     /// Text of items whose task was removed, by item, and since when it is retained.
-    pub(super) retained_texts: BTreeMap<String, (Instant, PartialText)>,
+    pub(super) retained_texts: BTreeMap<Carried, (Instant, PartialText)>,
     /// Groups of earlier and open batches, and when they were last submitted.
-    pub(super) past_groups: BTreeMap<String, Instant>,
+    pub(super) past_groups: BTreeMap<Carried, Instant>,
     /// Tasks of ended batches that still run, by item.
-    pub(super) detached: BTreeMap<String, TaskKey>,
+    pub(super) detached: BTreeMap<Carried, TaskKey>,
     pub(super) actions: Vec<Action>,
     /// The last number given to a run.
     pub(super) last_run: u64,
@@ -194,23 +195,23 @@
 
     /// Returns the text of unfinished items, for a scheduler that takes over.
     #[must_use]
-    pub fn partial_texts(&self, now: Instant) -> Vec<(String, PartialText)> {
+    pub fn partial_texts(&self, now: Instant) -> Vec<(Carried, PartialText)> {
         ending::partial_texts(self, now)
     }
 
     /// Retains text from another scheduler, unless a longer text of the item is here.
-    pub fn restore_partial_text(&mut self, now: Instant, item: String, partial_text: PartialText) {
+    pub fn restore_partial_text(&mut self, now: Instant, item: Carried, partial_text: PartialText) {
         ending::restore_partial_text(self, now, item, partial_text);
     }
 
     /// Returns the groups that count as carried over, for a scheduler that takes over.
     #[must_use]
-    pub fn past_groups(&self) -> Vec<String> {
+    pub fn past_groups(&self) -> Vec<Carried> {
         checkpointing::past_groups(self)
     }
 
     /// Adds groups that another scheduler has seen.
-    pub fn restore_past_groups(&mut self, now: Instant, groups: Vec<String>) {
+    pub fn restore_past_groups(&mut self, now: Instant, groups: Vec<Carried>) {
         checkpointing::restore_past_groups(self, now, groups);
     }
 
--- a/crates/policy/src/batch/submission.rs
+++ b/crates/policy/src/batch/submission.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 
 use tamaracksail_model::batch::Item;
+use tamaracksail_model::carried::Carried;
 use tamaracksail_model::time::Instant;
 
 use super::open_batch::{Batch, Group, group_items, optional_groups};
@@ -52,8 +53,13 @@
             .iter()
             .map(|item| (item.id.as_str(), item.group.as_deref())),
     );
+    let past_group = |name: &String| Carried::new(submission.account.as_deref(), name);
     let carried_over: BTreeSet<usize> = (0..names.len())
-        .filter(|group| scheduler.past_groups.contains_key(&names[*group]))
+        .filter(|group| {
+            scheduler
+                .past_groups
+                .contains_key(&past_group(&names[*group]))
+        })
         .collect();
     let mut lengths = vec![0; names.len()];
     for (item, group) in submission.items.iter().zip(&group_of) {
@@ -66,7 +72,7 @@
     let target = submission.target_groups.unwrap_or(names.len());
     let optional = optional_groups(&lengths, &carried_over, target);
     for name in &names {
-        scheduler.past_groups.insert(name.clone(), now);
+        scheduler.past_groups.insert(past_group(name), now);
     }
     let groups = names
         .into_iter()
@@ -126,10 +132,11 @@
     item: Item,
     group: usize,
 ) -> Option<Item> {
-    let Some(key) = scheduler.detached.remove(&item.id) else {
+    let batch = &mut scheduler.batches[batch_key];
+    let carried = Carried::new(batch.account.as_deref(), &item.id);
+    let Some(key) = scheduler.detached.remove(&carried) else {
         return Some(item);
     };
-    let batch = &mut scheduler.batches[batch_key];
     let Some(task) = scheduler.tasks.get_mut(key) else {
         return Some(item);
     };
@@ -166,9 +173,10 @@
 ) {
     let batch = &mut scheduler.batches[batch_key];
     let has_result = with_result.contains(&item.id);
+    let carried = Carried::new(batch.account.as_deref(), &item.id);
     let mut text = scheduler
         .retained_texts
-        .get(&item.id)
+        .get(&carried)
         .map(|(_, text)| text.clone());
     if let Some(found) = &text
         && !found.is_usable(batch.min_version, batch.is_single_version)
@@ -181,6 +189,7 @@
     let is_routed = service.is_some();
     let task = scheduler.tasks.insert(Task {
         item: Rc::new(item),
+        carried,
         batch: batch_key,
         group,
         text,
--- a/crates/policy/src/batch/task.rs
+++ b/crates/policy/src/batch/task.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use tamaracksail_model::batch::{Ending, Item, ItemResult, PartialText};
+use tamaracksail_model::carried::Carried;
 
 use super::checkpointing::SavedText;
 use super::scheduler::BatchKey;
@@ -30,6 +31,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Task {
     pub(crate) item: Rc<Item>,
+    /// Its id within its account, by which a later batch finds its text.
+    pub(crate) carried: Carried,
     pub(crate) batch: BatchKey,
     /// The index of its group within the batch.
     pub(crate) group: usize,
--- a/crates/policy/tests/common/engines.rs
+++ b/crates/policy/tests/common/engines.rs
@@ -81,6 +81,8 @@
     checkpoints: BTreeMap<u64, Checkpoint>,
     /// The fencing token of the scheduler.
     pub fence: u64,
+    /// The client account that submits batches.
+    pub account: Option<&'static str>,
 }
 
 impl Simulation {
@@ -104,6 +106,7 @@
             began_at: BTreeMap::new(),
             checkpoints: BTreeMap::new(),
             fence: 1,
+            account: None,
         };
         for number in 0..count {
             let name = format!("e{number:02}");
@@ -174,7 +177,7 @@
         }
         let submission = Submission {
             host: "app".to_owned(),
-            account: None,
+            account: self.account.map(str::to_owned),
             model: Some(MODEL.to_owned()),
             min_version: Some(min_version),
             target_groups: Some(target),
--- a/crates/policy/tests/saving.rs
+++ b/crates/policy/tests/saving.rs
@@ -8,6 +8,7 @@
 
 use engines::Simulation;
 use proptest::prelude::*;
+use tamaracksail_model::carried::Carried;
 use tamaracksail_model::checkpoint::{Checkpoint, Segment};
 use tamaracksail_policy::batch::join_segments;
 
@@ -72,10 +73,49 @@
     assert!(took < Duration::from_secs(9), "{took:?}");
 }
 
+/// Guards against text and groups of one account that a batch of another carries over because their
+/// names are the same.
+#[test]
+fn text_and_groups_of_an_account_are_not_carried_over_to_another() {
+    let whole_text = EVENT_INTERVAL * 100;
+    for is_lost in [false, true] {
+        let mut simulation = Simulation::new(2, 4, EVENT_INTERVAL);
+        simulation.account = Some("north");
+        simulation.submit("s", 1, 1, &[("g0", &[100]), ("g1", &[5])]);
+        run_with_checkpoints(&mut simulation, 3);
+        if is_lost {
+            simulation.take_over(1);
+        }
+        simulation.end("s");
+        simulation.account = Some("south");
+        simulation.submit("t", 1, 1, &[("g0", &[100])]);
+        simulation.run_for(EVENT_INTERVAL);
+        let group = Carried::new(Some("south"), "g0");
+        assert!(!simulation.scheduler.past_groups().contains(&group));
+        let took = simulation.run_until_complete("t", 1);
+        assert!(took > whole_text * 9 / 10, "{took:?}, lost: {is_lost}");
+        simulation.account = Some("north");
+        simulation.submit("u", 1, 1, &[("g0", &[100])]);
+        let took = simulation.run_until_complete("u", 1);
+        assert!(took < whole_text / 2, "{took:?}, lost: {is_lost}");
+    }
+}
+
+#[test]
+fn names_without_an_account_are_stored_as_before() {
+    let stored = |carried: &Carried| serde_json::to_string(carried).expect("text");
+    let (plain, owned) = (Carried::new(None, "g"), Carried::new(Some("north"), "g"));
+    assert_eq!(stored(&plain), r#""g""#);
+    for carried in [plain, owned] {
+        let read: Carried = serde_json::from_str(&stored(&carried)).expect("a name");
+        assert_eq!(read, carried);
+    }
+}
+
 /// Returns a segment of the item `i`.
 fn segment(series: u64, after: Option<u64>, last: u64, data: &str) -> Segment {
     Segment {
-        item: "i".to_owned(),
+        item: Carried::new(None, "i"),
         series,
         after,
         last,
@@ -107,7 +147,7 @@
     ]);
     let found: Vec<(&str, &str, Option<u64>)> = found
         .iter()
-        .map(|(item, text)| (item.as_str(), text.data.as_str(), text.last))
+        .map(|(item, text)| (item.name.as_str(), text.data.as_str(), text.last))
         .collect();
     assert_eq!(found, [("i", "a\nb\nc\nd", Some(4))]);
 }
--- a/crates/policy/tests/scheduling.rs
+++ b/crates/policy/tests/scheduling.rs
@@ -293,7 +293,7 @@
     partial_texts.sort_by(|left, right| left.0.cmp(&right.0));
     let found: Vec<(&str, bool)> = partial_texts
         .iter()
-        .map(|(item, text)| (item.as_str(), text.is_whole))
+        .map(|(item, text)| (item.name.as_str(), text.is_whole))
         .collect();
     assert_eq!(found, [("g0.0", true), ("g1.0", true), ("g2.0", false)]);
 }
@@ -378,7 +378,7 @@
     let partial_texts = simulation.scheduler.partial_texts(simulation.now);
     let items: Vec<&str> = partial_texts
         .iter()
-        .map(|(item, _)| item.as_str())
+        .map(|(item, _)| item.name.as_str())
         .collect();
     assert_eq!(items, ["h0.0"]);
 }
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -7,6 +7,7 @@
 use serde_with::DurationMilliSeconds;
 use tamaracksail_model::account::Caller;
 use tamaracksail_model::batch::{ItemResult, PartialText};
+use tamaracksail_model::carried::Carried;
 use tamaracksail_model::plain;
 use tamaracksail_model::rate::Rate;
 
@@ -211,9 +212,9 @@
         Drafts {
             /// Pairs of an item's id and its text so far.
             #[serde(rename = "drafts")]
-            partial_texts: Vec<(String, PartialText)>,
+            partial_texts: Vec<(Carried, PartialText)>,
             /// Groups that later batches may submit again.
-            groups: Vec<String>,
+            groups: Vec<Carried>,
         },
         /// Permits for requests to backend servers.
         Permits {
