Let shares of requests leave a failure domain when that pays

Cause: each request weighed a fixed 8 ms for leaving its failure domain, so in a calm fleet two fifths of all requests left, and bytes had no price.

Change: policy::locality decides per service which share leaves, from measured service times, reported load, bytes and what callers over there lose, in steps with hysteresis; targets are drawn in proportion to free slots. It applies to requests and reward calls (Fleet::choose) and only orders servers. Runs prefer engines of the own domain while they have free slots. Off unless the setting `locality` is true; then nothing changes. Changes are logged with their inputs, and requests and bytes that leave are counted.

--- a/crates/gateway/src/batches/coordinator.rs
+++ b/crates/gateway/src/batches/coordinator.rs
@@ -107,6 +107,11 @@
 }
 
 impl Coordinator {
+    /// Has items run in a failure domain while its engines have free slots.
+    pub fn prefer_domain(&self, domain: &str) {
+        self.scheduler.borrow_mut().prefer_domain(domain);
+    }
+
     /// Returns a coordinator that does not hold the lease.
     pub fn new(settings: &Settings, incarnation: u64) -> Self {
         let own = Candidate {
--- a/crates/gateway/src/batches/item_run.rs
+++ b/crates/gateway/src/batches/item_run.rs
@@ -39,6 +39,8 @@
         .key_of(&registration.instance, registration.started_at_ms);
     if let Some(key) = key {
         Cause::Item.count(&gateway, key);
+        let domain = gateway.locality_domain();
+        request::count_left(&gateway.metrics, domain.as_deref(), &registration);
     }
     let outcome = attempt(&gateway, run, &registration, &item, after, version).await;
     let coordinator = &gateway.coordinator;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -70,6 +70,11 @@
         // JSON numbers are exact up to 53 bits.
         let incarnation = rand::random::<u64>() >> 11;
         let coordinator = Coordinator::new(&settings, incarnation);
+        let mut fleet = Fleet::new(Limiter::new(rand::random()));
+        if settings.has_locality {
+            fleet.enable_locality(&settings.domain, &settings.host);
+            coordinator.prefer_domain(&settings.domain);
+        }
         Self {
             incarnation,
             started_at: now(),
@@ -79,7 +84,7 @@
             store_availability: Availability::default(),
             settings: RefCell::new(settings),
             table: RefCell::new(None),
-            fleet: RefCell::new(Fleet::new(Limiter::new(rand::random()))),
+            fleet: RefCell::new(fleet),
             limits: Limits::default(),
             streams: Streams::default(),
             suspects: Suspects::default(),
@@ -92,6 +97,12 @@
         }
     }
 
+    /// Returns the own failure domain if shares of requests leave it.
+    pub fn locality_domain(&self) -> Option<String> {
+        let settings = self.settings.borrow();
+        settings.has_locality.then(|| settings.domain.clone())
+    }
+
     /// Whether the process is ready for new connections: it has read the routes and the list of
     /// servers, and isn't stopping.
     pub fn is_ready(&self) -> bool {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -32,6 +32,11 @@
     pub run_latency: Histogram,
     /// Sends of reward calls, by outcome.
     pub reward_calls: IntCounterVec,
+    /// Requests, also reward calls and runs of items, at servers in another failure domain, by
+    /// service. Counted only if shares of requests leave.
+    pub requests_left: IntCounterVec,
+    /// Bytes of these requests, except runs, and of their responses that were read whole, by service.
+    pub bytes_left: IntCounterVec,
     /// The seconds that sends of reward calls took that brought a score.
     pub reward_latency: Histogram,
     /// Events of batches, by kind.
@@ -107,6 +112,16 @@
             runs: counter("runs", "Runs of batch items on engines.", &["outcome"]),
             run_latency: histogram("run_seconds", "Duration of runs that finished their item."),
             reward_calls: counter("reward_calls", "Sends of reward calls.", &["outcome"]),
+            requests_left: counter(
+                "requests_left",
+                "Requests at servers in another failure domain.",
+                &["service"],
+            ),
+            bytes_left: counter(
+                "bytes_left",
+                "Bytes to and from servers in another failure domain.",
+                &["service"],
+            ),
             reward_latency: histogram(
                 "reward_seconds",
                 "Duration of sends of reward calls that brought a score.",
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -19,6 +19,7 @@
 
 use super::content::Content;
 use super::execution::Execution;
+use super::locality;
 use super::pace;
 use super::trial::Trial;
 use crate::gateway::{Gateway, now};
@@ -100,6 +101,11 @@
         let Some(registration) = self.gateway.fleet.borrow().registration(self.key).cloned() else {
             return Outcome::NotRun("the server is no longer registered".to_owned());
         };
+        let gateway = &self.gateway;
+        locality::review(now(), &gateway.fleet, &registration.service);
+        let domain = gateway.locality_domain();
+        locality::count(&gateway.metrics, domain.as_deref(), &registration);
+        let sent_bytes = body.len();
         let mut headers = head.headers.clone();
         ingress::strip_hop_by_hop(&mut headers);
         for name in ["content-length", "expect"] {
@@ -137,7 +143,13 @@
             Ok(reply) => {
                 let response = ResponseHead::parse(&reply.head, (!id.is_empty()).then_some(id));
                 observe_response(&self.gateway, &registration, &response, Source::Request);
-                self.read_response(reply, response, execution).await
+                let (gateway, key) = (Rc::clone(&self.gateway), self.key);
+                let outcome = self.read_response(reply, response, execution).await;
+                if let Outcome::Complete(_, body) = &outcome {
+                    let bytes = sent_bytes + body.len();
+                    locality::record_bytes(&gateway.fleet, &gateway.metrics, key, bytes);
+                }
+                outcome
             }
             Err(error) => {
                 self.record_outcome(SendOutcome::Failed);
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -6,6 +6,7 @@
 mod forward;
 mod identity;
 mod liveness;
+mod locality;
 mod pace;
 mod response;
 mod streaming;
@@ -28,6 +29,7 @@
 
 pub use attempt::{Attempt, Outcome};
 pub use content::Content;
+pub use locality::count as count_left;
 pub use pace::reading as stated_pace;
 pub use response::{empty_response, response_with_body, retry_later};
 pub use trial::Trial;
--- a/crates/policy/src/batch/pool.rs
+++ b/crates/policy/src/batch/pool.rs
@@ -35,6 +35,8 @@
     /// The number of changes of the engines, or of the models that they hold, since engines were last
     /// assigned to models. A change of a version is none.
     pub(crate) changes: usize,
+    /// The failure domain whose engines are preferred while they have free slots; off by default.
+    pub(crate) home: Option<String>,
     /// The engines that have a budget.
     limited: Vec<EngineKey>,
 }
@@ -186,7 +188,8 @@
     }
 
     /// Chooses an engine with a free slot for an item. Engines that are not slow come first, then
-    /// those assigned to the item's model, then those of the pace that the item prefers, then those
+    /// those assigned to the item's model, then those of the pace that the item prefers, then those in the
+    /// preferred failure domain, then those
     /// with the lowest share of used slots.
     pub(crate) fn choose(
         &self,
@@ -210,7 +213,9 @@
                 let (before, after) =
                     placement::order(now, engine, requirements.preference, lasting_median_ms);
                 let is_slow = self.is_slow(*key, median_ms);
-                (is_slow, is_assigned_elsewhere, before, fill, after)
+                let domain = &engine.registration.domain;
+                let is_away = self.home.as_ref().is_some_and(|home| home != domain);
+                (is_slow, is_assigned_elsewhere, before, is_away, fill, after)
             })
             .map(|(key, _)| key)
     }
--- a/crates/policy/src/batch/scheduler.rs
+++ b/crates/policy/src/batch/scheduler.rs
@@ -165,6 +165,11 @@
         reports::response_started(self, now, run, version)
     }
 
+    /// Has items run in a failure domain while its engines have free slots.
+    pub fn prefer_domain(&mut self, domain: &str) {
+        self.pool.home = Some(domain.to_owned());
+    }
+
     /// Records the pace that an engine stated in the response of a run.
     pub fn record_pace(&mut self, now: Instant, run: u64, reading: Reading) {
         placement::record_pace(self, now, run, reading);
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -1,7 +1,10 @@
 //! The backend servers that requests may be sent to, and the choice among them.
 
+mod locality;
 mod pace;
 
+pub use locality::Left;
+
 use std::cmp::Ordering;
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
@@ -75,6 +78,9 @@
     in_flight: u32,
     /// How long requests take.
     latency: Latency,
+    /// The shortest latency, and when the server responded last.
+    fastest: Option<Duration>,
+    responded_at: Option<Instant>,
     /// The load that the server reported last, and when.
     load: Option<(u32, Instant)>,
     backoff_until: Instant,
@@ -92,6 +98,8 @@
             registration,
             in_flight: 0,
             latency: Latency::default(),
+            fastest: None,
+            responded_at: None,
             load: None,
             backoff_until: Instant(0),
             failures: 0,
@@ -109,19 +117,23 @@
         self.in_flight.max(reported)
     }
 
-    /// Returns the expected number of seconds until a response to a caller in `domain`.
-    fn expected_latency(&self, now: Instant, domain: &str) -> f64 {
+    /// Returns the expected number of seconds until a response, without the cost of leaving a domain.
+    fn local_latency(&self, now: Instant) -> f64 {
         let load = f64::from(self.load(now));
         let slots = f64::from(self.registration.slots.max(1));
         // A server slows down as it fills, and requests beyond its slots are queued.
         let utilization = (load + 1.0) / slots;
+        self.latency.expected_seconds(now) * (1.0 + utilization.max(utilization * utilization))
+    }
+
+    /// Returns the expected number of seconds until a response to a caller in `domain`.
+    fn expected_latency(&self, now: Instant, domain: &str) -> f64 {
         let cross_domain_cost = if self.registration.domain == domain {
             0.0
         } else {
             CROSS_DOMAIN_COST.as_secs_f64()
         };
-        self.latency.expected_seconds(now) * (1.0 + utilization.max(utilization * utilization))
-            + cross_domain_cost
+        self.local_latency(now) + cross_domain_cost
     }
 }
 
@@ -134,6 +146,8 @@
     /// They count as draining, whatever service discovery says.
     departures: VecDeque<(String, Option<u64>)>,
     limiter: Limiter,
+    /// The shares of requests that leave the failure domain; off by default.
+    locality: Option<locality::Locality>,
 }
 
 impl Fleet {
@@ -287,9 +301,12 @@
     /// Returns `None` if there is no such server.
     #[must_use]
     pub fn choose(&self, now: Instant, query: Query) -> Option<ServerKey> {
+        let wanted = self.wanted_domain(&query);
         self.ready(query)
             .filter(|(key, _)| self.limiter.allows(now, *key))
-            .min_by(|(_, a), (_, b)| compare(a.rank(now, query.domain), b.rank(now, query.domain)))
+            .min_by(|(_, a), (_, b)| {
+                compare(a.rank(now, query, wanted), b.rank(now, query, wanted))
+            })
             .map(|(key, _)| key)
     }
 
@@ -302,11 +319,12 @@
         query: Query,
         otherwise: Option<ServerKey>,
     ) -> Vec<ServerKey> {
+        let wanted = self.wanted_domain(&query);
         let other_rank = otherwise
             .and_then(|key| self.servers.get(key))
-            .map(|server| server.rank(now, query.domain));
+            .map(|server| server.rank(now, query, wanted));
         let is_better = |server: &Server| {
-            let (reluctance, latency) = server.rank(now, query.domain);
+            let (reluctance, latency) = server.rank(now, query, wanted);
             let rank = (reluctance, latency + PERMIT_COST.as_secs_f64());
             other_rank.is_none_or(|other| compare(rank, other).is_lt())
         };
@@ -398,6 +416,7 @@
         if let Some(server) = self.servers.get_mut(key) {
             server.in_flight += 1;
         }
+        self.count_sent(key);
     }
 
     /// Records the load that a server reported.
@@ -440,7 +459,7 @@
 
 /// The order in which servers are chosen: whether the server is used only if no other is, by
 /// severity, and the expected number of seconds until a response.
-type Rank = ((bool, bool), f64);
+type Rank = ((bool, bool, bool), f64);
 
 fn compare(a: Rank, b: Rank) -> Ordering {
     a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))
@@ -451,9 +470,10 @@
 }
 
 impl Server {
-    fn rank(&self, now: Instant, domain: &str) -> Rank {
-        let reluctance = (self.is_backing_off(now), self.trials > 0);
-        (reluctance, self.expected_latency(now, domain))
+    fn rank(&self, now: Instant, query: Query, wanted: Option<&str>) -> Rank {
+        let is_unwanted = wanted.is_some_and(|wanted| wanted != self.registration.domain);
+        let reluctance = (self.is_backing_off(now), self.trials > 0, is_unwanted);
+        (reluctance, self.expected_latency(now, query.domain))
     }
 
     fn is_backing_off(&self, now: Instant) -> bool {
--- a/crates/policy/src/fleet/pace.rs
+++ b/crates/policy/src/fleet/pace.rs
@@ -85,5 +85,7 @@
         let slots = f64::from(self.registration.slots.max(1));
         let congestion = ((load + 1.0) / slots).max(1.0);
         self.latency.record(now, duration, congestion);
+        self.fastest = Some(self.fastest.map_or(duration, |known| known.min(duration)));
+        self.responded_at = Some(now);
     }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -18,6 +18,7 @@
 //! - [`batch::Scheduler`]: the items of batches, their results and the weights of engines;
 //! - [`reward::Queue`]: the calls that score the texts of items;
 //! - [`pace::Pace`]: how fast a server works, lastingly and at this moment;
+//! - [`locality::Share`]: which share of requests leaves the failure domain;
 //! - [`limit::Limiter`]: the request limits that backend servers state;
 //! - [`streams`]: where streams began that clients take up at any gateway;
 //! - [`lease::Lease`]: which process is the scheduling gateway.
@@ -34,6 +35,7 @@
 pub mod fleet;
 pub mod lease;
 pub mod limit;
+pub mod locality;
 pub mod pace;
 pub mod process;
 pub mod request;
--- a/crates/policy/src/pace/latency.rs
+++ b/crates/policy/src/pace/latency.rs
@@ -120,6 +120,13 @@
         self.samples = self.samples.saturating_add(1);
     }
 
+    /// Returns the seconds that a request takes at a server with free slots, at its lasting pace, once
+    /// a request has ended.
+    #[must_use]
+    pub fn service_seconds(&self) -> Option<f64> {
+        (self.samples > 0).then(|| self.normal * self.pace.lasting())
+    }
+
     /// Returns the seconds that a request takes at normal pace, if enough requests have ended.
     #[must_use]
     pub fn judged_seconds(&self) -> Option<f64> {
--- a/crates/policy/tests/common/engines.rs
+++ b/crates/policy/tests/common/engines.rs
@@ -74,6 +74,10 @@
     pub max_concurrent_loads: usize,
     /// How long work takes at an engine at a moment, by the engine's number. Without it, always normal.
     pub pace: Option<fn(usize, Instant) -> f64>,
+    /// The engines in another failure domain.
+    pub away: BTreeSet<String>,
+    /// The number of runs that started on each engine.
+    pub starts: BTreeMap<String, usize>,
     /// Whether engines state their pace in responses.
     pub states_pace: bool,
     /// Whether load commands may be sent.
@@ -107,6 +111,8 @@
             stops: BTreeMap::new(),
             max_concurrent_loads: 0,
             pace: None,
+            away: BTreeSet::new(),
+            starts: BTreeMap::new(),
             states_pace: false,
             may_command: true,
             open_batches: BTreeMap::new(),
@@ -141,7 +147,12 @@
             service: "pool".to_owned(),
             software: self.engines[name].software.to_owned(),
             address: ([127, 0, 0, 1], 1).into(),
-            domain: "here".to_owned(),
+            domain: if self.away.contains(name) {
+                "there"
+            } else {
+                "here"
+            }
+            .to_owned(),
             slots,
             state,
             models: BTreeMap::from([(MODEL.to_owned(), self.engines[name].version)]),
@@ -443,6 +454,7 @@
                 let engine = registration.instance.clone();
                 let is_elsewhere = self.runs.values().any(|other| other.item == item.id);
                 assert!(!is_elsewhere, "{} runs twice", item.id);
+                *self.starts.entry(engine.clone()).or_default() += 1;
                 let event_interval = self.engines[&engine].event_interval;
                 let next = after.unwrap_or(0) + 1;
                 let pace = pace_of(self.pace, &engine, self.now);
--- a/crates/policy/tests/common/lookups.rs
+++ b/crates/policy/tests/common/lookups.rs
@@ -14,6 +14,11 @@
 
 use crate::paces;
 
+#[path = "lookup_setup.rs"]
+mod setup;
+
+pub use setup::{Figures, Report, Scene, Setup, Shape};
+
 /// The slots of a server.
 pub const SLOTS: usize = 6;
 
@@ -39,72 +44,6 @@
 /// The time before latencies are recorded.
 const WARM_UP: Duration = Duration::from_secs(10);
 
-/// What servers state about their pace.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Figures {
-    /// Nothing.
-    None,
-    /// The truth.
-    True,
-    /// What was true a second ago.
-    Late,
-    /// The truth, in every second response.
-    Missing,
-    /// A random number.
-    Wrong,
-    /// What was true when the simulation began.
-    Stuck,
-    /// That the pace is normal.
-    Normal,
-}
-
-/// How the pace of servers changes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Shape {
-    /// A third on slow hosts, and slow phases.
-    Mixed,
-    /// As before, and after half of the time a third becomes 2.5 times slower for good.
-    Step,
-    /// As before, and all servers are 2.5 times slower for 5 s.
-    AllSlow,
-}
-
-/// What is simulated.
-#[derive(Clone, Copy, Debug)]
-pub struct Setup {
-    pub gateways: usize,
-    pub servers: usize,
-    /// The offered load as a share of the capacity at mean pace.
-    pub load: f64,
-    pub figures: Figures,
-    pub shape: Shape,
-    pub duration: Duration,
-    pub seed: u64,
-}
-
-/// What became of the lookups.
-#[derive(Clone, Debug, Default)]
-pub struct Report {
-    latencies: Vec<Duration>,
-    pub sends: usize,
-    pub lost: usize,
-}
-
-impl Report {
-    /// Returns a percentile of the latencies in milliseconds.
-    pub fn percentile(&self, percent: usize) -> f64 {
-        let mut sorted = self.latencies.clone();
-        sorted.sort_unstable();
-        let index = (sorted.len() * percent / 100).min(sorted.len() - 1);
-        sorted[index].as_secs_f64() * 1000.0
-    }
-
-    /// Returns the number of lookups.
-    pub fn count(&self) -> usize {
-        self.latencies.len()
-    }
-}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     Arrive(usize),
@@ -160,6 +99,20 @@
     format!("d{}", index % 4)
 }
 
+fn registration(server: usize) -> Registration {
+    Registration {
+        instance: format!("s{server}"),
+        started_at_ms: Some(1),
+        service: "app".to_owned(),
+        software: "v1".to_owned(),
+        address: ([127, 0, 0, 1], 1).into(),
+        domain: domain(server),
+        slots: u32::try_from(SLOTS).expect("few slots"),
+        state: State::Ready,
+        models: BTreeMap::new(),
+    }
+}
+
 /// Runs a simulation.
 pub fn run(setup: Setup) -> Report {
     let start = Instant::from_millis(1_000_000);
@@ -168,17 +121,7 @@
     for fleet in &mut fleets {
         let mut of_fleet = Vec::new();
         for server in 0..setup.servers {
-            fleet.register(Registration {
-                instance: format!("s{server}"),
-                started_at_ms: Some(1),
-                service: "app".to_owned(),
-                software: "v1".to_owned(),
-                address: ([127, 0, 0, 1], 1).into(),
-                domain: domain(server),
-                slots: u32::try_from(SLOTS).expect("few slots"),
-                state: State::Ready,
-                models: BTreeMap::new(),
-            });
+            fleet.register(registration(server));
             let key = fleet.key_of(&format!("s{server}"), Some(1));
             of_fleet.push(key.expect("the server is registered"));
         }
@@ -198,14 +141,22 @@
         attempts: Vec::new(),
         report: Report::default(),
     };
+    simulation.report.changes = vec![Vec::new(); setup.gateways];
     for gateway in 0..setup.gateways {
+        if setup.has_locality {
+            simulation.fleets[gateway].enable_locality(&domain(gateway), &format!("g{gateway}"));
+        }
         simulation.schedule_arrival(gateway);
     }
     let end = start.after(setup.duration);
+    let seconds = usize::try_from(setup.duration.as_secs()).expect("few seconds");
+    simulation.report.left = vec![0; seconds + 1];
     while let Some(Reverse((at, _, event))) = simulation.events.pop() {
         simulation.now = at;
         simulation.handle(event, end);
     }
+    let fleets = simulation.fleets.iter();
+    simulation.report.bytes_left = fleets.map(|fleet| fleet.left("app").bytes).sum();
     simulation.report
 }
 
@@ -225,7 +176,13 @@
         let speed: f64 = (0..self.setup.servers).map(paces::mean_speed).sum();
         let capacity = speed * 6.0 / WORK.as_secs_f64();
         let gateways = f64::from(u32::try_from(self.setup.gateways).expect("few gateways"));
-        let gap = self.draw_exponential(gateways / (capacity * self.setup.load));
+        let is_burst = self.setup.scene == Scene::Burst && gateway.is_multiple_of(4);
+        let factor = if is_burst && self.is_middle() {
+            3.0
+        } else {
+            1.0
+        };
+        let gap = self.draw_exponential(gateways / (capacity * self.setup.load * factor));
         self.push(gap, Event::Arrive(gateway));
     }
 
@@ -241,6 +198,9 @@
                     attempts: Vec::new(),
                     is_ended: false,
                 });
+                if matches!(self.setup.scene, Scene::Lost | Scene::OneLost) {
+                    self.update_servers(gateway);
+                }
                 self.send(self.requests.len() - 1);
                 self.schedule_arrival(gateway);
             }
@@ -326,6 +286,7 @@
             self.push(HEDGE_AFTER, Event::Hedge(request));
         }
         self.fleets[gateway].record_sent(key);
+        self.review(gateway, request, key);
         let server = self.keys[gateway].iter().position(|known| *known == key);
         let server = server.expect("the server is known");
         self.attempts.push(Attempt {
@@ -340,6 +301,48 @@
         self.push(self.way(attempt), Event::AtServer(attempt));
     }
 
+    /// Whether this is the middle third of the time.
+    fn is_middle(&self) -> bool {
+        let elapsed = self.now.since(self.start);
+        elapsed >= self.setup.duration / 3 && elapsed < self.setup.duration * 2 / 3
+    }
+
+    /// Removes or adds the servers of the first failure domain in the view of a gateway.
+    fn update_servers(&mut self, gateway: usize) {
+        let step = if self.setup.scene == Scene::Lost {
+            4
+        } else {
+            self.setup.servers
+        };
+        for server in (0..self.setup.servers).step_by(step) {
+            let name = format!("s{server}");
+            let is_known = self.fleets[gateway].registered(&name).is_some();
+            if is_known && self.is_middle() {
+                self.fleets[gateway].remove(&name);
+            } else if !is_known && !self.is_middle() {
+                self.fleets[gateway].register(registration(server));
+                let key = self.fleets[gateway].key_of(&name, Some(1));
+                self.keys[gateway][server] = key.expect("the server is registered");
+            }
+        }
+    }
+
+    /// Reviews the share that leaves, and counts a request that does.
+    fn review(&mut self, gateway: usize, request: usize, key: ServerKey) {
+        let second = self.now.since(self.start).as_secs();
+        if let Some(change) = self.fleets[gateway].review_locality(self.now, "app") {
+            self.report.changes[gateway].push((second, change.to));
+        }
+        let server = self.fleets[gateway].registration(key).expect("known");
+        let is_first = self.requests[request].attempts.is_empty();
+        if is_first && server.domain != domain(gateway) {
+            let index = usize::try_from(second).expect("few seconds");
+            if let Some(count) = self.report.left.get_mut(index) {
+                *count += 1;
+            }
+        }
+    }
+
     /// Returns the one-way latency of an attempt's link.
     fn way(&self, attempt: usize) -> Duration {
         let attempt = &self.attempts[attempt];
@@ -384,6 +387,7 @@
         let extra = match self.setup.shape {
             Shape::Step if elapsed >= half && server % 3 == 1 => 2.5,
             Shape::AllSlow if elapsed >= half && elapsed < half + Duration::from_secs(5) => 2.5,
+            Shape::Even => return 1.0,
             _ => 1.0,
         };
         paces::mixed(server, at) * extra
@@ -456,6 +460,7 @@
             self.attempts[attempt].is_recorded = true;
             let gateway = self.requests[request].gateway;
             let key = self.keys[gateway][server];
+            self.fleets[gateway].record_bytes(key, 8192);
             self.fleets[gateway].record_outcome(self.now, key, outcome);
         }
     }
--- a/crates/policy/tests/fleet.rs
+++ b/crates/policy/tests/fleet.rs
@@ -153,3 +153,37 @@
     assert_ne!(choose(&fleet, at(0)).0, before);
     assert_eq!(fleet.registration(before), None);
 }
+
+/// Guards against a refusal, or a server that backs off, because requests are to stay in the own failure
+/// domain or to leave it.
+#[test]
+fn a_share_that_stays_keeps_no_request_from_a_server() {
+    let mut fleet = fleet();
+    fleet.enable_locality("d1", "host");
+    for _ in 0..20 {
+        fleet.review_locality(at(0), "app");
+        let (key, name) = choose(&fleet, at(0));
+        assert_eq!(name, "near");
+        fleet.record_sent(key);
+    }
+    let (near, _) = choose(&fleet, at(0));
+    fleet.record_outcome(at(0), near, SendOutcome::Failed);
+    assert_ne!(choose(&fleet, at(100)).1, "near", "it backs off");
+    fleet.remove("near");
+    let others = (
+        choose(&fleet, at(100)).1,
+        fleet.review_locality(at(300), "app"),
+    );
+    assert_ne!(others.0, "near");
+    assert!(
+        others
+            .1
+            .is_some_and(|change| (change.to - 1.0).abs() < f64::EPSILON)
+    );
+    fleet.record_bytes(choose(&fleet, at(300)).0, 1000);
+    fleet.record_sent(choose(&fleet, at(300)).0);
+    assert_eq!(
+        (fleet.left("app").requests, fleet.left("app").bytes),
+        (1, 1000)
+    );
+}
--- a/crates/policy/tests/pace.rs
+++ b/crates/policy/tests/pace.rs
@@ -10,7 +10,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use lookups::{Figures, Report, Setup, Shape};
+use lookups::{Figures, Report, Scene, Setup, Shape};
 use tamaracksail_model::backend::{Registration, State};
 use tamaracksail_model::pace::Reading;
 use tamaracksail_model::time::Instant;
@@ -61,6 +61,8 @@
         load,
         figures,
         shape: Shape::Mixed,
+        scene: Scene::Calm,
+        has_locality: false,
         duration: Duration::from_mins(1),
         seed: 7,
     }
--- a/crates/policy/tests/placement.rs
+++ b/crates/policy/tests/placement.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use engines::Simulation;
+use tamaracksail_model::backend::State;
 use tamaracksail_model::time::Instant;
 
 const EVENT_INTERVAL: Duration = Duration::from_millis(40);
@@ -108,3 +109,45 @@
         simulation.stops
     );
 }
+
+/// Plays steps with half of the engines in another failure domain. Returns the mean duration of a step
+/// in milliseconds, and the share of runs that left.
+fn play_domains(prefers_domain: bool, groups: usize) -> (f64, f64) {
+    let mut simulation = Simulation::new(12, 8, EVENT_INTERVAL);
+    for number in 6..12 {
+        let name = format!("e{number:02}");
+        simulation.away.insert(name.clone());
+        simulation.register(&name, 8, State::Ready);
+    }
+    if prefers_domain {
+        simulation.scheduler.prefer_domain("here");
+    }
+    let mean = train(&mut simulation, 4, groups);
+    let count = |is_counted: &dyn Fn(&String) -> bool| {
+        let starts = simulation
+            .starts
+            .iter()
+            .filter(|(name, _)| is_counted(name));
+        let sum: usize = starts.map(|(_, count)| count).sum();
+        f64::from(u32::try_from(sum).expect("few runs"))
+    };
+    let left = count(&|name| simulation.away.contains(name)) / count(&|_| true);
+    println!(
+        "{groups} groups, domain preferred: {prefers_domain}: {mean:.0} ms a step, {left:.2} left"
+    );
+    (mean, left)
+}
+
+/// Guards against runs that leave the failure domain while it has free slots, and against items that
+/// wait for a slot here while there are some elsewhere.
+#[test]
+fn runs_leave_the_failure_domain_only_when_it_is_full() {
+    let (few, few_left) = play_domains(true, 10);
+    let (few_off, few_left_off) = play_domains(false, 10);
+    assert!(few_left.abs() < f64::EPSILON && few_left_off > 0.3);
+    assert!(few <= few_off * 1.05);
+    let (many, many_left) = play_domains(true, 24);
+    let (many_off, many_left_off) = play_domains(false, 24);
+    assert!(many_left > 0.0 && many_left <= many_left_off + 0.05);
+    assert!(many <= many_off * 1.05);
+}
