--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -93,6 +93,11 @@
             reports: metrics.usage_reports.clone(),
             late: metrics.usage_late.clone(),
         });
+        let mut fleet = Fleet::new(Limiter::new(rand::random()));
+        if settings.has_locality {
+            fleet.enable_locality(&settings.domain, &settings.host);
+            coordinator.prefer_domain(&settings.domain);
+        }
         Self {
             incarnation,
             started_at: now(),
@@ -104,7 +109,7 @@
             settings: RefCell::new(settings),
             table: RefCell::new(None),
             configuration: Configuration::new(rand::random()),
-            fleet: RefCell::new(Fleet::new(Limiter::new(rand::random()))),
+            fleet: RefCell::new(fleet),
             admission: Queues::default(),
             limits: Limits::default(),
             streams: Streams::default(),
@@ -119,6 +124,12 @@
         }
     }
 
+    /// Returns the own failure domain if shares of requests leave it.
+    pub fn locality_domain(&self) -> Option<String> {
+        let settings = self.settings.borrow();
+        settings.has_locality.then(|| settings.domain.clone())
+    }
+
     /// Whether the process is ready for new connections: it has read the routes and the list of
     /// servers, and isn't stopping.
     pub fn is_ready(&self) -> bool {
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -7,6 +7,7 @@
 mod forward;
 mod identity;
 mod liveness;
+mod locality;
 mod pace;
 mod response;
 mod resumed;
@@ -31,6 +32,7 @@
 
 pub use attempt::{Attempt, Outcome};
 pub use content::Content;
+pub use locality::count as count_left;
 pub use pace::reading as stated_pace;
 pub use response::{empty_response, response_with_body, retry_later};
 pub use trial::Trial;
--- a/crates/gateway/tests/accounts.rs
+++ b/crates/gateway/tests/accounts.rs
@@ -7,9 +7,9 @@
 use bytes::Bytes;
 use common::{Gateway, World, read_results, run, wait_until};
 use hyper::Method;
-use tamaracksail_adapter_standins::Engine;
 use serde_json::json;
 use tamaracksail_adapter::names;
+use tamaracksail_adapter_standins::Engine;
 use tamaracksail_adapter_standins::settings::{self, with_accounts};
 use tamaracksail_adapter_standins::store::Fault;
 use tamaracksail_model::batch::Ending;
@@ -240,10 +240,7 @@
             let results = read_results(&client, batch, 1).await;
             assert_eq!(results[0].ending, Ending::Completed, "{batch}");
         }
-        let arrivals = world
-            .engines
-            .iter()
-            .flat_map(Engine::arrivals);
+        let arrivals = world.engines.iter().flat_map(Engine::arrivals);
         for arrival in arrivals {
             let expected: &[&str] = if arrival.id == "b1-i" {
                 &["north"]
