Hold bodies and responses within one memory budget per process

Cause: bodies were collected and then joined, which held each of them twice, and nothing bounded how many were held at once: 40 bodies of 32 MiB do not fit into a gateway of 112 MB. A relayed response of known length whose client closed after its last byte counted as abandoned, so that its request was held while the server was observed.

Change: `policy::memory::Budget` reserves the stated length of a body before it is read, by account; what does not fit is refused with 503 and a spread Retry-After. Batch bodies and messages of peers are read the same way, collected and relayed responses are counted, and while memory is short one chunk at a time is buffered per response. Reservations belong to the bytes and end with their last clone. A relayed response of known length is complete once all of its bytes are relayed.

Events of resumable streams and texts of items are not counted yet.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -13,6 +13,7 @@
 use tamaracksail_model::time::Instant;
 use tamaracksail_policy::fleet::Fleet;
 use tamaracksail_policy::limit::Limiter;
+use tamaracksail_policy::memory::Budget;
 use tamaracksail_process::trace::{Span, SpanKind, TRACEPARENT, Tracer};
 
 use crate::admission::Queues;
@@ -41,6 +42,8 @@
     pub store: store::Client,
     /// Whether the store answers this process.
     pub store_availability: Availability,
+    /// The bytes that may be held for clients, servers and peers.
+    pub memory: Budget,
     /// The routes in force; none until the first have been read.
     pub table: RefCell<Option<Rc<Table>>>,
     /// The backend servers.
@@ -80,6 +83,7 @@
             http: http::Client::default(),
             store: store::Client::new(settings.store),
             store_availability: Availability::default(),
+            memory: Budget::of_process(settings.memory_bytes),
             settings: RefCell::new(settings),
             table: RefCell::new(None),
             fleet: RefCell::new(Fleet::new(Limiter::new(rand::random()))),
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -10,6 +10,7 @@
 mod connection;
 mod gateway;
 mod limits;
+mod memory;
 mod metrics;
 mod options;
 mod peer;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use prometheus::{Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry};
+use prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry};
 
 /// The upper bounds of latency buckets, in seconds: from a store call to a whole training step.
 const LATENCY_BUCKETS_S: [f64; 14] = [
@@ -15,6 +15,8 @@
     registry: Registry,
     /// Requests of client accounts, by whether they began at once, waited or were refused.
     pub admissions: IntCounterVec,
+    /// Bodies that were refused since they did not fit into memory.
+    pub memory_refusals: IntCounter,
     /// Responses to clients, by route kind and status.
     pub responses: IntCounterVec,
     /// The seconds from a request's arrival to its response.
@@ -80,7 +82,16 @@
                 .expect("it is registered once");
             gauge
         };
+        let memory_refusals = IntCounter::new(
+            name("memory_refusals"),
+            "Bodies refused since they did not fit into memory.",
+        )
+        .expect("the name is a literal");
+        registry
+            .register(Box::new(memory_refusals.clone()))
+            .expect("it is registered once");
         Self {
+            memory_refusals,
             admissions: counter(
                 "admissions",
                 "Requests of client accounts, by how they got a slot.",
--- a/crates/gateway/src/peer/server.rs
+++ b/crates/gateway/src/peer/server.rs
@@ -5,13 +5,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tamaracksail_http::socket;
+use tamaracksail_policy::memory::Use;
 use tamaracksail_wire::codec::MAX_BYTES;
 use tamaracksail_wire::peer::{Request as PeerRequest, Response as PeerResponse};
 use tokio::net::{TcpListener, TcpStream};
@@ -22,6 +22,7 @@
 use crate::connection::Body;
 use crate::gateway::Gateway;
 use crate::limits;
+use crate::memory::{self, Refusal};
 use crate::request::{empty_response, response_with_body};
 use crate::streams;
 
@@ -71,10 +72,19 @@
     if request.uri().path() != PATH {
         return empty_response(StatusCode::NOT_FOUND);
     }
-    let Ok(body) = Limited::new(request.into_body(), MAX_BYTES).collect().await else {
-        return empty_response(StatusCode::BAD_REQUEST);
+    let body = request.into_body();
+    let read = memory::read_body(body, MAX_BYTES, &gateway.memory, Use::Peer, None);
+    let body = match read.await {
+        Ok(body) => body,
+        Err(Refusal::Exhausted(error)) => {
+            log::warn!(error:%; "request of a peer refused");
+            return empty_response(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        Err(Refusal::TooLong | Refusal::Broken) => {
+            return empty_response(StatusCode::BAD_REQUEST);
+        }
     };
-    let request: PeerRequest = match tamaracksail_wire::decode(&body.to_bytes()) {
+    let request: PeerRequest = match tamaracksail_wire::decode(&body) {
         Ok(request) => request,
         Err(error) => {
             log::warn!(error:%; "malformed request of a peer");
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -14,6 +14,7 @@
 use tamaracksail_http::IncomingResponse;
 use tamaracksail_model::time::Instant;
 use tamaracksail_policy::fleet::{SendOutcome, ServerKey};
+use tamaracksail_policy::memory::Use;
 use tamaracksail_policy::request::survival::Interruption;
 use tamaracksail_process::trace::{Span, SpanKind};
 
@@ -21,6 +22,7 @@
 use super::execution::Execution;
 use super::trial::Trial;
 use crate::gateway::{Gateway, now};
+use crate::memory;
 use crate::version::{self, Source, observe_response};
 
 /// The time limit on connecting to a backend server. A healthy connect takes one round trip.
@@ -184,6 +186,8 @@
             return Outcome::Streaming(Bytes::new(), Box::new(reply), execution);
         }
         let mut body = Vec::new();
+        let budget = &self.gateway.memory;
+        let mut reservation = budget.count(Use::Response, None, 0);
         loop {
             match reply.next().await {
                 Ok(Some(chunk)) => body.extend_from_slice(&chunk),
@@ -199,9 +203,15 @@
                 self.record_outcome(SendOutcome::Failed);
                 return Outcome::Failed(format!("status {code}, the body is too long"));
             }
-            if body.len() > MAX_BUFFERED_BYTES {
+            let fits = reservation.grow_to(body.capacity() as u64).is_ok();
+            if !fits {
+                reservation.count_to(body.capacity() as u64);
+            }
+            // Without memory for the whole body, it is relayed as it arrives.
+            if body.len() > MAX_BUFFERED_BYTES || (!fits && code.is_success()) {
                 self.record_outcome(SendOutcome::Responded(now().since(self.start)));
-                return Outcome::Streaming(body.into(), Box::new(reply), execution);
+                let first = memory::hold(body, reservation);
+                return Outcome::Streaming(first, Box::new(reply), execution);
             }
         }
         let head = reply.head.clone();
@@ -212,7 +222,10 @@
         } else {
             SendOutcome::Responded(now().since(self.start))
         });
-        Outcome::Complete(head, body.into())
+        if body.is_empty() {
+            return Outcome::Complete(head, Bytes::new());
+        }
+        Outcome::Complete(head, memory::hold(body, reservation))
     }
 
     /// Records the outcome in the fleet and ends the span. Only the first call has an effect.
--- a/crates/gateway/src/request/forward.rs
+++ b/crates/gateway/src/request/forward.rs
@@ -16,6 +16,7 @@
 use tamaracksail_model::table::draw_target;
 use tamaracksail_model::time::Instant;
 use tamaracksail_policy::fleet::ServerKey;
+use tamaracksail_policy::memory::Use;
 use tamaracksail_policy::request::suspects::Verdict;
 use tamaracksail_process::trace::SpanKind;
 use tokio::sync::mpsc;
@@ -30,6 +31,7 @@
 use crate::connection::Body;
 use crate::gateway::{Gateway, now};
 use crate::limits::{self, Candidates, Cause};
+use crate::memory;
 use crate::streams;
 
 /// When clients should retry after all servers refused. Requests take tens of milliseconds, so a
@@ -460,8 +462,10 @@
         let length = reply.length().map(|left| left + first.len() as u64);
         let head = reply.head.clone();
         let end = self.deadline.after(RELAY_MARGIN).since(now());
+        let budget = self.gateway.memory.clone();
         actix_rt::spawn(async move {
             let _admitted = admitted;
+            let mut left = reply.length();
             let mut end = pin!(tokio::time::sleep(end));
             if sender.send(Ok(first)).await.is_err() {
                 return;
@@ -474,13 +478,27 @@
                 };
                 let chunk = match chunk {
                     Ok(None) => return execution.complete(),
-                    Ok(Some(chunk)) => Ok(chunk),
+                    Ok(Some(chunk)) => {
+                        let bytes = chunk.len() as u64;
+                        left = left.map(|left| left.saturating_sub(bytes));
+                        let reservation = budget.count(Use::Response, None, bytes);
+                        Ok(memory::hold(chunk, reservation))
+                    }
                     Err(error) => Err(error),
                 };
                 let is_broken = chunk.is_err();
                 if sender.send(chunk).await.is_err() {
                     return;
                 }
+                if left == Some(0) && !is_broken {
+                    // The client's connection drops the body once it has all of it, which must not
+                    // count as abandoned.
+                    return execution.complete();
+                }
+                // While memory is short, one chunk at a time is buffered.
+                if budget.is_tight() && sender.reserve_many(MAX_BUFFERED_CHUNKS).await.is_err() {
+                    return;
+                }
                 if is_broken {
                     return execution.break_off().await;
                 }
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -13,24 +13,29 @@
 
 use std::convert::Infallible;
 use std::rc::Rc;
+use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
 use hyper::{Method, Request, Response, StatusCode};
 use tamaracksail_adapter::ingress::{self, Call};
 use tamaracksail_model::route::Kind;
+use tamaracksail_policy::memory::Use;
 
 use crate::batches;
 use crate::connection::Body;
 use crate::gateway::{Gateway, now};
+use crate::memory::{self, Refusal};
 
 pub use attempt::{Attempt, Outcome};
 pub use content::Content;
 pub use response::{empty_response, response_with_body, retry_later};
 pub use trial::Trial;
 
+/// When clients should retry whose body did not fit into memory, before it is randomized: large
+/// bodies take some tenths of a second to pass on.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
+
 /// The path under which metrics are served.
 const METRICS_PATH: &str = "/metrics";
 
@@ -143,13 +148,12 @@
         remaining.min(route.timeout)
     };
     let deadline = arrival.after(limit);
-    let read = read_body(body, table.limits.body_bytes);
+    let kind = if is_batch { Use::Batch } else { Use::Request };
+    let max_bytes = table.limits.body_bytes;
+    let read = memory::read_body(body, max_bytes, &gateway.memory, kind, caller.account());
     let body = match tokio::time::timeout(limit, read).await {
         Ok(Ok(body)) => body,
-        Ok(Err(code)) => {
-            log::info!(request = id.as_str(), status = code.as_u16(); "request body not read");
-            return empty_response(code);
-        }
+        Ok(Err(refusal)) => return refuse_body(gateway, &id, refusal),
         Err(_) => {
             log::info!(request = id.as_str(), outcome = "not run"; "request body too slow");
             return empty_response(StatusCode::REQUEST_TIMEOUT);
@@ -162,17 +166,19 @@
     forward::forward(gateway, route, &caller, content, &id, arrival, deadline).await
 }
 
-/// Reads a body of at most `max_bytes`.
-///
-/// # Errors
-/// The status to respond with: 413 if the body is longer, 400 if it breaks off.
-async fn read_body(body: Incoming, max_bytes: usize) -> Result<Bytes, StatusCode> {
-    match Limited::new(body, max_bytes).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
-            Err(StatusCode::PAYLOAD_TOO_LARGE)
+/// Returns the response to a request whose body was not read.
+fn refuse_body(gateway: &Gateway, id: &str, refusal: Refusal) -> Response<Body> {
+    log::info!(
+        request = id, reason:% = refusal, in_use = gateway.memory.used(), outcome = "not run";
+        "request body not read"
+    );
+    match refusal {
+        Refusal::TooLong => empty_response(StatusCode::PAYLOAD_TOO_LARGE),
+        Refusal::Broken => empty_response(StatusCode::BAD_REQUEST),
+        Refusal::Exhausted(_) => {
+            gateway.metrics.memory_refusals.inc();
+            retry_later(MEMORY_RETRY_AFTER.mul_f64(0.5 + rand::random::<f64>()))
         }
-        Err(_) => Err(StatusCode::BAD_REQUEST),
     }
 }
 
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -82,6 +82,7 @@
         match Settings::load() {
             Ok(settings) => {
                 let is_changed = *gateway.settings.borrow() != settings;
+                gateway.memory.set_process_limit(settings.memory_bytes);
                 *gateway.settings.borrow_mut() = settings;
                 if is_signalled || is_changed {
                     log::info!(is_changed, is_signalled; "settings reloaded");
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -46,12 +46,28 @@
         Self::start_with(host, store, 120, Some(endpoint))
     }
 
+    /// Starts a gateway with a memory limit of `memory_mb` megabytes.
+    pub fn with_memory(host: &str, store: &Store, memory_mb: u64) -> Self {
+        let write = |text: String| settings::with_memory(&text, memory_mb);
+        Self::start_as(host, store, 120, None, write)
+    }
+
     fn start_with(host: &str, store: &Store, retention_s: u64, spans: Option<String>) -> Self {
+        Self::start_as(host, store, retention_s, spans, |text| text)
+    }
+
+    fn start_as(
+        host: &str,
+        store: &Store,
+        retention_s: u64,
+        spans: Option<String>,
+        change: impl FnOnce(String) -> String,
+    ) -> Self {
         let ip = address();
         let folder = std::env::temp_dir().join(format!("tamaracksail-{ip}"));
         std::fs::create_dir_all(&folder).expect("a folder for settings");
         let text = settings::file(host, ip, store.address, retention_s);
-        std::fs::write(folder.join("settings"), text).expect("a settings file");
+        std::fs::write(folder.join("settings"), change(text)).expect("a settings file");
         let lines = Arc::default();
         let child = spawn(&folder, spans.as_deref(), &lines);
         Self {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -18,6 +18,7 @@
 //! - [`admission::Queue`]: which account's request begins next while a service is full;
 //! - [`batch::Scheduler`]: the items of batches, their results and the weights of engines;
 //! - [`reward::Queue`]: the calls that score the texts of items;
+//! - [`memory::Budget`]: the bytes that a process may hold;
 //! - [`limit::Limiter`]: the request limits that backend servers state;
 //! - [`streams`]: where streams began that clients take up at any gateway;
 //! - [`lease::Lease`]: which process is the scheduling gateway.
@@ -35,6 +36,7 @@
 pub mod fleet;
 pub mod lease;
 pub mod limit;
+pub mod memory;
 pub mod process;
 pub mod request;
 pub mod reward;
