Split the relay of responses, the creation of metrics and the handling of peers' requests

Change: the relay of large responses stands in relay.rs, metrics are created by a registrar, and a peer's request is read and handled in two functions. No behaviour changes.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,8 +1,12 @@
 //! Counters and latency histograms of the process.
 
+mod registrar;
+
 use std::time::Duration;
 
-use prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry};
+use prometheus::{Histogram, IntCounter, IntCounterVec, IntGauge, Registry};
+
+use registrar::Registrar;
 
 /// The upper bounds of latency buckets, in seconds: from a store call to a whole training step.
 const LATENCY_BUCKETS_S: [f64; 14] = [
@@ -76,129 +80,100 @@
     /// Never: the names are literals and registered once each.
     #[must_use]
     pub fn new() -> Self {
-        let registry = Registry::new();
-        let name = |name: &str| format!("tamaracksail_gateway_{name}");
-        let counter = |text: &str, help: &str, labels: &[&str]| {
-            let counter = IntCounterVec::new(Opts::new(name(text), help), labels)
-                .expect("the name and labels are literals");
-            registry
-                .register(Box::new(counter.clone()))
-                .expect("it is registered once");
-            counter
-        };
-        let histogram = |text: &str, help: &str| {
-            let options = HistogramOpts::new(name(text), help).buckets(LATENCY_BUCKETS_S.to_vec());
-            let histogram = Histogram::with_opts(options).expect("the name is a literal");
-            registry
-                .register(Box::new(histogram.clone()))
-                .expect("it is registered once");
-            histogram
-        };
-        let gauge = |text: &str, help: &str| {
-            let gauge = IntGauge::new(name(text), help).expect("the name is a literal");
-            registry
-                .register(Box::new(gauge.clone()))
-                .expect("it is registered once");
-            gauge
-        };
-        let usage_late = IntCounter::new(
-            name("usage_late"),
-            "Requests whose count arrived after their window was closed.",
-        )
-        .expect("the name is a literal");
-        registry
-            .register(Box::new(usage_late.clone()))
-            .expect("it is registered once");
-        let memory_refusals = IntCounter::new(
-            name("memory_refusals"),
-            "Bodies refused since they did not fit into memory.",
-        )
-        .expect("the name is a literal");
-        registry
-            .register(Box::new(memory_refusals.clone()))
-            .expect("it is registered once");
+        let metrics = Registrar::default();
         Self {
-            memory_refusals,
-            admissions: counter(
+            memory_refusals: metrics.counter(
+                "memory_refusals",
+                "Bodies refused since they did not fit into memory.",
+            ),
+            admissions: metrics.counters(
                 "admissions",
                 "Requests of client accounts, by how they got a slot.",
                 &["outcome"],
             ),
-            responses: counter("answers", "Responses to clients.", &["kind", "status"]),
-            latency: histogram(
+            responses: metrics.counters("answers", "Responses to clients.", &["kind", "status"]),
+            latency: metrics.histogram(
                 "latency_seconds",
                 "Time from a request's arrival to its response.",
             ),
-            sends: counter(
+            sends: metrics.counters(
                 "sends",
                 "Attempts of requests at backend servers.",
                 &["outcome"],
             ),
-            limited_sends: counter(
+            limited_sends: metrics.counters(
                 "limited_sends",
                 "Requests sent to servers that state a request limit, by cause.",
                 &["cause"],
             ),
-            continuations: counter(
+            continuations: metrics.counters(
                 "continuations",
                 "Texts and streams that continue at another server, by its software version.",
                 &["software"],
             ),
-            resumptions: counter(
+            resumptions: metrics.counters(
                 "resumptions",
                 "Streams that clients took up, by what told where they began.",
                 &["origin"],
             ),
-            broken_responses: counter(
+            broken_responses: metrics.counters(
                 "broken_responses",
                 "Responses that broke off, by the state of the server afterwards.",
                 &["server"],
             ),
-            runs: counter("runs", "Runs of batch items on engines.", &["outcome"]),
-            run_latency: histogram("run_seconds", "Duration of runs that finished their item."),
-            reward_calls: counter("reward_calls", "Sends of reward calls.", &["outcome"]),
-            requests_left: counter(
+            runs: metrics.counters("runs", "Runs of batch items on engines.", &["outcome"]),
+            run_latency: metrics
+                .histogram("run_seconds", "Duration of runs that finished their item."),
+            reward_calls: metrics.counters("reward_calls", "Sends of reward calls.", &["outcome"]),
+            requests_left: metrics.counters(
                 "requests_left",
                 "Requests at servers in another failure domain.",
                 &["service"],
             ),
-            bytes_left: counter(
+            bytes_left: metrics.counters(
                 "bytes_left",
                 "Bytes to and from servers in another failure domain.",
                 &["service"],
             ),
-            reward_latency: histogram(
+            reward_latency: metrics.histogram(
                 "reward_seconds",
                 "Duration of sends of reward calls that brought a score.",
             ),
-            batches: counter("batches", "Batches.", &["event"]),
-            results: counter("results", "Durable results of batch items.", &["ending"]),
-            load_commands: counter("orders", "Load commands to engines.", &["outcome"]),
-            usage_reports: counter("usage_reports", "Sends of usage reports.", &["outcome"]),
-            usage_late,
-            scheduling: gauge(
+            batches: metrics.counters("batches", "Batches.", &["event"]),
+            results: metrics.counters("results", "Durable results of batch items.", &["ending"]),
+            load_commands: metrics.counters("orders", "Load commands to engines.", &["outcome"]),
+            usage_reports: metrics.counters(
+                "usage_reports",
+                "Sends of usage reports.",
+                &["outcome"],
+            ),
+            usage_late: metrics.counter(
+                "usage_late",
+                "Requests whose count arrived after their window was closed.",
+            ),
+            scheduling: metrics.gauge(
                 "scheduling",
                 "1 while this process schedules batches, else 0.",
             ),
-            routes_age_ms: gauge(
+            routes_age_ms: metrics.gauge(
                 "routes_age_milliseconds",
                 "How long ago the routes in force were confirmed to be the newest.",
             ),
-            routes_overdue: gauge(
+            routes_overdue: metrics.gauge(
                 "routes_overdue",
                 "1 while the age of the routes in force exceeds its bound, else 0.",
             ),
-            routes_questions: counter(
+            routes_questions: metrics.counters(
                 "routes_questions",
                 "Questions to other gateways for newer routes.",
                 &["outcome"],
             ),
-            routes_version: gauge("routes_version", "The version of the routes in force."),
-            clock_error_ms: gauge(
+            routes_version: metrics.gauge("routes_version", "The version of the routes in force."),
+            clock_error_ms: metrics.gauge(
                 "clock_error_ms",
                 "The error of the estimate of true time, in milliseconds.",
             ),
-            registry,
+            registry: metrics.registry,
         }
     }
 
--- a/crates/gateway/src/peer/server.rs
+++ b/crates/gateway/src/peer/server.rs
@@ -93,7 +93,12 @@
             return empty_response(StatusCode::BAD_REQUEST);
         }
     };
-    let response = match request {
+    let response = handle(gateway, request).await;
+    response_with_body(StatusCode::OK, tamaracksail_wire::encode(&response))
+}
+
+async fn handle(gateway: &Rc<Gateway>, request: PeerRequest) -> PeerResponse {
+    match request {
         PeerRequest::Holding {
             fence,
             sender,
@@ -172,6 +177,5 @@
             partial_texts: gateway.coordinator.partial_texts(part, parts),
             groups: gateway.coordinator.past_groups(),
         },
-    };
-    response_with_body(StatusCode::OK, tamaracksail_wire::encode(&response))
+    }
 }
--- a/crates/gateway/src/request/forward.rs
+++ b/crates/gateway/src/request/forward.rs
@@ -1,7 +1,7 @@
 //! Forwarding of one request to backend servers, with retries and a hedged second attempt.
 
 use std::future::Future;
-use std::pin::{Pin, pin};
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -9,22 +9,19 @@
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use hyper::{Response, StatusCode};
-use tamaracksail_adapter::ingress;
 use tamaracksail_model::account::Caller;
 use tamaracksail_model::route::{Kind, Route};
 use tamaracksail_model::table::draw_target;
 use tamaracksail_model::time::Instant;
 use tamaracksail_policy::fleet::ServerKey;
-use tamaracksail_policy::memory::Use;
 use tamaracksail_policy::request::suspects::Verdict;
 use tamaracksail_process::trace::SpanKind;
-use tokio::sync::mpsc;
 
 use super::admission::{self, Admitted};
 use super::attempt::{Attempt, Outcome};
 use super::content::Content;
-use super::execution::Execution;
 use super::pace;
+use super::relay::{self, client_response};
 use super::response::{UNAVAILABLE_RETRY_AFTER, empty_response, retry_later};
 use super::resumed::Resumed;
 use super::streaming::{self, Stream};
@@ -32,7 +29,6 @@
 use crate::connection::Body;
 use crate::gateway::{Gateway, now};
 use crate::limits::{self, Candidates, Cause};
-use crate::memory;
 use crate::streams;
 
 /// When clients should retry after all servers refused. Requests take tens of milliseconds, so a
@@ -53,15 +49,6 @@
 /// once.
 pub(super) const MAX_PERMIT_WAIT: Duration = Duration::from_millis(500);
 
-/// The number of chunks of a streamed response that are buffered for a slow client.
-pub(super) const MAX_BUFFERED_CHUNKS: usize = 4;
-
-/// How long after its deadline a response may still be relayed. Servers stop at the deadline.
-pub(super) const RELAY_MARGIN: Duration = Duration::from_millis(250);
-
-/// The problem of a response that was cut off.
-pub(super) const DEADLINE_PASSED: &str = "the deadline has passed";
-
 /// An attempt in progress, with the server it was sent to.
 type PendingAttempt<'a> = Pin<Box<dyn Future<Output = (ServerKey, Outcome)> + 'a>>;
 
@@ -213,7 +200,7 @@
                     Outcome::Streaming(first, reply, execution) => {
                         self.record_served();
                         let admitted = self.admitted.take();
-                        return self.relay_chunks(first, *reply, execution, admitted);
+                        return relay::relay_chunks(self.gateway, self.deadline, first, *reply, execution, admitted);
                     }
                     Outcome::NotRun(problem) => self.log_failure(key, &problem),
                     Outcome::Failed(problem) => {
@@ -483,71 +470,4 @@
             OVERLOAD_RETRY_AFTER
         })
     }
-
-    /// Relays a response to the client chunk by chunk, beginning with the bytes already read.
-    fn relay_chunks(
-        &self,
-        first: Bytes,
-        mut reply: tamaracksail_http::IncomingResponse,
-        execution: Execution,
-        admitted: Option<Admitted>,
-    ) -> Response<Body> {
-        let (sender, chunks) = mpsc::channel(MAX_BUFFERED_CHUNKS);
-        let length = reply.length().map(|left| left + first.len() as u64);
-        let head = reply.head.clone();
-        let end = self.deadline.after(RELAY_MARGIN).since(now());
-        let budget = self.gateway.memory.clone();
-        actix_rt::spawn(async move {
-            let _admitted = admitted;
-            let mut left = reply.length();
-            let mut end = pin!(tokio::time::sleep(end));
-            if sender.send(Ok(first)).await.is_err() {
-                return;
-            }
-            loop {
-                let chunk = tokio::select! {
-                    chunk = reply.next() => chunk,
-                    () = sender.closed() => return,
-                    () = &mut end => Err(reply.body_error(DEADLINE_PASSED.to_owned())),
-                };
-                let chunk = match chunk {
-                    Ok(None) => return execution.complete(),
-                    Ok(Some(chunk)) => {
-                        let bytes = chunk.len() as u64;
-                        left = left.map(|left| left.saturating_sub(bytes));
-                        let reservation = budget.count(Use::Response, None, bytes);
-                        Ok(memory::hold(chunk, reservation))
-                    }
-                    Err(error) => Err(error),
-                };
-                let is_broken = chunk.is_err();
-                if sender.send(chunk).await.is_err() {
-                    return;
-                }
-                if left == Some(0) && !is_broken {
-                    // The client's connection drops the body once it has all of it, which must not
-                    // count as abandoned.
-                    return execution.complete();
-                }
-                // While memory is short, one chunk at a time is buffered.
-                if budget.is_tight() && sender.reserve_many(MAX_BUFFERED_CHUNKS).await.is_err() {
-                    return;
-                }
-                if is_broken {
-                    return execution.break_off().await;
-                }
-            }
-        });
-        client_response(head, Body::Chunks { chunks, length })
-    }
-}
-
-/// Returns a server's response as it goes to the client, without hop-by-hop headers.
-pub(super) fn client_response(
-    mut head: hyper::http::response::Parts,
-    body: Body,
-) -> Response<Body> {
-    ingress::strip_hop_by_hop(&mut head.headers);
-    head.version = hyper::Version::HTTP_11;
-    Response::from_parts(head, body)
 }
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -9,6 +9,7 @@
 mod liveness;
 mod locality;
 mod pace;
+mod relay;
 mod response;
 mod resumed;
 mod streaming;
--- a/crates/gateway/src/request/streaming.rs
+++ b/crates/gateway/src/request/streaming.rs
@@ -17,9 +17,8 @@
 use super::attempt::{Attempt, Outcome};
 use super::content::Content;
 use super::execution::Execution;
-use super::forward::{
-    DEADLINE_PASSED, MAX_BUFFERED_CHUNKS, MAX_PERMIT_WAIT, RELAY_MARGIN, client_response,
-};
+use super::forward::MAX_PERMIT_WAIT;
+use super::relay::{DEADLINE_PASSED, MAX_BUFFERED_CHUNKS, RELAY_MARGIN, client_response};
 use super::trial::Trial;
 use crate::connection::Body;
 use crate::gateway::{Gateway, now};
