--- a/crates/gateway/tests/admission.rs
+++ b/crates/gateway/tests/admission.rs
@@ -28,9 +28,7 @@
         let mut routes = with_accounts(settings::routes(2), &ACCOUNTS);
         if let Some(objective) = objective {
             let millis = u64::try_from(objective.as_millis()).expect("a short time");
-            for route in routes["routes"].as_array_mut().expect("a list of routes") {
-                route["slo-ms"] = millis.into();
-            }
+            routes = settings::with_objective(routes, millis);
         }
         world.store.put_routes(routes);
     }
--- a/crates/gateway/tests/memory.rs
+++ b/crates/gateway/tests/memory.rs
@@ -210,11 +210,7 @@
         world.engines[0].register_behind(silent, &world.store, "silent", "ready");
         let mut routes = settings::routes(3);
         routes["limits"]["max-body-bytes"] = BODY_BYTES.into();
-        let mut route = routes["routes"][1].clone();
-        route["path-prefix"] = "/silent/".into();
-        route["service"] = "silent".into();
-        let list = routes["routes"].as_array_mut().expect("a list of routes");
-        list.push(route);
+        let routes = settings::with_once_route(routes, "/silent/", "silent");
         world.store.put_routes(routes);
         gateway.wait_for_log("routes in force").await;
         let client = gateway.client();
