Move an item to a permanently faster engine at most once

Cause: items moved again and again between engines whose estimated pace differed little and changed places.

Change: an item moves for this reason once.

Measured: the new test plays 24 groups on engines of mixed pace and passes.

--- a/crates/policy/src/batch/placement.rs
+++ b/crates/policy/src/batch/placement.rs
@@ -99,7 +99,9 @@
 }
 
 /// Moves items that the trainer waits for to engines that are permanently faster, the longest first,
-/// as far as these have free slots. Runs after waiting items were started.
+/// as far as these have free slots, and each item once: estimates of engines that are about as fast
+/// change places, and each move costs a connection and reads the text again. Runs after waiting items
+/// were started.
 pub(super) fn move_to_faster(scheduler: &mut Scheduler, now: Instant) {
     let median_ms = scheduler.pool.median_interval_ms();
     let lasting_median_ms = scheduler.pool.lasting_median_ms();
@@ -113,7 +115,10 @@
     let mut runs: Vec<(u64, u64)> = scheduler
         .runs
         .iter()
-        .filter(|(_, run)| !scheduler.tasks[run.task].is_optional && scheduler.may_move(run.task))
+        .filter(|(_, run)| {
+            let task = &scheduler.tasks[run.task];
+            !task.is_optional && !task.has_moved_to_faster && scheduler.may_move(run.task)
+        })
         .filter_map(|(number, run)| {
             let engine = scheduler.pool.engines.get(run.engine)?;
             let events = remaining_events(&scheduler.tasks[run.task]);
@@ -138,6 +143,7 @@
         if pool.engines[target].pace.is_known()
             && gain(events, factor(run.engine), factor(target)) >= MIN_MOVE_GAIN
         {
+            scheduler.tasks[run.task].has_moved_to_faster = true;
             dispatch::preempt(scheduler, now, number, "another engine is faster");
             dispatch::start_now(scheduler, now, run.task, target);
         }
--- a/crates/policy/src/batch/submission.rs
+++ b/crates/policy/src/batch/submission.rs
@@ -205,6 +205,7 @@
         failures: 0,
         service: service.unwrap_or_default(),
         is_optional,
+        has_moved_to_faster: false,
     });
     batch.tasks.push(task);
     if has_result {
--- a/crates/policy/src/batch/task.rs
+++ b/crates/policy/src/batch/task.rs
@@ -46,6 +46,8 @@
     pub(crate) service: String,
     /// Whether it belongs to a group that the trainer is not expected to wait for.
     pub(crate) is_optional: bool,
+    /// Whether it was moved to a permanently faster engine.
+    pub(crate) has_moved_to_faster: bool,
 }
 
 impl Task {
--- a/crates/policy/tests/placement.rs
+++ b/crates/policy/tests/placement.rs
@@ -88,6 +88,20 @@
     assert!(with < 100.0 * 45.0, "{with} ms");
 }
 
+/// Guards against items that move again and again between engines that seem faster by turns: on a
+/// quiet day with 41 engines, 2,666 items were moved 4,169 times.
+#[test]
+fn an_item_moves_to_a_faster_engine_once() {
+    let (_, simulation) = play(paces::mixed, true, 24);
+    let items = simulation.event_counts.len();
+    let moves = simulation.stops.get("another engine is faster");
+    let moves = moves.copied().unwrap_or(0);
+    assert!(
+        moves > 0 && moves <= items,
+        "{moves} moves of {items} items"
+    );
+}
+
 /// Guards against draining of an engine that is slow only for the moment.
 #[test]
 fn an_engine_in_a_slow_phase_keeps_its_items() {
