Start items of the batch that is due first, without expected durations

Change: an item's rank is the time at which its batch is due, and the order of arrival within it. What a takeover needs stays.

--- a/crates/policy/src/batch/dispatch.rs
+++ b/crates/policy/src/batch/dispatch.rs
@@ -114,7 +114,6 @@
         Run {
             task: key,
             engine,
-            started: now,
             last_progress: now,
             event_count: 0,
             begins_text: task.text.last.is_none(),
--- a/crates/policy/src/batch/reports.rs
+++ b/crates/policy/src/batch/reports.rs
@@ -101,9 +101,6 @@
         dispatch::requeue(scheduler, run.task);
     } else {
         task.text.is_whole = true;
-        if run.begins_text {
-            scheduler.ranking.record(&task.item, now.since(run.started));
-        }
         dispatch::complete(scheduler, now, run.task);
     }
 }
--- a/crates/policy/src/batch/run.rs
+++ b/crates/policy/src/batch/run.rs
@@ -20,7 +20,6 @@
 pub(crate) struct Run {
     pub(crate) task: TaskKey,
     pub(crate) engine: EngineKey,
-    pub(crate) started: Instant,
     /// When the last event came or, before the first, when the response or the run started.
     pub(crate) last_progress: Instant,
     pub(crate) event_count: u64,
--- a/crates/policy/src/batch/submission.rs
+++ b/crates/policy/src/batch/submission.rs
@@ -42,8 +42,8 @@
 
 /// Adds a batch. `route` returns the service for a host name and a path.
 ///
-/// Items that must start at the same time start in the order of their lengths, the longest first,
-/// and optional ones last.
+/// Optional items start last; within either part, the items expected to be the longest start
+/// first.
 pub(super) fn submit(
     scheduler: &mut Scheduler,
     now: Instant,
@@ -163,7 +163,7 @@
     task.is_optional = false;
     batch.tasks.push(key);
     batch.groups[group].unfinished += 1;
-    let rank = scheduler.ranking.assign(&task.item, batch.due, false);
+    let rank = scheduler.ranking.assign(batch.due);
     scheduler.ranks.insert(key, rank);
     None
 }
@@ -216,8 +216,7 @@
     if is_whole {
         dispatch::complete(scheduler, now, task);
     } else if is_routed {
-        let item = Rc::clone(&scheduler.tasks[task].item);
-        let rank = scheduler.ranking.assign(&item, batch.due, is_optional);
+        let rank = scheduler.ranking.assign(batch.due);
         scheduler.ranks.insert(task, rank);
         scheduler.queue.insert((rank, task));
     } else {
