Place items by the pace of engines only where the settings ask for it

Change: the setting engine-pace, off unless stated. Requests to plain services use the pace as before.

--- a/crates/gateway/src/batches/item_run.rs
+++ b/crates/gateway/src/batches/item_run.rs
@@ -136,7 +136,8 @@
     let mut response = result.map_err(|error| broken(error.to_string()))?;
     let head = ResponseHead::parse(&response.head, Some(&item.id));
     observe_response(gateway, registration, &head, Source::Request);
-    if let Some(reading) = request::stated_pace(registration, &head) {
+    let has_engine_pace = gateway.settings.borrow().has_engine_pace;
+    if has_engine_pace && let Some(reading) = request::stated_pace(registration, &head) {
         let mut scheduler = gateway.coordinator.scheduler.borrow_mut();
         scheduler.record_pace(now(), run, reading);
     }
