--- a/crates/gateway/src/batches/coordinator.rs
+++ b/crates/gateway/src/batches/coordinator.rs
@@ -9,6 +9,7 @@
 use tamaracksail_adapter::settings::Settings;
 use tamaracksail_model::backend::Registration;
 use tamaracksail_model::batch::PartialText;
+use tamaracksail_model::carried::Carried;
 use tamaracksail_model::table::{Table, draw_target};
 use tamaracksail_model::time::Instant;
 use tamaracksail_policy::acquire_delay::AcquireDelay;
@@ -107,6 +108,11 @@
 }
 
 impl Coordinator {
+    /// Has items run in a failure domain while its engines have free slots.
+    pub fn prefer_domain(&self, domain: &str) {
+        self.scheduler.borrow_mut().prefer_domain(domain);
+    }
+
     /// Returns a coordinator that does not hold the lease.
     pub fn new(settings: &Settings, incarnation: u64) -> Self {
         let own = Candidate {
@@ -201,6 +207,11 @@
         self.scheduler.borrow().account_of(run).map(str::to_owned)
     }
 
+    /// Has the lease checked at once.
+    pub(super) fn wake_lease_loop(&self) {
+        self.wake_lease_loop.notify_one();
+    }
+
     /// Wakes the scheduling loop.
     pub(super) fn wake_scheduler(&self) {
         self.wake.notify_one();
@@ -234,6 +245,12 @@
         }
     }
 
+    /// Returns the address of the gateway that schedules batches, as far as it is known.
+    pub fn scheduler_address(&self) -> Option<SocketAddr> {
+        let lease = self.lease.borrow();
+        lease.record().and_then(|record| record.address)
+    }
+
     /// Returns other gateways that probably reach the store: the lease holder, and the gateway to
     /// which the lease was released.
     pub(super) fn peers(&self, gateway: &Gateway) -> Vec<SocketAddr> {
@@ -271,7 +288,7 @@
 
     /// Returns the partial texts of unfinished items, divided into `parts` parts, of which this is
     /// number `part`.
-    pub fn partial_texts(&self, part: usize, parts: usize) -> Vec<(String, PartialText)> {
+    pub fn partial_texts(&self, part: usize, parts: usize) -> Vec<(Carried, PartialText)> {
         let partial_texts = self.scheduler.borrow().partial_texts(now());
         partial_texts
             .into_iter()
@@ -281,7 +298,7 @@
     }
 
     /// Returns groups of earlier batches that later batches may contain again.
-    pub fn past_groups(&self) -> Vec<String> {
+    pub fn past_groups(&self) -> Vec<Carried> {
         self.scheduler.borrow().past_groups()
     }
 
--- a/crates/gateway/src/batches/item_run.rs
+++ b/crates/gateway/src/batches/item_run.rs
@@ -17,6 +17,7 @@
 
 use crate::gateway::{Gateway, now};
 use crate::limits::Cause;
+use crate::request;
 use crate::version::{self, Source, observe_response};
 
 /// How long connecting to an engine may take. With a healthy engine it takes one round trip.
@@ -38,6 +39,8 @@
         .key_of(&registration.instance, registration.started_at_ms);
     if let Some(key) = key {
         Cause::Item.count(&gateway, key);
+        let domain = gateway.locality_domain();
+        request::count_left(&gateway.metrics, domain.as_deref(), &registration);
     }
     let outcome = attempt(&gateway, run, &registration, &item, after, version).await;
     let coordinator = &gateway.coordinator;
@@ -92,8 +95,16 @@
     };
     let host = gateway.coordinator.submission_host(run).unwrap_or_default();
     let account = gateway.coordinator.account_of(run);
-    let mut request = build_request(item, &host, account.as_deref(), &request_headers)
+    let mut request = build_request(item, &host, &request_headers)
         .map_err(|error| (Failure::Impossible, error.to_string()))?;
+    // An item without an account must not name one either, once accounts are configured.
+    let has_accounts = gateway
+        .table()
+        .is_some_and(|table| table.accounts.is_some());
+    if has_accounts || account.is_some() {
+        ingress::set_account(request.headers_mut(), account.as_deref())
+            .map_err(|error| (Failure::Impossible, error.to_string()))?;
+    }
     let span = gateway.span("run", SpanKind::Client, request.headers_mut());
     let outcome = exchange(gateway, run, registration, item, request).await;
     if let Some(span) = span {
@@ -125,6 +136,11 @@
     let mut response = result.map_err(|error| broken(error.to_string()))?;
     let head = ResponseHead::parse(&response.head, Some(&item.id));
     observe_response(gateway, registration, &head, Source::Request);
+    let has_engine_pace = gateway.settings.borrow().has_engine_pace;
+    if has_engine_pace && let Some(reading) = request::stated_pace(registration, &head) {
+        let mut scheduler = gateway.coordinator.scheduler.borrow_mut();
+        scheduler.record_pace(now(), run, reading);
+    }
     let code = response.head.status;
     if head.is_not_run {
         return Err((Failure::Refused, format!("{code}: not run")));
@@ -202,7 +218,6 @@
 fn build_request(
     item: &Item,
     host: &str,
-    account: Option<&str>,
     request_headers: &RequestHeaders,
 ) -> Result<Request<Full<bytes::Bytes>>, Malformed> {
     let what = "item";
@@ -215,9 +230,6 @@
         let value = HeaderValue::from_str(value).map_err(|e| Malformed::new(what, e))?;
         headers.insert(name, value);
     }
-    if account.is_some() {
-        ingress::set_account(headers, account)?;
-    }
     let header_value = |header_value: &str| {
         HeaderValue::from_str(header_value).map_err(|e| Malformed::new(what, e))
     };
--- a/crates/gateway/src/batches/takeover.rs
+++ b/crates/gateway/src/batches/takeover.rs
@@ -10,14 +10,14 @@
 use tamaracksail_adapter::store::{Error, Object};
 use tamaracksail_adapter::{batch, names};
 use tamaracksail_model::batch::ItemResult;
-use tamaracksail_policy::batch::{BatchKey, Submission};
+use tamaracksail_policy::batch::{BatchKey, Submission, item_expiry};
 use tokio::sync::Notify;
 
 use super::coordinator::resolve_service;
 use super::result_log::ResultLog;
 use super::schema::{self, BatchStatus, Chunk, Manifest, Part};
 use super::{partial_texts, retention};
-use crate::gateway::{Gateway, now, unix_millis};
+use crate::gateway::{Gateway, now};
 use crate::store::{self, Event};
 
 /// The delay before a failed read of a batch is repeated.
@@ -35,6 +35,10 @@
 pub fn start(gateway: &Rc<Gateway>, previous_holder: Option<SocketAddr>) {
     let coordinator = &gateway.coordinator;
     coordinator.start_scheduling();
+    let max_bytes = gateway.settings.borrow().max_value_bytes;
+    let mut scheduler = coordinator.scheduler.borrow_mut();
+    scheduler.limit_writes(max_bytes / partial_texts::TEXT_LENGTH_DIVISOR);
+    drop(scheduler);
     gateway.metrics.scheduling.set(1);
     log::info!("scheduling started");
     let mut abort_handles = coordinator.abort_handles.borrow_mut();
@@ -68,7 +72,7 @@
                 .iter()
                 .for_each(|object| apply_version(&gateway, object)),
             Event::Changed(object) => apply_version(&gateway, object),
-            Event::Removed(_) | Event::StoreFailed => {}
+            Event::Removed(_) | Event::Answered(_) | Event::StoreFailed => {}
         },
     )
     .await;
@@ -107,7 +111,7 @@
                 .for_each(|object| apply_manifest(&gateway, object, EarlierScheduler::Possible)),
             Event::Changed(object) => apply_manifest(&gateway, object, EarlierScheduler::None),
             Event::Removed(object) => gateway.coordinator.end_batch(&object.name),
-            Event::StoreFailed => {}
+            Event::Answered(_) | Event::StoreFailed => {}
         },
     )
     .await;
@@ -263,6 +267,12 @@
 ) -> Result<(Bytes, Vec<ItemResult>, usize), Error> {
     let kind = schema::batch_kind(id);
     let (objects, _) = store::list(&gateway.store, &kind).await?;
+    let account = manifest.account.as_deref();
+    let parts: BTreeSet<String> = (0..manifest.parts)
+        .map(|number| schema::part_name(account, number))
+        .collect();
+    // Another account may have stored parts under the same id before.
+    let is_part = |name: &str| parts.contains(name);
     let mut body = String::new();
     let mut results = Vec::new();
     let mut chunks = 0;
@@ -273,7 +283,7 @@
                 Err(error) => log::error!(batch = id, error:%; "stored results are malformed"),
             }
             chunks += 1;
-        } else {
+        } else if is_part(&object.name) {
             match object.spec::<Part>() {
                 Ok(part) => body.push_str(&part.text),
                 Err(error) => log::error!(batch = id, error:%; "stored part is malformed"),
@@ -351,7 +361,9 @@
     let route = table.find(&manifest.host, &manifest.path);
     let batching = route.and_then(|route| route.batching.as_ref());
     let patience = batching.map_or(DEFAULT_PATIENCE, |batching| batching.patience);
-    let age = Duration::from_millis(unix_millis().saturating_sub(manifest.submitted));
+    let due = batching.map_or(patience, |batching| batching.due);
+    let (at, time) = (now(), gateway.clock.estimate());
+    let expires = item_expiry(at, time, manifest.submitted(), patience);
     let item_bodies: Vec<(String, Bytes)> = submission
         .items
         .iter()
@@ -368,11 +380,13 @@
         with_result,
         is_single_version: batching.is_some_and(|batching| batching.is_single_version),
         max_attempts: route.map_or(1, |route| route.max_attempts),
-        expires: now().after(patience.saturating_sub(age)),
+        due: item_expiry(at, time, manifest.submitted(), due),
+        expires,
     };
     log::info!(
         batch = id, step = submission.step, min_version = scheduler_submission.min_version,
-        items = scheduler_submission.items.len(), listed = results.len();
+        items = scheduler_submission.items.len(), listed = results.len(),
+        left_ms = expires.since(at).as_millis(), time_error_ms = time.map(|time| time.error_ms);
         "batch added to the scheduler"
     );
     let batch =
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -13,15 +13,20 @@
 use tamaracksail_model::time::Instant;
 use tamaracksail_policy::fleet::Fleet;
 use tamaracksail_policy::limit::Limiter;
+use tamaracksail_policy::memory::Budget;
 use tamaracksail_process::trace::{Span, SpanKind, TRACEPARENT, Tracer};
 
+use crate::admission::Queues;
 use crate::batches::Coordinator;
+use crate::clock::ProcessClock;
+use crate::configuration::Configuration;
 use crate::limits::Limits;
 use crate::metrics::Metrics;
 use crate::options::Options;
 use crate::store::Availability;
 use crate::streams::Streams;
 use crate::suspects::Suspects;
+use crate::usage::{self, Usage};
 
 /// The state of the process, shared by all tasks of its one thread.
 #[derive(Debug)]
@@ -32,6 +37,8 @@
     pub incarnation: u64,
     /// When the process started.
     pub started_at: Instant,
+    /// The estimate of true time.
+    pub clock: ProcessClock,
     /// The port of the metrics; none if they are not served.
     pub metrics_port: Option<u16>,
     /// The HTTP client for backend servers and peers.
@@ -40,10 +47,16 @@
     pub store: store::Client,
     /// Whether the store answers this process.
     pub store_availability: Availability,
+    /// The bytes that may be held for clients, servers and peers.
+    pub memory: Budget,
     /// The routes in force; none until the first have been read.
     pub table: RefCell<Option<Rc<Table>>>,
+    /// What is known of the newest routes.
+    pub configuration: Configuration,
     /// The backend servers.
     pub fleet: RefCell<Fleet>,
+    /// The requests of client accounts that run or wait.
+    pub admission: Queues,
     /// The state of the servers' request limits.
     pub limits: Limits,
     /// The origins of streams.
@@ -60,6 +73,8 @@
     pub coordinator: Coordinator,
     /// The counters and histograms of the process.
     pub metrics: Metrics,
+    /// The counts of requests by account; none if usage is not reported.
+    pub usage: Option<Rc<Usage>>,
     /// The source of spans; none if no endpoint for them is configured.
     pub tracer: Option<Tracer>,
 }
@@ -70,16 +85,36 @@
         // JSON numbers are exact up to 53 bits.
         let incarnation = rand::random::<u64>() >> 11;
         let coordinator = Coordinator::new(&settings, incarnation);
+        let store = store::Client::new(settings.store);
+        let store_availability = Availability::default();
+        let http = http::Client::default();
+        let metrics = Metrics::new();
+        let usage = Usage::new(&settings, incarnation, || usage::Connections {
+            store: store.clone(),
+            store_availability: store_availability.clone(),
+            http: http.clone(),
+            reports: metrics.usage_reports.clone(),
+            late: metrics.usage_late.clone(),
+        });
+        let mut fleet = Fleet::new(Limiter::new(rand::random()));
+        if settings.has_locality {
+            fleet.enable_locality(&settings.domain, &settings.host);
+            coordinator.prefer_domain(&settings.domain);
+        }
         Self {
             incarnation,
             started_at: now(),
+            clock: ProcessClock::start(options.time_offset_file.clone()),
             metrics_port: options.metrics_port,
-            http: http::Client::default(),
-            store: store::Client::new(settings.store),
-            store_availability: Availability::default(),
+            http,
+            store,
+            store_availability,
+            memory: Budget::of_process(settings.memory_bytes),
             settings: RefCell::new(settings),
             table: RefCell::new(None),
-            fleet: RefCell::new(Fleet::new(Limiter::new(rand::random()))),
+            configuration: Configuration::new(rand::random()),
+            fleet: RefCell::new(fleet),
+            admission: Queues::default(),
             limits: Limits::default(),
             streams: Streams::default(),
             suspects: Suspects::default(),
@@ -87,11 +122,18 @@
             stopping_since: Cell::new(None),
             active_requests: Cell::new(0),
             coordinator,
-            metrics: Metrics::new(),
+            metrics,
+            usage: usage.map(Rc::new),
             tracer,
         }
     }
 
+    /// Returns the own failure domain if shares of requests leave it.
+    pub fn locality_domain(&self) -> Option<String> {
+        let settings = self.settings.borrow();
+        settings.has_locality.then(|| settings.domain.clone())
+    }
+
     /// Whether the process is ready for new connections: it has read the routes and the list of
     /// servers, and isn't stopping.
     pub fn is_ready(&self) -> bool {
@@ -137,15 +179,6 @@
     Instant(seconds * 1_000_000 + nanos / 1000)
 }
 
-/// The current time in milliseconds since the Unix epoch, for records that other hosts read.
-pub fn unix_millis() -> u64 {
-    std::time::SystemTime::now()
-        .duration_since(std::time::UNIX_EPOCH)
-        .map_or(0, |since| {
-            u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
-        })
-}
-
 /// The address at which other gateways reach the gateway with these settings.
 pub fn peer_address(settings: &Settings) -> SocketAddr {
     SocketAddr::new(settings.address, settings.internal_ports.0)
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -5,10 +5,14 @@
 //! lifetime of what they handle: [`request`], [`connection`], [`version`] (routes and servers),
 //! [`batches`], and the process itself.
 
+mod admission;
 mod batches;
+mod clock;
+mod configuration;
 mod connection;
 mod gateway;
 mod limits;
+mod memory;
 mod metrics;
 mod options;
 mod peer;
@@ -17,6 +21,7 @@
 mod store;
 mod streams;
 mod suspects;
+mod usage;
 mod version;
 
 use std::rc::Rc;
@@ -54,6 +59,7 @@
         limits::share(&gateway);
         actix_rt::spawn(streams::run(Rc::clone(&gateway)));
         batches::start(&gateway);
+        usage::start(&gateway);
         stop::serve_until_stopped(&gateway).await;
         if let Some(tracer) = &gateway.tracer {
             tracer.stop();
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,8 +1,12 @@
 //! Counters and latency histograms of the process.
 
+mod registrar;
+
 use std::time::Duration;
 
-use prometheus::{Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry};
+use prometheus::{Histogram, IntCounter, IntCounterVec, IntGauge, Registry};
+
+use registrar::Registrar;
 
 /// The upper bounds of latency buckets, in seconds: from a store call to a whole training step.
 const LATENCY_BUCKETS_S: [f64; 14] = [
@@ -13,6 +17,10 @@
 #[derive(Debug)]
 pub struct Metrics {
     registry: Registry,
+    /// Requests of client accounts, by whether they began at once, waited or were refused.
+    pub admissions: IntCounterVec,
+    /// Bodies that were refused since they did not fit into memory.
+    pub memory_refusals: IntCounter,
     /// Responses to clients, by route kind and status.
     pub responses: IntCounterVec,
     /// The seconds from a request's arrival to its response.
@@ -24,6 +32,8 @@
     /// Texts and streams that continue at another server, by whether its software has the version of
     /// the server that began them.
     pub continuations: IntCounterVec,
+    /// Streams that clients took up, by what told where they began.
+    pub resumptions: IntCounterVec,
     /// Responses that broke off, by the state of the server afterwards.
     pub broken_responses: IntCounterVec,
     /// Runs of items, by outcome.
@@ -32,6 +42,11 @@
     pub run_latency: Histogram,
     /// Sends of reward calls, by outcome.
     pub reward_calls: IntCounterVec,
+    /// Requests, also reward calls and runs of items, at servers in another failure domain, by
+    /// service. Counted only if shares of requests leave.
+    pub requests_left: IntCounterVec,
+    /// Bytes of these requests, except runs, and of their responses that were read whole, by service.
+    pub bytes_left: IntCounterVec,
     /// The seconds that sends of reward calls took that brought a score.
     pub reward_latency: Histogram,
     /// Events of batches, by kind.
@@ -40,10 +55,22 @@
     pub results: IntCounterVec,
     /// Load commands to engines, by outcome.
     pub load_commands: IntCounterVec,
+    /// Sends of usage reports, by outcome.
+    pub usage_reports: IntCounterVec,
+    /// Requests whose count arrived after their window was closed.
+    pub usage_late: IntCounter,
     /// 1 while this process holds the lease and schedules, else 0.
     pub scheduling: IntGauge,
     /// The version of the routes in force.
     pub routes_version: IntGauge,
+    /// How long ago the routes in force were confirmed to be the newest, in milliseconds.
+    pub routes_age_ms: IntGauge,
+    /// 1 while this age exceeds its bound, else 0.
+    pub routes_overdue: IntGauge,
+    /// Questions to other gateways for newer routes, by outcome.
+    pub routes_questions: IntCounterVec,
+    /// The error of the estimate of true time, in milliseconds.
+    pub clock_error_ms: IntGauge,
 }
 
 impl Metrics {
@@ -53,73 +80,100 @@
     /// Never: the names are literals and registered once each.
     #[must_use]
     pub fn new() -> Self {
-        let registry = Registry::new();
-        let name = |name: &str| format!("tamaracksail_gateway_{name}");
-        let counter = |text: &str, help: &str, labels: &[&str]| {
-            let counter = IntCounterVec::new(Opts::new(name(text), help), labels)
-                .expect("the name and labels are literals");
-            registry
-                .register(Box::new(counter.clone()))
-                .expect("it is registered once");
-            counter
-        };
-        let histogram = |text: &str, help: &str| {
-            let options = HistogramOpts::new(name(text), help).buckets(LATENCY_BUCKETS_S.to_vec());
-            let histogram = Histogram::with_opts(options).expect("the name is a literal");
-            registry
-                .register(Box::new(histogram.clone()))
-                .expect("it is registered once");
-            histogram
-        };
-        let gauge = |text: &str, help: &str| {
-            let gauge = IntGauge::new(name(text), help).expect("the name is a literal");
-            registry
-                .register(Box::new(gauge.clone()))
-                .expect("it is registered once");
-            gauge
-        };
+        let metrics = Registrar::default();
         Self {
-            responses: counter("answers", "Responses to clients.", &["kind", "status"]),
-            latency: histogram(
+            memory_refusals: metrics.counter(
+                "memory_refusals",
+                "Bodies refused since they did not fit into memory.",
+            ),
+            admissions: metrics.counters(
+                "admissions",
+                "Requests of client accounts, by how they got a slot.",
+                &["outcome"],
+            ),
+            responses: metrics.counters("answers", "Responses to clients.", &["kind", "status"]),
+            latency: metrics.histogram(
                 "latency_seconds",
                 "Time from a request's arrival to its response.",
             ),
-            sends: counter(
+            sends: metrics.counters(
                 "sends",
                 "Attempts of requests at backend servers.",
                 &["outcome"],
             ),
-            limited_sends: counter(
+            limited_sends: metrics.counters(
                 "limited_sends",
                 "Requests sent to servers that state a request limit, by cause.",
                 &["cause"],
             ),
-            continuations: counter(
+            continuations: metrics.counters(
                 "continuations",
                 "Texts and streams that continue at another server, by its software version.",
                 &["software"],
             ),
-            broken_responses: counter(
+            resumptions: metrics.counters(
+                "resumptions",
+                "Streams that clients took up, by what told where they began.",
+                &["origin"],
+            ),
+            broken_responses: metrics.counters(
                 "broken_responses",
                 "Responses that broke off, by the state of the server afterwards.",
                 &["server"],
             ),
-            runs: counter("runs", "Runs of batch items on engines.", &["outcome"]),
-            run_latency: histogram("run_seconds", "Duration of runs that finished their item."),
-            reward_calls: counter("reward_calls", "Sends of reward calls.", &["outcome"]),
-            reward_latency: histogram(
+            runs: metrics.counters("runs", "Runs of batch items on engines.", &["outcome"]),
+            run_latency: metrics
+                .histogram("run_seconds", "Duration of runs that finished their item."),
+            reward_calls: metrics.counters("reward_calls", "Sends of reward calls.", &["outcome"]),
+            requests_left: metrics.counters(
+                "requests_left",
+                "Requests at servers in another failure domain.",
+                &["service"],
+            ),
+            bytes_left: metrics.counters(
+                "bytes_left",
+                "Bytes to and from servers in another failure domain.",
+                &["service"],
+            ),
+            reward_latency: metrics.histogram(
                 "reward_seconds",
                 "Duration of sends of reward calls that brought a score.",
             ),
-            batches: counter("batches", "Batches.", &["event"]),
-            results: counter("results", "Durable results of batch items.", &["ending"]),
-            load_commands: counter("orders", "Load commands to engines.", &["outcome"]),
-            scheduling: gauge(
+            batches: metrics.counters("batches", "Batches.", &["event"]),
+            results: metrics.counters("results", "Durable results of batch items.", &["ending"]),
+            load_commands: metrics.counters("orders", "Load commands to engines.", &["outcome"]),
+            usage_reports: metrics.counters(
+                "usage_reports",
+                "Sends of usage reports.",
+                &["outcome"],
+            ),
+            usage_late: metrics.counter(
+                "usage_late",
+                "Requests whose count arrived after their window was closed.",
+            ),
+            scheduling: metrics.gauge(
                 "scheduling",
                 "1 while this process schedules batches, else 0.",
             ),
-            routes_version: gauge("routes_version", "The version of the routes in force."),
-            registry,
+            routes_age_ms: metrics.gauge(
+                "routes_age_milliseconds",
+                "How long ago the routes in force were confirmed to be the newest.",
+            ),
+            routes_overdue: metrics.gauge(
+                "routes_overdue",
+                "1 while the age of the routes in force exceeds its bound, else 0.",
+            ),
+            routes_questions: metrics.counters(
+                "routes_questions",
+                "Questions to other gateways for newer routes.",
+                &["outcome"],
+            ),
+            routes_version: metrics.gauge("routes_version", "The version of the routes in force."),
+            clock_error_ms: metrics.gauge(
+                "clock_error_ms",
+                "The error of the estimate of true time, in milliseconds.",
+            ),
+            registry: metrics.registry,
         }
     }
 
@@ -140,6 +194,11 @@
         self.continuations.with_label_values(&[label]).inc();
     }
 
+    /// Counts a request of a client account that got a slot or was refused.
+    pub fn record_admission(&self, outcome: &str) {
+        self.admissions.with_label_values(&[outcome]).inc();
+    }
+
     /// Counts a response to a client and records its latency.
     pub fn record_response(&self, kind: &str, status: u16, latency: Duration) {
         self.responses
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -14,13 +14,18 @@
 use tamaracksail_http::IncomingResponse;
 use tamaracksail_model::time::Instant;
 use tamaracksail_policy::fleet::{SendOutcome, ServerKey};
+use tamaracksail_policy::memory::Use;
 use tamaracksail_policy::request::survival::Interruption;
 use tamaracksail_process::trace::{Span, SpanKind};
 
 use super::content::Content;
 use super::execution::Execution;
+use super::locality;
+use super::pace;
 use super::trial::Trial;
 use crate::gateway::{Gateway, now};
+use crate::memory;
+use crate::usage;
 use crate::version::{self, Source, observe_response};
 
 /// The time limit on connecting to a backend server. A healthy connect takes one round trip.
@@ -99,6 +104,11 @@
         let Some(registration) = self.gateway.fleet.borrow().registration(self.key).cloned() else {
             return Outcome::NotRun("the server is no longer registered".to_owned());
         };
+        let gateway = &self.gateway;
+        locality::review(now(), &gateway.fleet, &registration.service);
+        let domain = gateway.locality_domain();
+        locality::count(&gateway.metrics, domain.as_deref(), &registration);
+        let sent_bytes = body.len();
         let mut headers = head.headers.clone();
         ingress::strip_hop_by_hop(&mut headers);
         for name in ["content-length", "expect"] {
@@ -124,22 +134,38 @@
         let is_continuation = ingress::has_last_event(request.headers());
         let trial = self.trial.take();
         let execution = Execution::begin(&self.gateway, registration.clone(), content, id, trial);
+        let usage = content.usage.as_ref().map(usage::Request::send);
+        if let Some(usage) = &usage {
+            request.extensions_mut().insert(usage.mark());
+        }
         let response = version::send(
             &self.gateway,
             &registration,
             request,
             is_continuation,
             CONNECT_TIMEOUT,
-        )
-        .await;
+        );
+        let response = usage::count_unanswered(usage.as_ref(), response).await;
         match response {
             Ok(reply) => {
                 let response = ResponseHead::parse(&reply.head, (!id.is_empty()).then_some(id));
+                if let Some(usage) = usage {
+                    usage.settle(!response.is_not_run && !is_refusal(reply.head.status));
+                }
                 observe_response(&self.gateway, &registration, &response, Source::Request);
-                self.read_response(reply, response, execution).await
+                let (gateway, key) = (Rc::clone(&self.gateway), self.key);
+                let outcome = self.read_response(reply, response, execution).await;
+                if let Outcome::Complete(_, body) = &outcome {
+                    let bytes = sent_bytes + body.len();
+                    locality::record_bytes(&gateway.fleet, &gateway.metrics, key, bytes);
+                }
+                outcome
             }
             Err(error) => {
                 self.record_outcome(SendOutcome::Failed);
+                if let Some(usage) = usage {
+                    usage.settle(!error.is_unsent());
+                }
                 if error.is_unsent() {
                     execution.settle();
                     return Outcome::NotRun(error.to_string());
@@ -160,6 +186,7 @@
             let mut fleet = self.gateway.fleet.borrow_mut();
             fleet.record_load(now(), self.key, load.running + load.waiting);
         }
+        pace::record(now(), &self.gateway.fleet, self.key, &response);
         let code = reply.head.status;
         // Without this request's id the response may belong to an earlier request on the connection.
         if !response.matches_request && !response.is_not_run {
@@ -184,6 +211,8 @@
             return Outcome::Streaming(Bytes::new(), Box::new(reply), execution);
         }
         let mut body = Vec::new();
+        let budget = &self.gateway.memory;
+        let mut reservation = budget.count(Use::Response, None, 0);
         loop {
             match reply.next().await {
                 Ok(Some(chunk)) => body.extend_from_slice(&chunk),
@@ -199,9 +228,15 @@
                 self.record_outcome(SendOutcome::Failed);
                 return Outcome::Failed(format!("status {code}, the body is too long"));
             }
-            if body.len() > MAX_BUFFERED_BYTES {
+            let fits = reservation.grow_to(body.capacity() as u64).is_ok();
+            if !fits {
+                reservation.count_to(body.capacity() as u64);
+            }
+            // Without memory for the whole body, it is relayed as it arrives.
+            if body.len() > MAX_BUFFERED_BYTES || (!fits && code.is_success()) {
                 self.record_outcome(SendOutcome::Responded(now().since(self.start)));
-                return Outcome::Streaming(body.into(), Box::new(reply), execution);
+                let first = memory::hold(body, reservation);
+                return Outcome::Streaming(first, Box::new(reply), execution);
             }
         }
         let head = reply.head.clone();
@@ -212,7 +247,10 @@
         } else {
             SendOutcome::Responded(now().since(self.start))
         });
-        Outcome::Complete(head, body.into())
+        if body.is_empty() {
+            return Outcome::Complete(head, Bytes::new());
+        }
+        Outcome::Complete(head, memory::hold(body, reservation))
     }
 
     /// Records the outcome in the fleet and ends the span. Only the first call has an effect.
@@ -233,3 +271,14 @@
         self.record_outcome(SendOutcome::Abandoned(now().since(self.start)));
     }
 }
+
+/// Whether a status guarantees that the request has not run and never will.
+fn is_refusal(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+            | StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+    )
+}
--- a/crates/gateway/src/request/forward.rs
+++ b/crates/gateway/src/request/forward.rs
@@ -1,28 +1,29 @@
 //! Forwarding of one request to backend servers, with retries and a hedged second attempt.
 
 use std::future::Future;
-use std::pin::{Pin, pin};
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
-use hyper::header::HeaderMap;
 use hyper::{Response, StatusCode};
-use tamaracksail_adapter::ingress;
+use tamaracksail_model::account::Caller;
 use tamaracksail_model::route::{Kind, Route};
 use tamaracksail_model::table::draw_target;
 use tamaracksail_model::time::Instant;
 use tamaracksail_policy::fleet::ServerKey;
 use tamaracksail_policy::request::suspects::Verdict;
 use tamaracksail_process::trace::SpanKind;
-use tokio::sync::mpsc;
 
+use super::admission::{self, Admitted};
 use super::attempt::{Attempt, Outcome};
 use super::content::Content;
-use super::execution::Execution;
+use super::pace;
+use super::relay::{self, client_response};
 use super::response::{UNAVAILABLE_RETRY_AFTER, empty_response, retry_later};
+use super::resumed::Resumed;
 use super::streaming::{self, Stream};
 use super::trial::Trial;
 use crate::connection::Body;
@@ -38,6 +39,9 @@
 /// second server.
 const HEDGE_AFTER_SHARE: f64 = 0.5;
 
+/// When a second attempt that does not pay is considered again. Slots become free within this time.
+const HEDGE_RETRY: Duration = Duration::from_millis(20);
+
 /// The share of the route's latency objective for which a request waits for a permit.
 const PERMIT_WAIT_SHARE: f64 = 0.5;
 
@@ -45,15 +49,6 @@
 /// once.
 pub(super) const MAX_PERMIT_WAIT: Duration = Duration::from_millis(500);
 
-/// The number of chunks of a streamed response that are buffered for a slow client.
-pub(super) const MAX_BUFFERED_CHUNKS: usize = 4;
-
-/// How long after its deadline a response may still be relayed. Servers stop at the deadline.
-pub(super) const RELAY_MARGIN: Duration = Duration::from_millis(250);
-
-/// The problem of a response that was cut off.
-pub(super) const DEADLINE_PASSED: &str = "the deadline has passed";
-
 /// An attempt in progress, with the server it was sent to.
 type PendingAttempt<'a> = Pin<Box<dyn Future<Output = (ServerKey, Outcome)> + 'a>>;
 
@@ -69,34 +64,21 @@
     deadline: Instant,
     /// The servers of all attempts so far, in order.
     tried: Vec<ServerKey>,
+    /// The servers of all attempts so far, and those at which no stream can begin yet.
+    avoided: Vec<ServerKey>,
     /// Whether an attempt failed in such a way that the server may have executed the request.
     may_have_run: bool,
     /// When the client should retry, set once the request limits of all servers were used up.
     limit_retry_after: Option<Duration>,
-}
-
-/// A stream that a request resumes.
-struct Resumed {
-    /// The id of the client attempt that brought its first event, if the request names it.
-    attempt: Option<String>,
-}
-
-impl Resumed {
-    /// Returns the stream that a request on `route` resumes; none if it begins one.
-    fn parse(route: &Route, headers: &HeaderMap) -> Option<Self> {
-        if route.kind != Kind::Stream || !route.is_resumable {
-            return None;
-        }
-        let attempt = ingress::resumed_attempt(headers).map(str::to_owned);
-        let is_resumed = attempt.is_some() || ingress::has_last_event(headers);
-        is_resumed.then_some(Self { attempt })
-    }
+    /// The request's slot; none without client accounts.
+    admitted: Option<Admitted>,
 }
 
 /// Forwards a request and returns the response for the client.
 pub async fn forward(
     gateway: &Rc<Gateway>,
     route: &Route,
+    caller: &Caller,
     mut content: Content,
     id: &str,
     arrival: Instant,
@@ -109,7 +91,9 @@
     let mut service = target.service.clone();
     let mut software = None;
     if let Some(resumed) = Resumed::parse(route, &content.head.headers) {
-        let origin = streams::find(gateway, resumed.attempt.as_deref(), &service).await;
+        let attempt = resumed.attempt.as_deref();
+        let is_only_service = route.targets.iter().all(|found| found.service == service);
+        let origin = streams::find(gateway, attempt, &service, is_only_service).await;
         let origin = origin.filter(|origin| {
             let targets = &mut route.targets.iter();
             targets.any(|target| target.service == origin.service)
@@ -128,10 +112,13 @@
         );
         service = origin.service;
         software = Some(origin.software);
+        // It was counted when it brought its first event.
+        content.usage = None;
     }
     let span = gateway.span("request", SpanKind::Server, &mut content.head.headers);
     let content = Rc::new(content);
-    let forwarding = Forwarding {
+    let admitted = admission::admit(gateway, route, &service, caller, deadline).await;
+    let forwarding = admitted.map(|admitted| Forwarding {
         gateway,
         route,
         service: &service,
@@ -140,10 +127,15 @@
         id,
         deadline,
         tried: Vec::new(),
+        avoided: Vec::new(),
         may_have_run: false,
         limit_retry_after: None,
+        admitted,
+    });
+    let response = match forwarding {
+        Ok(forwarding) => forwarding.run().await,
+        Err(retry_after) => retry_later(retry_after),
     };
-    let response = forwarding.run().await;
     let latency = now().since(arrival);
     let code = response.status().as_u16();
     let kind = match route.kind {
@@ -169,7 +161,8 @@
     /// Makes attempts until one yields the response, none is left or the deadline passes.
     async fn run(mut self) -> Response<Body> {
         let mut pending: FuturesUnordered<PendingAttempt<'a>> = FuturesUnordered::new();
-        let hedge_at = now().after(self.route.objective.mul_f64(HEDGE_AFTER_SHARE));
+        let overdue_at = now().after(self.route.objective);
+        let mut hedge_at = now().after(self.route.objective.mul_f64(HEDGE_AFTER_SHARE));
         let mut last_failure = None;
         loop {
             if pending.is_empty() {
@@ -185,6 +178,7 @@
             tokio::select! {
                 Some((key, outcome)) = pending.next() => match self.count_outcome(outcome) {
                     Outcome::Complete(head, body) => {
+                        self.record_served();
                         let is_failure = head.status.is_server_error();
                         if is_failure && self.may_repeat() {
                             self.log_failure(key, head.status.as_str());
@@ -195,10 +189,18 @@
                         return client_response(head, Body::full(body));
                     }
                     Outcome::Streaming(_, reply, execution) if self.is_resumable() => {
+                        if !self.may_begin(key).await {
+                            self.log_failure(key, "the software version is not recorded");
+                            // The server ends the stream when its connection is closed.
+                            drop((reply, execution));
+                            return empty_response(StatusCode::BAD_GATEWAY);
+                        }
                         return streaming::relay(self.into_stream(key), *reply, execution);
                     }
                     Outcome::Streaming(first, reply, execution) => {
-                        return self.relay_chunks(first, *reply, execution);
+                        self.record_served();
+                        let admitted = self.admitted.take();
+                        return relay::relay_chunks(self.gateway, self.deadline, first, *reply, execution, admitted);
                     }
                     Outcome::NotRun(problem) => self.log_failure(key, &problem),
                     Outcome::Failed(problem) => {
@@ -210,7 +212,9 @@
                     }
                 },
                 () = tokio::time::sleep(hedge_at.since(now())), if may_hedge && self.tried.len() == 1 => {
-                    if let Some(next) = self.hedge() {
+                    if !self.hedge_pays(now() >= overdue_at) {
+                        hedge_at = now().after(HEDGE_RETRY);
+                    } else if let Some(next) = self.hedge() {
                         log::info!(request = self.id; "request hedged to a second server");
                         pending.push(next);
                     }
@@ -224,11 +228,34 @@
         }
     }
 
+    fn record_served(&self) {
+        if let Some(admitted) = &self.admitted {
+            admitted.record_served();
+        }
+    }
+
     /// Whether the response is a stream that another server may continue.
     fn is_resumable(&self) -> bool {
         self.route.kind == Kind::Stream && self.route.is_resumable
     }
 
+    /// Waits until the software version of a server is recorded, if a resumable stream begins at it.
+    /// Returns `false` if that takes too long.
+    async fn may_begin(&self, key: ServerKey) -> bool {
+        if self.software.is_some() {
+            return true;
+        }
+        let version = {
+            let fleet = self.gateway.fleet.borrow();
+            fleet.registration(key).map(|found| found.software.clone())
+        };
+        // A stream whose version is not known could be resumed at another one.
+        let Some(version) = version else {
+            return false;
+        };
+        streams::wait_until_recorded(self.gateway, self.service, &version).await
+    }
+
     /// Hands the request over to the relay of a resumable stream.
     fn into_stream(self, key: ServerKey) -> Stream {
         let fleet = self.gateway.fleet.borrow();
@@ -248,6 +275,7 @@
             deadline: self.deadline,
             attempts_left: (self.route.max_attempts as usize).saturating_sub(self.tried.len()),
             tried: self.tried,
+            admitted: self.admitted,
         }
     }
 
@@ -277,6 +305,11 @@
         if !self.has_attempts() || now() >= self.deadline {
             return None;
         }
+        self.avoided.clone_from(&self.tried);
+        if self.is_resumable() && self.software.is_none() {
+            let unrecorded = streams::unrecorded(self.gateway, self.service);
+            self.avoided.extend(unrecorded);
+        }
         match self.verdict() {
             Verdict::Unrestricted => return self.next_shared_attempt().await,
             Verdict::Refused => return None,
@@ -306,12 +339,22 @@
         }
     }
 
+    /// Whether a second attempt pays now. `is_overdue` says that the objective has passed.
+    fn hedge_pays(&self, is_overdue: bool) -> bool {
+        let settings = self.gateway.settings.borrow();
+        let query = self.candidates().query(&settings.domain, &[]);
+        let fleet = self.gateway.fleet.borrow();
+        self.tried
+            .first()
+            .is_none_or(|first| pace::hedge_pays(now(), &fleet, self.id, *first, query, is_overdue))
+    }
+
     /// The servers that may take the request. Those not tried yet are preferred.
     fn candidates(&self) -> Candidates<'_> {
         Candidates {
             service: self.service,
             software: self.software,
-            avoided: &self.tried,
+            avoided: &self.avoided,
             excluded: &[],
         }
     }
@@ -355,6 +398,9 @@
     fn send(&self, attempt: Attempt, cause: Cause) -> PendingAttempt<'a> {
         let key = attempt.key;
         cause.count(self.gateway, key);
+        if let Some(admitted) = &self.admitted {
+            admitted.record_sent();
+        }
         if let Some(registration) = self.gateway.fleet.borrow().registration(key) {
             log::debug!(
                 request = self.id, server = registration.instance.as_str(), attempt = self.tried.len();
@@ -424,53 +470,4 @@
             OVERLOAD_RETRY_AFTER
         })
     }
-
-    /// Relays a response to the client chunk by chunk, beginning with the bytes already read.
-    fn relay_chunks(
-        &self,
-        first: Bytes,
-        mut reply: tamaracksail_http::IncomingResponse,
-        execution: Execution,
-    ) -> Response<Body> {
-        let (sender, chunks) = mpsc::channel(MAX_BUFFERED_CHUNKS);
-        let length = reply.length().map(|left| left + first.len() as u64);
-        let head = reply.head.clone();
-        let end = self.deadline.after(RELAY_MARGIN).since(now());
-        actix_rt::spawn(async move {
-            let mut end = pin!(tokio::time::sleep(end));
-            if sender.send(Ok(first)).await.is_err() {
-                return;
-            }
-            loop {
-                let chunk = tokio::select! {
-                    chunk = reply.next() => chunk,
-                    () = sender.closed() => return,
-                    () = &mut end => Err(reply.body_error(DEADLINE_PASSED.to_owned())),
-                };
-                let chunk = match chunk {
-                    Ok(None) => return execution.complete(),
-                    Ok(Some(chunk)) => Ok(chunk),
-                    Err(error) => Err(error),
-                };
-                let is_broken = chunk.is_err();
-                if sender.send(chunk).await.is_err() {
-                    return;
-                }
-                if is_broken {
-                    return execution.break_off().await;
-                }
-            }
-        });
-        client_response(head, Body::Chunks { chunks, length })
-    }
-}
-
-/// Returns a server's response as it goes to the client, without hop-by-hop headers.
-pub(super) fn client_response(
-    mut head: hyper::http::response::Parts,
-    body: Body,
-) -> Response<Body> {
-    ingress::strip_hop_by_hop(&mut head.headers);
-    head.version = hyper::Version::HTTP_11;
-    Response::from_parts(head, body)
 }
--- a/crates/gateway/src/streams/membership.rs
+++ b/crates/gateway/src/streams/membership.rs
@@ -7,6 +7,8 @@
 use tamaracksail_adapter::store::Object;
 use tamaracksail_model::plain;
 
+use super::software;
+use crate::batches::has_spare_cpu;
 use crate::gateway::Gateway;
 use crate::store::{self, Event};
 
@@ -24,14 +26,20 @@
     struct Record {
         /// The address at which it accepts requests of its peers.
         address: SocketAddr,
+        /// Whether its host has CPU time to spare. Stated only where gateways have duties.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        has_spare_cpu: Option<bool>,
     }
 }
 
 /// Registers this gateway and starts to watch the others, once for the process.
 pub fn join(gateway: &Rc<Gateway>) {
+    // The routes may have further services with resumable streams.
+    gateway.streams.software.check();
     if gateway.streams.has_joined.replace(true) {
         return;
     }
+    software::start(gateway);
     actix_rt::spawn(register(Rc::clone(gateway)));
     actix_rt::spawn(watch(Rc::clone(gateway)));
 }
@@ -40,6 +48,7 @@
     let host = gateway.settings.borrow().host.clone();
     let record = Record {
         address: gateway.peer_address(),
+        has_spare_cpu: gateway.usage.as_ref().map(|_| has_spare_cpu(&gateway)),
     };
     while let Err(error) = gateway.store.put(KIND, &host, &record).await {
         log::warn!(error:%; "gateway not registered");
@@ -65,7 +74,7 @@
             }
             Event::Changed(object) => add(&gateway, object),
             Event::Removed(object) => members.borrow_mut().remove(&object.name),
-            Event::StoreFailed => {}
+            Event::Answered(_) | Event::StoreFailed => {}
         },
     )
     .await;
@@ -78,7 +87,10 @@
     }
     let mut members = gateway.streams.members.borrow_mut();
     match object.spec::<Record>() {
-        Ok(record) => members.register(host, record.address, object.revision),
+        Ok(record) => {
+            members.register(host, record.address, object.revision);
+            members.set_spare_cpu(host, record.has_spare_cpu.unwrap_or(false));
+        }
         Err(error) => {
             log::warn!(host, error:%; "malformed record of a gateway ignored");
             members.remove(host);
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -8,16 +8,24 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use hyper::Method;
 use serde_json::{Value, json};
 use tamaracksail_adapter_standins::loopback::address;
 use tamaracksail_adapter_standins::{Client, Engine, Store, settings};
 use tamaracksail_model::batch::{Ending, ItemResult};
+use tamaracksail_wire::peer::{Request as PeerRequest, Response as PeerResponse};
 
 pub mod crashing;
+pub mod reporting;
 
 /// How long to wait for a condition before the test fails. Far longer than any should take.
 const CONDITION_TIMEOUT: Duration = Duration::from_mins(1);
 
+/// The name of the file with the offset of a gateway's time of day.
+const TIME_OFFSET: &str = "time-offset";
+/// The port on which gateways serve metrics.
+const METRICS_PORT: u16 = 7010;
+
 /// A gateway process, which is killed when dropped.
 pub struct Gateway {
     child: Child,
@@ -46,11 +54,71 @@
         Self::start_with(host, store, 120, Some(endpoint))
     }
 
+    /// Starts a gateway with a settings file that `change` returns.
+    pub fn with_settings(host: &str, store: &Store, change: impl FnOnce(String) -> String) -> Self {
+        Self::start_changed(host, store, 120, None, change)
+    }
+
+    /// Starts a gateway of a new deployment.
+    pub fn with_bootstrap(host: &str, store: &Store) -> Self {
+        let mut gateway = Self::start(host, store);
+        gateway.kill();
+        let path = gateway.folder.join("settings");
+        let text = std::fs::read_to_string(&path).expect("a settings file");
+        std::fs::write(path, settings::with_bootstrap(&text)).expect("a settings file");
+        gateway.restart();
+        gateway
+    }
+
+    /// Starts a gateway whose time of day is `offset_ms` milliseconds ahead.
+    pub fn with_time_offset(host: &str, store: &Store, offset_ms: i64) -> Self {
+        Self::with_time_offset_and_retention(host, store, offset_ms, 120)
+    }
+
+    /// Starts a gateway whose time of day is `offset_ms` milliseconds ahead and that keeps results
+    /// for `retention_s` seconds.
+    pub fn with_time_offset_and_retention(
+        host: &str,
+        store: &Store,
+        offset_ms: i64,
+        retention_s: u64,
+    ) -> Self {
+        let mut gateway = Self::start_with(host, store, retention_s, None);
+        gateway.kill();
+        gateway.step_time(offset_ms);
+        gateway.restart();
+        gateway
+    }
+
+    /// Sets how far the time of day of the gateway is ahead, in milliseconds. Only for gateways that
+    /// were started with an offset.
+    pub fn step_time(&self, offset_ms: i64) {
+        let path = self.folder.join(TIME_OFFSET);
+        let next = path.with_extension("next");
+        std::fs::write(&next, offset_ms.to_string()).expect("an offset is written");
+        std::fs::rename(next, path).expect("an offset is replaced");
+    }
+
+    /// Starts a gateway with a memory limit of `memory_mb` megabytes.
+    pub fn with_memory(host: &str, store: &Store, memory_mb: u64) -> Self {
+        Self::with_settings(host, store, |text| settings::with_memory(&text, memory_mb))
+    }
+
     fn start_with(host: &str, store: &Store, retention_s: u64, spans: Option<String>) -> Self {
+        Self::start_changed(host, store, retention_s, spans, |text| text)
+    }
+
+    fn start_changed(
+        host: &str,
+        store: &Store,
+        retention_s: u64,
+        spans: Option<String>,
+        change: impl FnOnce(String) -> String,
+    ) -> Self {
         let ip = address();
         let folder = std::env::temp_dir().join(format!("tamaracksail-{ip}"));
         std::fs::create_dir_all(&folder).expect("a folder for settings");
-        let text = settings::file(host, ip, store.address, retention_s);
+        let text = change(settings::file(host, ip, store.address, retention_s));
         std::fs::write(folder.join("settings"), text).expect("a settings file");
         let lines = Arc::default();
         let child = spawn(&folder, spans.as_deref(), &lines);
@@ -137,12 +205,41 @@
         found.cloned().collect()
     }
 
+    /// Returns all log lines so far.
+    pub fn all_log_lines(&self) -> Vec<Value> {
+        self.lines.lock().expect("no reader panics").clone()
+    }
+
+    /// Returns the sum of a metric over its labels; 0 if it was never set.
+    pub async fn metric(&self, name: &str) -> u64 {
+        let client = Client::new(SocketAddr::new(self.ip, METRICS_PORT));
+        let response = client.request("metrics", "/metrics", "").await;
+        let body = response.expect("the metrics").body;
+        let text = String::from_utf8_lossy(&body).into_owned();
+        let prefix = format!("tamaracksail_gateway_{name}");
+        let values = text.lines().filter_map(|line| {
+            let (label, value) = line.strip_prefix(&prefix)?.rsplit_once(' ')?;
+            let is_exact = label.is_empty() || label.starts_with('{');
+            is_exact.then(|| value.parse::<u64>().expect("a number"))
+        });
+        values.sum()
+    }
+
     /// Waits for a log line with an event, and returns the first.
     pub async fn wait_for_log(&self, event: &str) -> Value {
         wait_until(event, async || !self.log_lines(event).is_empty()).await;
         self.log_lines(event).remove(0)
     }
 
+    /// Sends a request of a peer, and returns the response.
+    pub async fn call_as_peer(&self, request: &PeerRequest) -> PeerResponse {
+        let client = Client::new(SocketAddr::new(self.ip, settings::INTERNAL_PORT));
+        let body = tamaracksail_wire::encode(request).into();
+        let response = client.send(Method::POST, "/peer", &[], body).await;
+        let response = response.expect("a response");
+        tamaracksail_wire::decode(&response.body).expect("a response to a peer")
+    }
+
     /// Returns the name of its host.
     pub fn host(&self) -> &str {
         &self.host
@@ -163,7 +260,12 @@
     if let Some(endpoint) = spans {
         command.env("TAMARACKSAIL_OTLP_ENDPOINT", endpoint);
     }
+    let time_offset = folder.join(TIME_OFFSET);
+    if time_offset.exists() {
+        command.env("TAMARACKSAIL_TIME_OFFSET_FILE", time_offset);
+    }
     let mut child = command
+        .env("TAMARACKSAIL_METRICS_PORT", METRICS_PORT.to_string())
         .env(settings::PATH_VARIABLE, folder.join("settings"))
         .stdout(Stdio::piped())
         .spawn()
--- a/crates/model/src/account.rs
+++ b/crates/model/src/account.rs
@@ -20,6 +20,18 @@
         let is_possible = !text.is_empty() && text.len() <= MAX_KEY_BYTES;
         is_possible.then(|| Self(Sha256::digest(text).into()))
     }
+
+    /// Returns the key with a digest.
+    #[must_use]
+    pub fn from_bytes(digest: [u8; 32]) -> Self {
+        Self(digest)
+    }
+
+    /// Returns the digest.
+    #[must_use]
+    pub fn to_bytes(self) -> [u8; 32] {
+        self.0
+    }
 }
 
 impl fmt::Debug for Key {
@@ -50,6 +62,8 @@
 pub struct Accounts {
     by_key: BTreeMap<Key, Arc<Account>>,
     names: Vec<String>,
+    /// The priorities of the accounts that state one.
+    priorities: BTreeMap<String, u8>,
 }
 
 impl Accounts {
@@ -67,6 +81,9 @@
             }
         }
         self.names.push(account.name.clone());
+        if let Some(priority) = account.priority {
+            self.priorities.insert(account.name.clone(), priority);
+        }
         Ok(())
     }
 
@@ -76,6 +93,12 @@
         self.by_key.get(&key)
     }
 
+    /// Returns the priority of the account with this name, if it states one.
+    #[must_use]
+    pub fn priority(&self, name: &str) -> Option<u8> {
+        self.priorities.get(name).copied()
+    }
+
     /// Returns the names of all accounts.
     pub fn names(&self) -> impl Iterator<Item = &str> {
         self.names.iter().map(String::as_str)
--- a/crates/policy/src/batch/dispatch.rs
+++ b/crates/policy/src/batch/dispatch.rs
@@ -7,10 +7,12 @@
 use super::action::Action;
 use super::ending;
 use super::engine::{Engine, EngineKey};
+use super::placement;
 use super::pool::Requirements;
 use super::run::Run;
 use super::scheduler::Scheduler;
 use super::scoring;
+use super::sharing::Order;
 use super::task::{Stage, TaskKey};
 
 /// Starts waiting items on engines with free slots.
@@ -22,8 +24,11 @@
         .values()
         .map(Engine::free_slots)
         .sum();
-    let waiting: Vec<(u64, TaskKey)> = scheduler.queue.iter().copied().collect();
-    for (rank, key) in waiting {
+    if free_slots == 0 {
+        return;
+    }
+    let mut order = Order::new(scheduler);
+    while let Some((rank, key)) = order.take_next() {
         if free_slots == 0 {
             return;
         }
@@ -55,6 +60,7 @@
         {
             scheduler.queue.remove(&(rank, key));
             start_run(scheduler, now, key, engine);
+            order.record_start();
             free_slots -= 1;
         }
     }
@@ -85,6 +91,7 @@
         min_version,
         version,
         software: task.text.software.as_deref(),
+        preference: placement::preference(task, batch.longest),
     }
 }
 
@@ -135,7 +142,7 @@
     };
     stop_run(scheduler, run_id, reason);
     if scheduler.is_batch_ended(run.task) {
-        let id = scheduler.tasks[run.task].item.id.clone();
+        let id = scheduler.tasks[run.task].carried.clone();
         scheduler.detached.remove(&id);
         ending::remove_task(scheduler, now, run.task);
     } else {
@@ -206,7 +213,7 @@
     {
         task.discard_text();
     }
-    let rank = scheduler.ranks.get(&key).copied().unwrap_or(0);
+    let rank = scheduler.ranks.get(&key).copied().unwrap_or_default();
     scheduler.queue.insert((rank, key));
 }
 
--- a/crates/policy/src/batch/scheduler.rs
+++ b/crates/policy/src/batch/scheduler.rs
@@ -6,7 +6,9 @@
 use slotmap::SlotMap;
 use tamaracksail_model::backend::Registration;
 use tamaracksail_model::batch::PartialText;
+use tamaracksail_model::carried::Carried;
 use tamaracksail_model::checkpoint::Checkpoint;
+use tamaracksail_model::pace::Reading;
 use tamaracksail_model::reward::Call;
 use tamaracksail_model::time::Instant;
 
@@ -14,10 +16,13 @@
 use super::engine::EngineKey;
 use super::open_batch::Batch;
 use super::pool::Pool;
+use super::rank::{Rank, Ranking};
 use super::run::Run;
 use super::submission::{self, Submission};
 use super::task::{Task, TaskKey};
-use super::{affinity, checkpointing, dispatch, ending, reports, scoring, stragglers, weights};
+use super::{
+    affinity, checkpointing, dispatch, ending, placement, reports, scoring, stragglers, weights,
+};
 use crate::fleet::Fleet;
 use crate::reward::{self, CallKey};
 
@@ -38,9 +43,9 @@
     pub(super) tasks: SlotMap<TaskKey, Task>,
     pub(super) runs: BTreeMap<u64, Run>,
     /// Waiting items with their ranks, in the order in which they start.
-    pub(super) queue: BTreeSet<(u64, TaskKey)>,
+    pub(super) queue: BTreeSet<(Rank, TaskKey)>,
     /// The rank of each item in the queue, which it keeps while it runs.
-    pub(super) ranks: BTreeMap<TaskKey, u64>,
+    pub(super) ranks: BTreeMap<TaskKey, Rank>,
     /// When an item whose run failed may start again.
     pub(super) retry_at: BTreeMap<TaskKey, Instant>,
     /// The calls that score complete texts.
@@ -52,16 +57,17 @@
     /// The number of items in the largest step of each model.
     pub(super) largest_steps: BTreeMap<String, usize>,
     /// Text of items whose task was removed, by item, and since when it is retained.
-    pub(super) retained_texts: BTreeMap<String, (Instant, PartialText)>,
+    pub(super) retained_texts: BTreeMap<Carried, (Instant, PartialText)>,
     /// Groups of earlier and open batches, and when they were last submitted.
-    pub(super) past_groups: BTreeMap<String, Instant>,
+    pub(super) past_groups: BTreeMap<Carried, Instant>,
     /// Tasks of ended batches that still run, by item.
-    pub(super) detached: BTreeMap<String, TaskKey>,
+    pub(super) detached: BTreeMap<Carried, TaskKey>,
     pub(super) actions: Vec<Action>,
+    /// The limit on the text of the results in one write, in bytes; `None` if there is none.
+    max_write_bytes: Option<usize>,
     /// The last number given to a run.
     pub(super) last_run: u64,
-    /// The last rank given to an item.
-    pub(super) last_rank: u64,
+    pub(super) ranking: Ranking,
     /// The number of checkpoints taken.
     pub(super) checkpoint_count: u64,
     /// The fencing token of the last checkpoint.
@@ -162,6 +168,16 @@
         reports::response_started(self, now, run, version)
     }
 
+    /// Has items run in a failure domain while its engines have free slots.
+    pub fn prefer_domain(&mut self, domain: &str) {
+        self.pool.home = Some(domain.to_owned());
+    }
+
+    /// Records the pace that an engine stated in the response of a run.
+    pub fn record_pace(&mut self, now: Instant, run: u64, reading: Reading) {
+        placement::record_pace(self, now, run, reading);
+    }
+
     /// Appends an event to an item's text. Returns false if the run must be closed.
     pub fn record_event(
         &mut self,
@@ -184,6 +200,12 @@
         reports::run_failed(self, now, run, failure);
     }
 
+    /// Limits the text of the results in one [`Action::WriteResults`], in bytes. A single result may
+    /// be longer.
+    pub fn limit_writes(&mut self, max_bytes: usize) {
+        self.max_write_bytes = Some(max_bytes);
+    }
+
     /// Records that the results in the last [`Action::WriteResults`] of a batch are durable.
     pub fn results_written(&mut self, key: BatchKey) {
         if let Some(batch) = self.batches.get_mut(key) {
@@ -194,23 +216,23 @@
 
     /// Returns the text of unfinished items, for a scheduler that takes over.
     #[must_use]
-    pub fn partial_texts(&self, now: Instant) -> Vec<(String, PartialText)> {
+    pub fn partial_texts(&self, now: Instant) -> Vec<(Carried, PartialText)> {
         ending::partial_texts(self, now)
     }
 
     /// Retains text from another scheduler, unless a longer text of the item is here.
-    pub fn restore_partial_text(&mut self, now: Instant, item: String, partial_text: PartialText) {
+    pub fn restore_partial_text(&mut self, now: Instant, item: Carried, partial_text: PartialText) {
         ending::restore_partial_text(self, now, item, partial_text);
     }
 
     /// Returns the groups that count as carried over, for a scheduler that takes over.
     #[must_use]
-    pub fn past_groups(&self) -> Vec<String> {
+    pub fn past_groups(&self) -> Vec<Carried> {
         checkpointing::past_groups(self)
     }
 
     /// Adds groups that another scheduler has seen.
-    pub fn restore_past_groups(&mut self, now: Instant, groups: Vec<String>) {
+    pub fn restore_past_groups(&mut self, now: Instant, groups: Vec<Carried>) {
         checkpointing::restore_past_groups(self, now, groups);
     }
 
@@ -281,8 +303,10 @@
         }
         dispatch::dispatch(self, now);
         stragglers::move_slow(self, now);
+        placement::move_to_faster(self, now);
         for (key, batch) in &mut self.batches {
-            if let Some(results) = batch.take_results(now) {
+            let max_bytes = self.max_write_bytes.unwrap_or(usize::MAX);
+            if let Some(results) = batch.take_results(now, max_bytes) {
                 self.actions.push(Action::WriteResults {
                     batch: key,
                     results,
--- a/crates/policy/src/batch/submission.rs
+++ b/crates/policy/src/batch/submission.rs
@@ -4,9 +4,11 @@
 use std::rc::Rc;
 
 use tamaracksail_model::batch::Item;
+use tamaracksail_model::carried::Carried;
 use tamaracksail_model::time::Instant;
 
 use super::open_batch::{Batch, Group, group_items, optional_groups};
+use super::rank::expected_tokens;
 use super::scheduler::{BatchKey, Scheduler};
 use super::task::{Stage, Task, TaskKey};
 use super::{dispatch, ending};
@@ -32,6 +34,8 @@
     pub is_single_version: bool,
     /// The number of failed responses after which an item is aborted.
     pub max_attempts: u32,
+    /// When all results are due.
+    pub due: Instant,
     /// When unfinished items are aborted.
     pub expires: Instant,
 }
@@ -52,12 +56,17 @@
             .iter()
             .map(|item| (item.id.as_str(), item.group.as_deref())),
     );
+    let past_group = |name: &String| Carried::new(submission.account.as_deref(), name);
     let carried_over: BTreeSet<usize> = (0..names.len())
-        .filter(|group| scheduler.past_groups.contains_key(&names[*group]))
+        .filter(|group| {
+            scheduler
+                .past_groups
+                .contains_key(&past_group(&names[*group]))
+        })
         .collect();
     let mut lengths = vec![0; names.len()];
     for (item, group) in submission.items.iter().zip(&group_of) {
-        lengths[*group] = lengths[*group].max(item.hint.unwrap_or(item.tokens));
+        lengths[*group] = lengths[*group].max(expected_tokens(item));
     }
     if let Some(model) = &submission.model {
         let largest = scheduler.largest_steps.entry(model.clone()).or_default();
@@ -66,8 +75,10 @@
     let target = submission.target_groups.unwrap_or(names.len());
     let optional = optional_groups(&lengths, &carried_over, target);
     for name in &names {
-        scheduler.past_groups.insert(name.clone(), now);
+        scheduler.past_groups.insert(past_group(name), now);
     }
+    let awaited = (0..lengths.len()).filter(|group| !optional.contains(group));
+    let longest = awaited.map(|group| lengths[group]).max().unwrap_or(0);
     let groups = names
         .into_iter()
         .enumerate()
@@ -84,9 +95,11 @@
         min_version: submission.min_version,
         target_groups: target,
         groups,
+        longest,
         tasks: Vec::new(),
         is_single_version: submission.is_single_version,
         max_attempts: submission.max_attempts,
+        due: submission.due,
         expires: submission.expires,
         results: Vec::new(),
         oldest_result_at: now,
@@ -97,7 +110,7 @@
     });
     let mut order: Vec<(Item, usize)> = submission.items.into_iter().zip(group_of).collect();
     order.sort_by_key(|(item, group)| {
-        let length = item.hint.unwrap_or(item.tokens);
+        let length = expected_tokens(item);
         (optional.contains(group), std::cmp::Reverse(length))
     });
     for (item, group) in order {
@@ -126,10 +139,11 @@
     item: Item,
     group: usize,
 ) -> Option<Item> {
-    let Some(key) = scheduler.detached.remove(&item.id) else {
+    let batch = &mut scheduler.batches[batch_key];
+    let carried = Carried::new(batch.account.as_deref(), &item.id);
+    let Some(key) = scheduler.detached.remove(&carried) else {
         return Some(item);
     };
-    let batch = &mut scheduler.batches[batch_key];
     let Some(task) = scheduler.tasks.get_mut(key) else {
         return Some(item);
     };
@@ -149,8 +163,8 @@
     task.is_optional = false;
     batch.tasks.push(key);
     batch.groups[group].unfinished += 1;
-    scheduler.last_rank += 1;
-    scheduler.ranks.insert(key, scheduler.last_rank);
+    let rank = scheduler.ranking.assign(batch.due);
+    scheduler.ranks.insert(key, rank);
     None
 }
 
@@ -166,9 +180,10 @@
 ) {
     let batch = &mut scheduler.batches[batch_key];
     let has_result = with_result.contains(&item.id);
+    let carried = Carried::new(batch.account.as_deref(), &item.id);
     let mut text = scheduler
         .retained_texts
-        .get(&item.id)
+        .get(&carried)
         .map(|(_, text)| text.clone());
     if let Some(found) = &text
         && !found.is_usable(batch.min_version, batch.is_single_version)
@@ -181,6 +196,7 @@
     let is_routed = service.is_some();
     let task = scheduler.tasks.insert(Task {
         item: Rc::new(item),
+        carried,
         batch: batch_key,
         group,
         text,
@@ -189,6 +205,7 @@
         failures: 0,
         service: service.unwrap_or_default(),
         is_optional,
+        has_moved_to_faster: false,
     });
     batch.tasks.push(task);
     if has_result {
@@ -199,9 +216,9 @@
     if is_whole {
         dispatch::complete(scheduler, now, task);
     } else if is_routed {
-        scheduler.last_rank += 1;
-        scheduler.ranks.insert(task, scheduler.last_rank);
-        scheduler.queue.insert((scheduler.last_rank, task));
+        let rank = scheduler.ranking.assign(batch.due);
+        scheduler.ranks.insert(task, rank);
+        scheduler.queue.insert((rank, task));
     } else {
         ending::abort_task(scheduler, now, task);
     }
--- a/crates/policy/src/batch/task.rs
+++ b/crates/policy/src/batch/task.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use tamaracksail_model::batch::{Ending, Item, ItemResult, PartialText};
+use tamaracksail_model::carried::Carried;
 
 use super::checkpointing::SavedText;
 use super::scheduler::BatchKey;
@@ -30,6 +31,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Task {
     pub(crate) item: Rc<Item>,
+    /// Its id within its account, by which a later batch finds its text.
+    pub(crate) carried: Carried,
     pub(crate) batch: BatchKey,
     /// The index of its group within the batch.
     pub(crate) group: usize,
@@ -43,6 +46,8 @@
     pub(crate) service: String,
     /// Whether it belongs to a group that the trainer is not expected to wait for.
     pub(crate) is_optional: bool,
+    /// Whether it was moved to a permanently faster engine.
+    pub(crate) has_moved_to_faster: bool,
 }
 
 impl Task {
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -1,5 +1,11 @@
 //! The backend servers that requests may be sent to, and the choice among them.
 
+mod locality;
+mod pace;
+mod room;
+
+pub use locality::Left;
+
 use std::cmp::Ordering;
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
@@ -11,6 +17,7 @@
 
 use crate::connection::choice;
 use crate::limit::Limiter;
+use crate::pace::Latency;
 use crate::request::survival::Listing;
 
 slotmap::new_key_type! {
@@ -18,12 +25,6 @@
     pub struct ServerKey;
 }
 
-/// The latency that is assumed for a server that has not responded yet.
-const INITIAL_LATENCY: Duration = Duration::from_millis(25);
-
-/// The weight of the newest sample in the moving average of a server's latency.
-const LATENCY_SAMPLE_WEIGHT: f64 = 0.2;
-
 /// How long a load that a server reported is used. Requests last tens of milliseconds.
 const LOAD_VALIDITY: Duration = Duration::from_millis(300);
 
@@ -76,8 +77,11 @@
     pub registration: Registration,
     /// Requests that this gateway sent to the server and that have not ended.
     in_flight: u32,
-    /// The moving average of latencies.
-    latency_seconds: f64,
+    /// How long requests take.
+    latency: Latency,
+    /// The shortest latency, and when the server responded last.
+    fastest: Option<Duration>,
+    responded_at: Option<Instant>,
     /// The load that the server reported last, and when.
     load: Option<(u32, Instant)>,
     backoff_until: Instant,
@@ -94,7 +98,9 @@
         Self {
             registration,
             in_flight: 0,
-            latency_seconds: INITIAL_LATENCY.as_secs_f64(),
+            latency: Latency::default(),
+            fastest: None,
+            responded_at: None,
             load: None,
             backoff_until: Instant(0),
             failures: 0,
@@ -107,24 +113,28 @@
     fn load(&self, now: Instant) -> u32 {
         let reported = self
             .load
-            .filter(|(_, at)| now.since(*at) < LOAD_VALIDITY)
+            .filter(|(_, at)| now.since(*at) < self.load_validity())
             .map_or(0, |(load, _)| load);
         self.in_flight.max(reported)
     }
 
-    /// Returns the expected number of seconds until a response to a caller in `domain`.
-    fn expected_latency(&self, now: Instant, domain: &str) -> f64 {
+    /// Returns the expected number of seconds until a response, without the cost of leaving a domain.
+    fn local_latency(&self, now: Instant) -> f64 {
         let load = f64::from(self.load(now));
         let slots = f64::from(self.registration.slots.max(1));
         // A server slows down as it fills, and requests beyond its slots are queued.
         let utilization = (load + 1.0) / slots;
+        self.latency.expected_seconds(now) * (1.0 + utilization.max(utilization * utilization))
+    }
+
+    /// Returns the expected number of seconds until a response to a caller in `domain`.
+    fn expected_latency(&self, now: Instant, domain: &str) -> f64 {
         let cross_domain_cost = if self.registration.domain == domain {
             0.0
         } else {
             CROSS_DOMAIN_COST.as_secs_f64()
         };
-        self.latency_seconds * (1.0 + utilization.max(utilization * utilization))
-            + cross_domain_cost
+        self.local_latency(now) + cross_domain_cost
     }
 }
 
@@ -137,6 +147,8 @@
     /// They count as draining, whatever service discovery says.
     departures: VecDeque<(String, Option<u64>)>,
     limiter: Limiter,
+    /// The shares of requests that leave the failure domain; off by default.
+    locality: Option<locality::Locality>,
 }
 
 impl Fleet {
@@ -290,9 +302,12 @@
     /// Returns `None` if there is no such server.
     #[must_use]
     pub fn choose(&self, now: Instant, query: Query) -> Option<ServerKey> {
+        let wanted = self.wanted_domain(&query);
         self.ready(query)
             .filter(|(key, _)| self.limiter.allows(now, *key))
-            .min_by(|(_, a), (_, b)| compare(a.rank(now, query.domain), b.rank(now, query.domain)))
+            .min_by(|(_, a), (_, b)| {
+                compare(a.rank(now, query, wanted), b.rank(now, query, wanted))
+            })
             .map(|(key, _)| key)
     }
 
@@ -305,11 +320,12 @@
         query: Query,
         otherwise: Option<ServerKey>,
     ) -> Vec<ServerKey> {
+        let wanted = self.wanted_domain(&query);
         let other_rank = otherwise
             .and_then(|key| self.servers.get(key))
-            .map(|server| server.rank(now, query.domain));
+            .map(|server| server.rank(now, query, wanted));
         let is_better = |server: &Server| {
-            let (reluctance, latency) = server.rank(now, query.domain);
+            let (reluctance, latency) = server.rank(now, query, wanted);
             let rank = (reluctance, latency + PERMIT_COST.as_secs_f64());
             other_rank.is_none_or(|other| compare(rank, other).is_lt())
         };
@@ -401,6 +417,7 @@
         if let Some(server) = self.servers.get_mut(key) {
             server.in_flight += 1;
         }
+        self.count_sent(key);
     }
 
     /// Records the load that a server reported.
@@ -418,13 +435,15 @@
         server.in_flight = server.in_flight.saturating_sub(1);
         match outcome {
             SendOutcome::Responded(latency) => {
-                server.record_latency(latency);
+                server.record_latency(now, latency);
                 server.failures = 0;
                 server.backoff_until = Instant(0);
             }
             // The response would have taken at least this long.
-            SendOutcome::Abandoned(latency) if latency.as_secs_f64() > server.latency_seconds => {
-                server.record_latency(latency);
+            SendOutcome::Abandoned(latency)
+                if latency.as_secs_f64() > server.latency.expected_seconds(now) =>
+            {
+                server.record_latency(now, latency);
             }
             SendOutcome::Abandoned(_) => {}
             SendOutcome::Refused => server.load = Some((server.registration.slots * 2, now)),
@@ -441,7 +460,7 @@
 
 /// The order in which servers are chosen: whether the server is used only if no other is, by
 /// severity, and the expected number of seconds until a response.
-type Rank = ((bool, bool), f64);
+type Rank = ((bool, bool, bool), f64);
 
 fn compare(a: Rank, b: Rank) -> Ordering {
     a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))
@@ -452,18 +471,13 @@
 }
 
 impl Server {
-    fn rank(&self, now: Instant, domain: &str) -> Rank {
-        let reluctance = (self.is_backing_off(now), self.trials > 0);
-        (reluctance, self.expected_latency(now, domain))
+    fn rank(&self, now: Instant, query: Query, wanted: Option<&str>) -> Rank {
+        let is_unwanted = wanted.is_some_and(|wanted| wanted != self.registration.domain);
+        let reluctance = (self.is_backing_off(now), self.trials > 0, is_unwanted);
+        (reluctance, self.expected_latency(now, query.domain))
     }
 
     fn is_backing_off(&self, now: Instant) -> bool {
         now < self.backoff_until
     }
-
-    /// Adds a sample to the moving average.
-    fn record_latency(&mut self, latency: Duration) {
-        self.latency_seconds +=
-            (latency.as_secs_f64() - self.latency_seconds) * LATENCY_SAMPLE_WEIGHT;
-    }
 }
--- a/crates/policy/tests/common/engines.rs
+++ b/crates/policy/tests/common/engines.rs
@@ -6,6 +6,7 @@
 use tamaracksail_model::backend::{Registration, State};
 use tamaracksail_model::batch::{Ending, Item, ItemResult};
 use tamaracksail_model::checkpoint::Checkpoint;
+use tamaracksail_model::pace::Reading;
 use tamaracksail_model::time::Instant;
 use tamaracksail_policy::batch::{
     Action, BatchKey, CHECKPOINT_SLOTS, EngineKey, Failure, Scheduler, Submission, join_segments,
@@ -50,6 +51,12 @@
     due_at: Instant,
 }
 
+/// Returns how long work takes at the engine with this name.
+fn pace_of(pace: Option<fn(usize, Instant) -> f64>, engine: &str, now: Instant) -> f64 {
+    let number = engine[1..].parse().expect("a number follows the letter");
+    pace.map_or(1.0, |pace| pace(number, now))
+}
+
 /// The simulation. It checks each start and each result.
 pub struct Simulation {
     pub now: Instant,
@@ -65,8 +72,20 @@
     pub stops: BTreeMap<&'static str, usize>,
     /// The highest number of concurrent loads.
     pub max_concurrent_loads: usize,
+    /// How long work takes at an engine at a moment, by the engine's number. Without it, always normal.
+    pub pace: Option<fn(usize, Instant) -> f64>,
+    /// The engines in another failure domain.
+    pub away: BTreeSet<String>,
+    /// The number of runs that started on each engine.
+    pub starts: BTreeMap<String, usize>,
+    /// Whether engines state their pace in responses.
+    pub states_pace: bool,
     /// Whether load commands may be sent.
     pub may_command: bool,
+    /// How long a write to the store takes.
+    pub write_time: Duration,
+    /// The text of the results in the longest write, in bytes.
+    pub longest_write: usize,
     /// The ids of open batches by their keys.
     open_batches: BTreeMap<BatchKey, String>,
     runs: BTreeMap<u64, Run>,
@@ -81,6 +100,8 @@
     checkpoints: BTreeMap<u64, Checkpoint>,
     /// The fencing token of the scheduler.
     pub fence: u64,
+    /// The client account that submits batches.
+    pub account: Option<&'static str>,
 }
 
 impl Simulation {
@@ -95,7 +116,13 @@
             load_count: 0,
             stops: BTreeMap::new(),
             max_concurrent_loads: 0,
+            pace: None,
+            away: BTreeSet::new(),
+            starts: BTreeMap::new(),
+            states_pace: false,
             may_command: true,
+            write_time: WRITE_TIME,
+            longest_write: 0,
             open_batches: BTreeMap::new(),
             runs: BTreeMap::new(),
             writes: Vec::new(),
@@ -104,6 +131,7 @@
             began_at: BTreeMap::new(),
             checkpoints: BTreeMap::new(),
             fence: 1,
+            account: None,
         };
         for number in 0..count {
             let name = format!("e{number:02}");
@@ -128,7 +156,12 @@
             service: "pool".to_owned(),
             software: self.engines[name].software.to_owned(),
             address: ([127, 0, 0, 1], 1).into(),
-            domain: "here".to_owned(),
+            domain: if self.away.contains(name) {
+                "there"
+            } else {
+                "here"
+            }
+            .to_owned(),
             slots,
             state,
             models: BTreeMap::from([(MODEL.to_owned(), self.engines[name].version)]),
@@ -174,7 +207,7 @@
         }
         let submission = Submission {
             host: "app".to_owned(),
-            account: None,
+            account: self.account.map(str::to_owned),
             model: Some(MODEL.to_owned()),
             min_version: Some(min_version),
             target_groups: Some(target),
@@ -182,6 +215,7 @@
             with_result: BTreeSet::new(),
             is_single_version,
             max_attempts: 3,
+            due: self.now.after(Duration::from_millis(7500)),
             expires: self.now.after(Duration::from_mins(1)),
         };
         self.submissions.insert(id.to_owned(), submission);
@@ -189,6 +223,12 @@
         self.resubmit(id);
     }
 
+    /// Changes when the results of a submitted step are due, as known to schedulers that take over.
+    pub fn set_due(&mut self, id: &str, due: Instant) {
+        let submission = self.submissions.get_mut(id);
+        submission.expect("the step was submitted").due = due;
+    }
+
     /// Submits a batch to the present scheduler, with the results that are durable.
     fn resubmit(&mut self, id: &str) {
         let mut submission = self.submissions[id].clone();
@@ -392,7 +432,8 @@
             drop(generated_by.split_off(&run.next));
             generated_by.insert(run.next, engine.version);
             run.next += 1;
-            run.due_at = self.now.after(engine.event_interval);
+            let pace = pace_of(self.pace, &run.engine, self.now);
+            run.due_at = self.now.after(engine.event_interval.mul_f64(pace));
             if !is_wanted {
                 self.runs.remove(&number);
             }
@@ -429,9 +470,15 @@
                 let engine = registration.instance.clone();
                 let is_elsewhere = self.runs.values().any(|other| other.item == item.id);
                 assert!(!is_elsewhere, "{} runs twice", item.id);
+                *self.starts.entry(engine.clone()).or_default() += 1;
                 let event_interval = self.engines[&engine].event_interval;
                 let next = after.unwrap_or(0) + 1;
-                let due_at = self.now.after(event_interval);
+                let pace = pace_of(self.pace, &engine, self.now);
+                let due_at = self.now.after(event_interval.mul_f64(pace));
+                if self.states_pace {
+                    let reading = Reading::from_percent(pace * 100.0).expect("a usable figure");
+                    self.scheduler.record_pace(self.now, run, reading);
+                }
                 let item = item.id.clone();
                 let software = self.engines[&engine].software;
                 if after.is_none() {
@@ -451,8 +498,10 @@
                 *self.stops.entry(reason).or_default() += 1;
             }
             Action::WriteResults { batch, results } => {
+                let bytes = results.iter().map(|result| result.text.len()).sum();
+                self.longest_write = self.longest_write.max(bytes);
                 self.writes
-                    .push((self.now.after(WRITE_TIME), batch, results));
+                    .push((self.now.after(self.write_time), batch, results));
             }
             Action::LoadWeights {
                 engine: key,
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -7,8 +7,10 @@
 use serde_with::DurationMilliSeconds;
 use tamaracksail_model::account::Caller;
 use tamaracksail_model::batch::{ItemResult, PartialText};
+use tamaracksail_model::carried::Carried;
 use tamaracksail_model::plain;
 use tamaracksail_model::rate::Rate;
+use tamaracksail_model::usage::{Report, Window};
 
 plain! {
     /// What a backend server stated about its request limit.
@@ -52,6 +54,30 @@
     }
 }
 
+plain! {
+    /// The true time as the sender of a message estimates it.
+    #[serde_as]
+    pub struct PeerTime {
+        /// The sender's host.
+        pub host: String,
+        /// The time when the message was sent, in milliseconds since the Unix epoch.
+        pub unix_ms: u64,
+        /// For a response, how long after the arrival of the request it was sent.
+        #[serde_as(as = "DurationMilliSeconds<u64>")]
+        pub held_ms: Duration,
+    }
+}
+
+plain! {
+    /// The text of a configuration, in which keys are replaced by their digests.
+    pub struct Configuration {
+        /// The store's revision of the object.
+        pub revision: u64,
+        /// The text.
+        pub text: String,
+    }
+}
+
 plain! {
     /// A request to another gateway, the peer.
     pub enum Request {
@@ -66,6 +92,9 @@
             /// Whether the sender has enough spare CPU time to schedule.
             #[serde(rename = "is_strong")]
             has_spare_cpu: bool,
+            /// The sender's time, if it is known.
+            #[serde(default)]
+            time: Option<PeerTime>,
         },
         /// Asks a lease holder that cannot reach the store to stop scheduling.
         Yield {
@@ -146,6 +175,47 @@
             /// The id of the client attempt that brought the first event.
             attempt: String,
         },
+        /// Tells the peer the sender's usage counts, or only asks who reports usage.
+        Usage {
+            /// The incarnation of the sender's process.
+            incarnation: u64,
+            /// The sender's counts since its start, for windows in which they changed.
+            reports: Vec<Report>,
+        },
+        /// Tells the peer who reports usage, and asks for all counts that it knows.
+        PullUsage {
+            /// The reporter.
+            reporter: Reporter,
+            /// The first window wanted.
+            from: Window,
+        },
+        /// Asks for a newer configuration, from a gateway that the store does not serve.
+        Configuration {
+            /// The version that the sender uses.
+            version: u64,
+            /// How long ago the sender's version was confirmed to be the newest, in milliseconds.
+            age_ms: Option<u64>,
+        },
+    }
+}
+
+plain! {
+    /// The gateway that reports usage.
+    pub struct Reporter {
+        /// Its fencing token. The reporter with the highest is the current one.
+        pub fence: u64,
+        /// The address at which it accepts requests of its peers.
+        pub address: SocketAddr,
+    }
+}
+
+plain! {
+    /// The usage counts of one process.
+    pub struct ProcessUsage {
+        /// The incarnation of the process.
+        pub incarnation: u64,
+        /// Its counts.
+        pub reports: Vec<Report>,
     }
 }
 
@@ -159,6 +229,9 @@
             is_store_unreachable: bool,
             /// The store's revision of the lease at the peer's last renewal.
             revision: u64,
+            /// The peer's time, if it is known.
+            #[serde(default)]
+            time: Option<PeerTime>,
         },
         /// The peer does not hold the lease and will not act under the fencing token again.
         Released {
@@ -194,9 +267,9 @@
         Drafts {
             /// Pairs of an item's id and its text so far.
             #[serde(rename = "drafts")]
-            partial_texts: Vec<(String, PartialText)>,
+            partial_texts: Vec<(Carried, PartialText)>,
             /// Groups that later batches may submit again.
-            groups: Vec<String>,
+            groups: Vec<Carried>,
         },
         /// Permits for requests to backend servers.
         Permits {
@@ -216,5 +289,26 @@
             /// The origin.
             origin: Option<StreamOrigin>,
         },
+        /// The peer has merged the sender's usage counts.
+        Usage {
+            /// The incarnation of the peer's process.
+            incarnation: u64,
+            /// Who reports usage, as far as the peer knows.
+            reporter: Option<Reporter>,
+        },
+        /// All usage counts that the peer knows.
+        UsageCounts {
+            /// The counts by process, the peer's own included.
+            processes: Vec<ProcessUsage>,
+        },
+        /// The peer's configuration.
+        Configuration {
+            /// The version that the peer uses; none if it has none or no accounts are configured.
+            version: Option<u64>,
+            /// How long ago it was confirmed to be the newest, in milliseconds.
+            age_ms: Option<u64>,
+            /// The configuration, if it is newer than the sender's.
+            newer: Option<Configuration>,
+        },
     }
 }
