Review case 5: a manifest goes unnoticed for half a minute

Cause: a watch without an answer is kept for 32 s, and nothing else checks the manifest (WATCH_TIMEOUT in store.rs).

--- /dev/null
+++ b/review/5/case.py
@@ -0,0 +1,97 @@
+"""A gateway does not learn of a new manifest, since the store once did not answer it for 0.6 s.
+
+Three gateways forward idempotent requests. The operator changes the manifest twice; the second version
+adds a route. As the first is written, the store begins to be silent towards one gateway for 0.6 s:
+calls that it makes in that time bring no answer, and nothing more comes on their connections. New
+connections and all later calls are served. Seconds later, when the store has long been stable again,
+clients send requests on the new route to all gateways.
+"""
+
+import asyncio
+import os
+import sys
+
+sys.dont_write_bytecode = True
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "lib"))
+from standins import *  # noqa: E402,F403
+
+SILENT_S = 0.6
+STABLE_S = 3.0
+CONFIG_S = 2.0
+ASK_UNTIL_S = 20.0
+
+
+class App(Server):
+    async def serve(self, request, writer, connection):
+        self.record.line(self.instance, f"runs {request.header(REQUEST_ID)} at {request.path}")
+        await asyncio.sleep(0.025)
+        writer.write(response(200, b"found", [*self.headers(request), self.stamp(request)]))
+        return True
+
+
+async def ask(world, gateway, identity, path):
+    answer = await exchange(gateway.front, "POST", path,
+                            [(REQUEST_ID, identity), (DEADLINE_MS, 2000)], b"thread")
+    world.record.line(gateway.name, f"answers {identity} at {path}: {answer.status}")
+    return answer.status
+
+
+async def case(world):
+    servers = [App(world, f"i-app-{number}", "app") for number in (1, 2, 3)]
+    for server in servers:
+        await server.start()
+    routes = [route("/find/", "idempotent", "app")]
+    world.store.put("config", "main", manifest(1, routes))
+    await world.start_gateways(3)
+    for gateway in world.gateways:
+        if await ask(world, gateway, f"first-{gateway.name}", "/find/thread") != 200:
+            raise CannotRun("the first requests are not served")
+
+    lonely = world.gateways[0].name
+    probed = asyncio.Event()
+    silent = [False]
+
+    def refuse(gateway, kind, request):
+        if gateway != lonely:
+            return None
+        if "stale-ok" in request.query:
+            probed.set()
+        if silent[0]:
+            world.record.line("store", f"is silent to {lonely}: {request.method} {request.target}")
+            return SILENCE
+        return None
+
+    world.store.refuse = refuse
+    # The gateway probes the store once a second; the silence lies between two probes.
+    await asyncio.wait_for(probed.wait(), 5.0)
+    await asyncio.sleep(0.1)
+    silent[0] = world.trouble
+    routes[0]["timeout-ms"] = 9000
+    world.store.put("config", "main", manifest(2, routes))
+    world.record.line("operator", "version 2 of the manifest is confirmed: another time-out")
+    await asyncio.sleep(0.2)
+    routes.append(route("/search/", "idempotent", "app"))
+    world.store.put("config", "main", manifest(3, routes))
+    confirmed_at = world.record.now()
+    world.record.line("operator", "version 3 of the manifest is confirmed: it adds /search/")
+    await asyncio.sleep(SILENT_S - 0.2)
+    silent[0] = False
+    world.record.line("store", "answers all calls again")
+    await asyncio.sleep(STABLE_S)
+    old, count = [], 0
+    while world.record.now() < confirmed_at + ASK_UNTIL_S:
+        count += 1
+        for gateway in world.gateways:
+            sent_at = world.record.now()
+            identity = f"r{count}-{gateway.name}"
+            if await ask(world, gateway, identity, "/search/thread") == 404:
+                old.append((identity, sent_at - confirmed_at))
+        await asyncio.sleep(0.5)
+    late = [(identity, age) for identity, age in old if age > CONFIG_S]
+    if late:
+        return (f"{len(late)} requests on the new route were refused with 404, the last one sent "
+                f"{late[-1][1]:.1f} s after the confirmation")
+    return None
+
+
+main(case)
