--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -304,7 +304,13 @@
         if request.method == "GET" and name is None:
             after = request.query.get("after", "")
             found = sorted((n, o) for (k, n), o in self.objects.items() if k == kind and n > after)
-            return 200, {"items": [o for _, o in found[:500]], "has-more": len(found) > 500,
+            items, size = [], 0
+            for _, item in found[:500]:
+                size += len(json.dumps(item))
+                if items and size > 1_000_000:
+                    break
+                items.append(item)
+            return 200, {"items": items, "has-more": len(items) < len(found),
                          "store-revision": self.revision}
         if request.method == "GET":
             return (200, self.objects[key]) if key in self.objects else (404, None)
