--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -371,7 +371,7 @@
         self.running = 0
 
     async def start(self):
-        await listen(self.address, self.handle)
+        self.listener = await listen(self.address, self.handle)
         self.register("ready")
 
     def register(self, state):
