Schedule a batch only under the routes that allowed it

Cause: the scheduling gateway resolved the items in its own routes, which were 0.7 s older than those of the gateway that had accepted the batch, and took a path without a route for one whose route has ended. Nothing in the stored batch told the two apart.

Change: the manifest of a batch states the version of the routes under which it was accepted, also where a peer stores it. A process adds the batch to the scheduler under that version or a newer one only, and reads newer routes from the store at once when a batch waits for them, as its watch may be late or silent. That covers takeovers and batches that were read before the first routes. A peer that stores a batch no longer checks its reward calls against routes that may be older.

Why it works: under a version that is not older, a path without a route can only be one whose route has ended.

--- a/crates/gateway/src/batches/accept.rs
+++ b/crates/gateway/src/batches/accept.rs
@@ -9,6 +9,7 @@
 use tamaracksail_adapter::store::Error;
 use tamaracksail_adapter::{batch, ingress};
 use tamaracksail_model::account::Caller;
+use tamaracksail_model::batch::Item;
 use tamaracksail_model::route::Route;
 use tamaracksail_model::time::Instant;
 use tamaracksail_wire::peer::{Request as PeerRequest, Response as PeerResponse};
@@ -56,6 +57,8 @@
     pub account: Option<String>,
     /// The body.
     pub body: Bytes,
+    /// The version of the routes under which it is accepted.
+    pub routes_version: u64,
 }
 
 /// Stores a submitted batch, here or through a peer, and returns the response to its client.
@@ -78,13 +81,17 @@
         path: head.uri.path().to_owned(),
         account: caller.account().map(str::to_owned),
         body,
+        routes_version: gateway.configuration.version().unwrap_or_default(),
     };
-    let mut outcome = match gateway.store_availability.check("batch") {
-        Ok(()) => store_batch(gateway, &submission, deadline).await,
-        Err(error) => {
-            log::info!(batch = id, error:%, outcome = "not run"; "batch not stored");
-            Outcome::NotStored
-        }
+    let mut outcome = match check(gateway, &submission) {
+        Ok(total) => match gateway.store_availability.check("batch") {
+            Ok(()) => store_batch(gateway, &submission, total, deadline).await,
+            Err(error) => {
+                log::info!(batch = id, error:%, outcome = "not run"; "batch not stored");
+                Outcome::NotStored
+            }
+        },
+        Err(outcome) => outcome,
     };
     if matches!(outcome, Outcome::NotStored | Outcome::Unknown) {
         let relayed = relay(gateway, &submission, deadline).await;
@@ -122,6 +129,7 @@
         account: submission.account.clone(),
         body: submission.body.clone(),
         limit_ms: u64::try_from(deadline.since(now()).as_millis()).unwrap_or(0),
+        routes_version: submission.routes_version,
     };
     let mut outcome = Outcome::NotStored;
     for peer in gateway.coordinator.peers(gateway) {
@@ -141,20 +149,14 @@
     outcome
 }
 
-/// Stores a batch, and adds it to the scheduler if this process schedules.
-pub async fn store_batch(
-    gateway: &Rc<Gateway>,
-    submission: &Submission,
-    deadline: Instant,
-) -> Outcome {
+/// Checks the items of a submission, and that their reward calls have routes. Returns the number of
+/// items.
+///
+/// # Errors
+/// [`Outcome::Malformed`].
+fn check(gateway: &Gateway, submission: &Submission) -> Result<usize, Outcome> {
     let id = submission.id.as_str();
-    let items = match batch::parse(&submission.body) {
-        Ok(submission) => submission.items,
-        Err(error) => {
-            log::info!(batch = id, error:%; "malformed batch refused");
-            return Outcome::Malformed;
-        }
-    };
+    let items = parse(submission)?;
     let mut calls = items.iter().filter_map(|item| item.reward.as_ref());
     let unroutable = gateway
         .table()
@@ -165,9 +167,33 @@
             path = call.path.as_str();
             "batch refused, a reward call has no route"
         );
-        return Outcome::Malformed;
+        return Err(Outcome::Malformed);
     }
-    let total = items.len();
+    Ok(items.len())
+}
+
+/// Returns the items of a submission.
+///
+/// # Errors
+/// [`Outcome::Malformed`].
+fn parse(submission: &Submission) -> Result<Vec<Item>, Outcome> {
+    match batch::parse(&submission.body) {
+        Ok(parsed) => Ok(parsed.items),
+        Err(error) => {
+            log::info!(batch = submission.id.as_str(), error:%; "malformed batch refused");
+            Err(Outcome::Malformed)
+        }
+    }
+}
+
+/// Stores a batch of `total` items, and adds it to the scheduler if this process schedules.
+async fn store_batch(
+    gateway: &Rc<Gateway>,
+    submission: &Submission,
+    total: usize,
+    deadline: Instant,
+) -> Outcome {
+    let id = submission.id.as_str();
     let Ok(text) = std::str::from_utf8(&submission.body) else {
         return Outcome::Malformed;
     };
@@ -187,6 +213,7 @@
         submitted: submitted.unix_ms,
         submitted_error_ms: Some(submitted.error_ms),
         account: submission.account.clone(),
+        routes_version: submission.routes_version,
     };
     lease_loop::request_lease(gateway);
     let kind = schema::batch_kind(id);
@@ -235,13 +262,17 @@
     owner::check(gateway, &caller, &submission.id).await.is_ok()
 }
 
-/// Stores a batch for a peer.
+/// Stores a batch for a peer, which has checked the routes of its reward calls: the routes here may be
+/// older.
 pub async fn store_for_peer(
     gateway: &Rc<Gateway>,
     submission: &Submission,
     limit: Duration,
 ) -> PeerResponse {
-    match store_batch(gateway, submission, now().after(limit)).await {
+    let Ok(items) = parse(submission) else {
+        return PeerResponse::NotKept;
+    };
+    match store_batch(gateway, submission, items.len(), now().after(limit)).await {
         Outcome::Stored => PeerResponse::Kept,
         Outcome::NotStored | Outcome::Malformed => PeerResponse::NotKept,
         Outcome::Unknown => PeerResponse::Unclear,
--- a/crates/gateway/src/batches/schema.rs
+++ b/crates/gateway/src/batches/schema.rs
@@ -53,6 +53,10 @@
         /// key.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         pub account: Option<String>,
+        /// The version of the routes under which it was accepted. A process whose routes are older
+        /// cannot tell whether the batch's route has ended. 0 in manifests that state none.
+        #[serde(default)]
+        pub routes_version: u64,
     }
 }
 
--- a/crates/gateway/src/batches/takeover.rs
+++ b/crates/gateway/src/batches/takeover.rs
@@ -165,6 +165,22 @@
             && !coordinator.result_logs.borrow().contains_key(&id)
             && !coordinator.ended_batches.borrow().contains(&id)
     };
+    if !gateway.configuration.has(manifest.routes_version) {
+        log::info!(
+            batch = id.as_str(), accepted_under = manifest.routes_version,
+            in_force = gateway.configuration.version();
+            "batch waits for newer routes"
+        );
+        gateway
+            .metrics
+            .batches
+            .with_label_values(&["waiting"])
+            .inc();
+        gateway
+            .configuration
+            .wait_for(manifest.routes_version)
+            .await;
+    }
     while is_wanted() {
         match read_batch(&gateway, &id, &manifest, earlier_scheduler).await {
             Ok((body, results, chunks)) => {
@@ -331,7 +347,8 @@
 }
 
 /// Adds a stored batch to the scheduler, unless this process does not schedule or already has the
-/// batch.
+/// batch. One that was accepted under newer routes than those in force is left to the watch of
+/// manifests: its route would seem to have ended.
 pub fn schedule(
     gateway: &Gateway,
     id: &str,
@@ -347,6 +364,10 @@
     if !coordinator.is_scheduling.get() || is_known || !coordinator.partial_texts.is_ready() {
         return;
     }
+    let table = gateway.table();
+    let Some(table) = table.filter(|table| table.version >= manifest.routes_version) else {
+        return;
+    };
     let submission = match batch::parse(body) {
         Ok(submission) => submission,
         Err(error) => {
@@ -354,10 +375,6 @@
             return;
         }
     };
-    let Some(table) = gateway.table() else {
-        log::warn!(batch = id; "batch waits for the first routes");
-        return;
-    };
     let route = table.find(&manifest.host, &manifest.path);
     let batching = route.and_then(|route| route.batching.as_ref());
     let patience = batching.map_or(DEFAULT_PATIENCE, |batching| batching.patience);
--- a/crates/gateway/src/configuration/state.rs
+++ b/crates/gateway/src/configuration/state.rs
@@ -24,6 +24,12 @@
     is_relayed: Cell<bool>,
     /// Wakes the task that asks other gateways when a call to the store has failed.
     pub(super) failed: Notify,
+    /// The newest version that a task waits for.
+    awaited: Cell<u64>,
+    /// Wakes the task that reads awaited versions.
+    requested: Notify,
+    /// Notifies of a new version in force.
+    changed: Notify,
 }
 
 impl Configuration {
@@ -35,6 +41,9 @@
             text: RefCell::new(None),
             is_relayed: Cell::new(false),
             failed: Notify::new(),
+            awaited: Cell::new(0),
+            requested: Notify::new(),
+            changed: Notify::new(),
         }
     }
 
@@ -48,6 +57,37 @@
         self.relay.borrow_mut().adopt(source, version)
     }
 
+    /// Wakes the tasks that wait for a version. To be called once it is in force.
+    pub fn notify_changed(&self) {
+        self.changed.notify_waiters();
+    }
+
+    /// Waits until `version` or a newer one is in force, and has it read from the store meanwhile.
+    pub async fn wait_for(&self, version: u64) {
+        loop {
+            let changed = self.changed.notified();
+            if self.has(version) {
+                return;
+            }
+            self.awaited.set(self.awaited.get().max(version));
+            self.requested.notify_one();
+            changed.await;
+        }
+    }
+
+    /// Waits until a task waits for a version that is not in force, and returns that version.
+    pub async fn requested(&self) -> u64 {
+        while self.has(self.awaited.get()) {
+            self.requested.notified().await;
+        }
+        self.awaited.get()
+    }
+
+    /// Whether `version` or a newer one is in force.
+    pub fn has(&self, version: u64) -> bool {
+        self.version() >= Some(version)
+    }
+
     /// Whether configurations are exchanged with other gateways: from the first one with client
     /// accounts on.
     pub fn is_relayed(&self) -> bool {
--- a/crates/gateway/src/peer/server.rs
+++ b/crates/gateway/src/peer/server.rs
@@ -120,6 +120,7 @@
             account,
             body,
             limit_ms,
+            routes_version,
         } => {
             let submission = Submission {
                 id: batch,
@@ -127,6 +128,7 @@
                 path,
                 account,
                 body,
+                routes_version,
             };
             batches::store_for_peer(gateway, &submission, Duration::from_millis(limit_ms)).await
         }
--- a/crates/gateway/src/version/mod.rs
+++ b/crates/gateway/src/version/mod.rs
@@ -18,6 +18,7 @@
 pub fn watch_all(gateway: &Rc<Gateway>) {
     actix_rt::spawn(probe_store(Rc::clone(gateway)));
     actix_rt::spawn(routes::watch(Rc::clone(gateway)));
+    actix_rt::spawn(routes::read_awaited(Rc::clone(gateway)));
     actix_rt::spawn(servers::watch(Rc::clone(gateway)));
     actix_rt::spawn(retirements::watch(Rc::clone(gateway)));
 }
--- a/crates/gateway/src/version/routes.rs
+++ b/crates/gateway/src/version/routes.rs
@@ -16,6 +16,39 @@
 use crate::store::{self, Event};
 use crate::streams;
 
+/// The pause before routes that another gateway already has are read again, after a read that did not
+/// bring them. It doubles with each read up to [`MAX_READ_PAUSE`].
+const MIN_READ_PAUSE: Duration = Duration::from_millis(200);
+
+/// The longest pause between two such reads.
+const MAX_READ_PAUSE: Duration = Duration::from_secs(3);
+
+/// Reads the routes whenever a task waits for a newer version than the one in force. Another gateway
+/// has that version, so the watch is late or does not get an answer. Never returns.
+pub async fn read_awaited(gateway: Rc<Gateway>) {
+    let configuration = &gateway.configuration;
+    let mut pause = MIN_READ_PAUSE;
+    loop {
+        let version = configuration.requested().await;
+        let read = gateway
+            .store
+            .get(names::ROUTES_KIND, names::ROUTES_NAME)
+            .await;
+        match read {
+            Ok(object) => apply(&gateway, &object),
+            Err(error) => log::warn!(awaited = version, error:%; "awaited routes not read"),
+        }
+        if configuration.has(version) {
+            pause = MIN_READ_PAUSE;
+            continue;
+        }
+        let in_force = configuration.version();
+        log::info!(awaited = version, in_force, pause_ms = pause.as_millis(); "awaited routes not in force yet");
+        gateway.store_availability.pause(pause).await;
+        pause = (pause * 2).min(MAX_READ_PAUSE);
+    }
+}
+
 /// Watches the routes and puts new versions into force.
 pub async fn watch(gateway: Rc<Gateway>) {
     let client = gateway.store.clone();
@@ -97,6 +130,7 @@
         Source::Peer => "peer",
     };
     log::info!(version, before, revision, source, accounts; "routes in force");
+    gateway.configuration.notify_changed();
     gateway.coordinator.reroute(gateway);
     if accounts.is_some() && gateway.configuration.start_relay() {
         actix_rt::spawn(relay(Rc::clone(gateway)));
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -117,6 +117,9 @@
             body: Bytes,
             /// How long the client still waits, in milliseconds.
             limit_ms: u64,
+            /// The version of the routes under which the sender accepted the batch.
+            #[serde(default)]
+            routes_version: u64,
         },
         /// Asks the peer to end a batch, from a gateway that cannot reach the store.
         End {
