Take a refusal as proof only for the request whose id it bears

Cause: a late second copy of a refusal, which comes where the next response on its connection is due, counted as the refusal of the next request, though it bears another id. And a request that goes to the same server again on the same connection could meet the copy of its own first refusal, whose id is right; the regression test found this after the first part was mended.

Change: a response states its origin (own, foreign, none), and a foreign one proves nothing about the request at hand: for requests, streams that go on, items, reward calls and the counts of usage. A connection carries no further request after a response without an id, and never the same request twice in a row. Reports, health checks and load commands refuse responses that bear an id.

Why it works: an id tells a copy from the own response; where ids cannot, the connection is not used again, so no copy can come.

--- a/crates/gateway/src/batches/orders.rs
+++ b/crates/gateway/src/batches/orders.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Method, Request, StatusCode};
-use tamaracksail_adapter::backend::{RequestHeaders, ResponseHead};
+use tamaracksail_adapter::backend::{Origin, RequestHeaders, ResponseHead};
 use tamaracksail_adapter::engine::{COMMAND_PATH, Command, REPORT_PATH, Report};
 use tamaracksail_model::backend::Registration;
 use tamaracksail_policy::batch::EngineKey;
@@ -199,13 +199,19 @@
             .await
             .map_err(|error| error.to_string())?;
         let head = ResponseHead::parse(&response.head, None);
+        if head.origin == Origin::Foreign {
+            gateway.http.distrust(registration.address);
+            return Err("the response is to another request".to_owned());
+        }
         observe_response(gateway, registration, &head, Source::Control);
         let body = response
             .read(1 << 20)
             .await
             .map_err(|error| error.to_string())?;
         let code = response.head.status;
-        response.release(&gateway.http);
+        if !head.is_not_run {
+            response.release(&gateway.http);
+        }
         Ok((code, body))
     };
     tokio::time::timeout(CALL_TIMEOUT, exchange)
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -9,7 +9,7 @@
 use hyper::Request;
 use hyper::StatusCode;
 use hyper::http::response;
-use tamaracksail_adapter::backend::{RequestHeaders, ResponseHead};
+use tamaracksail_adapter::backend::{Origin, RequestHeaders, ResponseHead};
 use tamaracksail_adapter::ingress;
 use tamaracksail_http::IncomingResponse;
 use tamaracksail_model::time::Instant;
@@ -150,7 +150,9 @@
             Ok(reply) => {
                 let response = ResponseHead::parse(&reply.head, (!id.is_empty()).then_some(id));
                 if let Some(usage) = usage {
-                    usage.settle(!response.is_not_run && !is_refusal(reply.head.status));
+                    let is_foreign = response.origin == Origin::Foreign;
+                    let is_refused = response.is_not_run || is_refusal(reply.head.status);
+                    usage.settle(is_foreign || !is_refused);
                 }
                 observe_response(&self.gateway, &registration, &response, Source::Request);
                 let (gateway, key) = (Rc::clone(&self.gateway), self.key);
@@ -188,8 +190,13 @@
         }
         pace::record(now(), &self.gateway.fleet, self.key, &response);
         let code = reply.head.status;
-        // Without this request's id the response may belong to an earlier request on the connection.
+        // A response to an earlier request on the connection says nothing about this one, which may run
+        // or have run, also if it is a refusal.
         if !response.matches_request && !response.is_not_run {
+            log::info!(
+                server:% = execution.address(), origin:? = response.origin,
+                status = code.as_u16(); "response to another request"
+            );
             self.gateway.http.distrust(execution.address());
             self.record_outcome(SendOutcome::Failed);
             execution.observe(Interruption::Broken);
@@ -203,7 +210,9 @@
         if response.is_not_run {
             self.record_outcome(SendOutcome::Refused);
             execution.settle();
-            reply.discard(&self.gateway.http, MAX_DISCARDED_BYTES, DISCARD_TIMEOUT);
+            if response.origin == Origin::Own {
+                reply.discard(&self.gateway.http, MAX_DISCARDED_BYTES, DISCARD_TIMEOUT);
+            }
             return Outcome::NotRun(format!("status {code}, not run"));
         }
         if self.is_stream && code.is_success() {
@@ -240,7 +249,9 @@
             }
         }
         let head = reply.head.clone();
-        reply.release(&self.gateway.http);
+        if response.origin == Origin::Own {
+            reply.release(&self.gateway.http);
+        }
         execution.record_response(&response, code);
         self.record_outcome(if code == StatusCode::INTERNAL_SERVER_ERROR {
             SendOutcome::Failed
--- a/crates/gateway/src/request/liveness.rs
+++ b/crates/gateway/src/request/liveness.rs
@@ -44,7 +44,9 @@
     let limit = CONNECT_TIMEOUT + RESPONSE_TIMEOUT;
     match tokio::time::timeout(limit, statement).await {
         Ok(Ok((identity, response))) => {
-            response.release(&gateway.http);
+            if identity != Identity::Other {
+                response.release(&gateway.http);
+            }
             match identity {
                 Identity::Registered => Liveness::Confirmed,
                 Identity::Unstated => Liveness::Responding,
--- a/crates/gateway/src/request/streaming.rs
+++ b/crates/gateway/src/request/streaming.rs
@@ -92,7 +92,9 @@
                     if let Some(admitted) = &self.admitted {
                         admitted.record_served();
                     }
-                    reply.release(&self.gateway.http);
+                    if !self.id.is_empty() {
+                        reply.release(&self.gateway.http);
+                    }
                     return;
                 }
                 Err(error) => error,
--- a/crates/gateway/src/version/confirmation.rs
+++ b/crates/gateway/src/version/confirmation.rs
@@ -8,10 +8,11 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Method, Request};
-use tamaracksail_adapter::backend::RequestHeaders;
+use tamaracksail_adapter::backend::{Origin, RequestHeaders};
 use tamaracksail_adapter::engine::REPORT_PATH;
 use tamaracksail_adapter::identity::Identity;
-use tamaracksail_http::{Connection, Error, IncomingResponse, Stage};
+use tamaracksail_adapter::names;
+use tamaracksail_http::{Connection, Error, IncomingResponse, Stage, Tag};
 use tamaracksail_model::backend::Registration;
 
 use crate::gateway::Gateway;
@@ -56,10 +57,13 @@
 pub async fn send(
     gateway: &Gateway,
     server: &Registration,
-    request: Request<Full<Bytes>>,
+    mut request: Request<Full<Bytes>>,
     is_continuation: bool,
     connect_timeout: Duration,
 ) -> Result<IncomingResponse, Failure> {
+    if let Some(id) = request.headers().get(names::REQUEST_ID).cloned() {
+        request.extensions_mut().insert(Tag(id));
+    }
     if !is_continuation || server.started_at_ms.is_none() {
         let response = gateway.http.send(server.address, request, connect_timeout);
         return Ok(response.await?);
@@ -124,6 +128,10 @@
         .map_err(|error| failed(error.to_string()))?;
     let response = gateway.http.send(server.address, request, connect_timeout);
     let mut response = response.await?;
+    if Origin::parse(&response.head, None) == Origin::Foreign {
+        gateway.http.distrust(server.address);
+        return Err(response.body_error("the response is to another request".to_owned()));
+    }
     let body = response.read(MAX_REPORT_BYTES).await?;
     let identity = Identity::parse(&response.head, &body, server);
     log::debug!(
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -13,6 +13,7 @@
 use crate::connection::Connection;
 use crate::error::Error;
 use crate::response::IncomingResponse;
+use crate::tag::Tag;
 
 /// The maximum number of idle connections to one peer. Other clients of a backend server need a part
 /// of its connections too.
@@ -32,7 +33,8 @@
 
 impl Client {
     /// Sends a request on an idle connection, or on a new one, for which the time limit is
-    /// `connect_timeout`.
+    /// `connect_timeout`. A request with a [`Tag`] is not sent on a connection whose last request had
+    /// the same.
     ///
     /// If an idle connection turns out to have been closed before the request was sent, the request
     /// is sent on a new one.
@@ -46,7 +48,11 @@
         connect_timeout: Duration,
     ) -> Result<IncomingResponse, Error> {
         let is_single_use = self.use_distrust(peer);
-        let idle = self.take_idle(peer).filter(|_| !is_single_use);
+        let idle = if is_single_use {
+            None
+        } else {
+            self.take_idle(peer, request.extensions().get::<Tag>())
+        };
         if let Some(connection) = idle {
             match connection.request(request.clone()).await {
                 Err(error) if error.is_unsent() => {}
@@ -85,15 +91,15 @@
         self.idle.borrow_mut().remove(&peer);
     }
 
-    fn take_idle(&self, peer: SocketAddr) -> Option<Connection> {
+    /// Takes the idle connection that was used last, but for those whose last request had `tag`.
+    fn take_idle(&self, peer: SocketAddr, tag: Option<&Tag>) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&peer)?;
-        while let Some(connection) = connections.pop() {
-            if !connection.is_closed() {
-                return Some(connection);
-            }
-        }
-        None
+        connections.retain(|connection| !connection.is_closed());
+        let is_usable =
+            |connection: &Connection| tag.is_none() || connection.last_tag.as_ref() != tag;
+        let position = connections.iter().rposition(is_usable)?;
+        Some(connections.remove(position))
     }
 
     /// Adds a connection to the pool once its response has ended, unless the peer closes it.
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -16,6 +16,7 @@
 use crate::response::IncomingResponse;
 use crate::send_mark::SendMark;
 use crate::socket;
+use crate::tag::Tag;
 
 /// The limit on the bytes of a response that are buffered, and so on its head. Heads are a few hundred
 /// bytes long.
@@ -30,6 +31,8 @@
     driver: AbortHandle,
     /// Whether it is closed after its first response.
     pub(crate) is_single_use: bool,
+    /// The tag of the last request, if it had one.
+    pub(crate) last_tag: Option<Tag>,
 }
 
 impl Connection {
@@ -71,6 +74,7 @@
             sender,
             driver: driver.abort_handle(),
             is_single_use: false,
+            last_tag: None,
         })
     }
 
@@ -120,6 +124,7 @@
                 problem: "the idle connection had been closed".to_owned(),
             });
         }
+        self.last_tag = request.extensions().get::<Tag>().cloned();
         let mark = request.extensions().get::<SendMark>().cloned();
         if let Some(mark) = &mark {
             mark.set(Some(Instant::now()));
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -10,9 +10,11 @@
 mod response;
 mod send_mark;
 pub mod socket;
+mod tag;
 
 pub use client::Client;
 pub use connection::Connection;
 pub use error::{Error, Stage};
 pub use response::IncomingResponse;
 pub use send_mark::SendMark;
+pub use tag::Tag;
