Stop once responses are written to their end

Cause: a request counted as open until its response had a head. Bodies that are relayed, and bytes that wait for a slow client, counted as nothing, so the process took itself for idle. For the same reason a connection counted as idle while it carried a stream, and the first bytes of a next request started the limit on heads, at whose end the stream was cut.

Change: a request is open until the last byte of its response is written to the socket; requests of other gateways count too. What a stopping process accepts is decided in policy::stop: from 3 s after the signal on, a request that may outlast the process is refused as not run, or gets its answer before the exit if it may be repeated.

Why it works: the count now covers what the exit would cut.

--- a/crates/gateway/src/batches/lease_loop.rs
+++ b/crates/gateway/src/batches/lease_loop.rs
@@ -39,7 +39,7 @@
 /// Makes this process try to hold the lease for [`LEASE_IDLE_TIMEOUT`] from now on. Called whenever
 /// a client uses a batch.
 pub fn request_lease(gateway: &Gateway) {
-    if gateway.stopping_since.get().is_some() {
+    if gateway.stop.get().is_some() {
         return;
     }
     let coordinator = &gateway.coordinator;
@@ -85,7 +85,7 @@
     }
     let is_wanted =
         coordinator.wanted_until.get() > now() || !coordinator.batch_ids.borrow().is_empty();
-    if !is_wanted || gateway.stopping_since.get().is_some() {
+    if !is_wanted || gateway.stop.get().is_some() {
         return CHECK_INTERVAL;
     }
     let next = match next_step(gateway).await {
@@ -122,7 +122,7 @@
         let expiry = coordinator.lease.borrow().expires_in(now());
         return expiry.map_or(RETRY_DELAY, |expiry| CHECK_INTERVAL.min(expiry));
     }
-    if !coordinator.is_scheduling.get() && gateway.stopping_since.get().is_none() {
+    if !coordinator.is_scheduling.get() && gateway.stop.get().is_none() {
         let previous_holder = coordinator.lease.borrow().previous_holder();
         takeover::start(gateway, previous_holder);
     }
@@ -264,7 +264,7 @@
 async fn write_lease(gateway: &Rc<Gateway>, next: Step) {
     let coordinator = &gateway.coordinator;
     let _guard = coordinator.lease_write.lock().await;
-    if gateway.stopping_since.get().is_some() {
+    if gateway.stop.get().is_some() {
         return;
     }
     let sent_at = now();
--- a/crates/gateway/src/connection/activity.rs
+++ b/crates/gateway/src/connection/activity.rs
@@ -1,15 +1,17 @@
 //! Activity of a client's connection, for its time limits.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
 use tamaracksail_model::time::Instant;
 use tokio::sync::Notify;
 
+use super::work::{Work, WorkGuard};
 use crate::gateway::now;
 
-/// The requests in progress on a connection, and the request head that is arriving.
+/// The requests in progress on a connection, the request head that is arriving, and whether all of the
+/// responses is written.
 #[derive(Debug)]
 pub struct Activity {
     /// The number of requests in progress.
@@ -19,19 +21,38 @@
     /// When the first byte of a request head arrived that is still incomplete.
     head_since: Cell<Option<Instant>>,
     head_started: Notify,
+    /// The work of the process.
+    work: Work,
+    /// Held while bytes of a response wait to be written to the socket.
+    unwritten: RefCell<Option<WorkGuard>>,
 }
 
 impl Activity {
-    /// Returns the activity of a connection that was just accepted.
-    pub fn new(now: Instant) -> Self {
+    /// Returns the activity of a connection that was just accepted. Its requests count as `work`.
+    pub fn new(now: Instant, work: Work) -> Self {
         Self {
             requests: Cell::new(0),
             idle_since: Cell::new(now),
             head_since: Cell::new(None),
             head_started: Notify::new(),
+            work,
+            unwritten: RefCell::new(None),
         }
     }
 
+    /// Records that there are bytes to be written to the socket.
+    pub fn record_write(&self) {
+        let mut unwritten = self.unwritten.borrow_mut();
+        if unwritten.is_none() {
+            *unwritten = Some(self.work.begin());
+        }
+    }
+
+    /// Records that all bytes are written to the socket.
+    pub fn record_written(&self) {
+        self.unwritten.borrow_mut().take();
+    }
+
     /// Records that bytes arrived.
     pub fn record_bytes(&self, now: Instant) {
         if self.requests.get() == 0 && self.head_since.get().is_none() {
@@ -76,22 +97,31 @@
     }
 }
 
-/// Counts a request of a connection as in progress until it is dropped.
+/// Counts a request of a connection as in progress until it is dropped, which is when the last of its
+/// response is taken to be written.
 #[derive(Debug)]
-pub struct RequestGuard(Rc<Activity>);
+pub struct RequestGuard {
+    activity: Rc<Activity>,
+    _work: WorkGuard,
+}
 
 impl RequestGuard {
     /// Records that the head of a request is complete and the request is in progress.
     pub fn new(activity: Rc<Activity>) -> Self {
         activity.requests.set(activity.requests.get() + 1);
         activity.head_since.set(None);
-        Self(activity)
+        let work = activity.work.begin();
+        Self {
+            activity,
+            _work: work,
+        }
     }
 }
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
-        self.0.requests.set(self.0.requests.get() - 1);
-        self.0.idle_since.set(now());
+        let activity = &self.activity;
+        activity.requests.set(activity.requests.get() - 1);
+        activity.idle_since.set(now());
     }
 }
--- a/crates/gateway/src/connection/mod.rs
+++ b/crates/gateway/src/connection/mod.rs
@@ -3,9 +3,14 @@
 mod activity;
 mod body;
 mod observed_stream;
+mod work;
 
+pub use activity::{Activity, RequestGuard};
 pub use body::Body;
+pub use observed_stream::ObservedStream;
+pub use work::Work;
 
+use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
@@ -17,9 +22,6 @@
 use tamaracksail_http::socket;
 use tokio::net::{TcpListener, TcpStream};
 
-use activity::{Activity, RequestGuard};
-use observed_stream::ObservedStream;
-
 use crate::gateway::{Gateway, now};
 use crate::request;
 
@@ -82,7 +84,7 @@
 
 async fn serve(gateway: &Rc<Gateway>, stream: TcpStream) -> Result<(), Box<dyn std::error::Error>> {
     socket::set_options(&stream)?;
-    let activity = Rc::new(Activity::new(now()));
+    let activity = Rc::new(Activity::new(now(), gateway.work.clone()));
     let service = {
         let gateway = Rc::clone(gateway);
         let activity = Rc::clone(&activity);
@@ -91,8 +93,7 @@
             let guard = RequestGuard::new(Rc::clone(&activity));
             async move {
                 let response = request::handle(&gateway, request).await;
-                drop(guard);
-                response
+                Ok::<_, Infallible>(response.map(|body| body.with_request(guard)))
             }
         })
     };
--- a/crates/gateway/src/connection/observed_stream.rs
+++ b/crates/gateway/src/connection/observed_stream.rs
@@ -1,4 +1,4 @@
-//! A socket that records when bytes arrive.
+//! A socket that records when bytes arrive, and whether bytes wait to be written.
 
 use std::io::{self, IoSlice};
 use std::pin::Pin;
@@ -11,7 +11,7 @@
 use super::activity::Activity;
 use crate::gateway::now;
 
-/// A client's socket whose reads are recorded as activity.
+/// A socket whose reads and writes are recorded as activity.
 #[derive(Debug)]
 pub struct ObservedStream {
     stream: TcpStream,
@@ -46,11 +46,17 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.activity.record_write();
         Pin::new(&mut self.stream).poll_write(cx, bytes)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+        // The HTTP library flushes once it has written all bytes.
+        let flushed = Pin::new(&mut self.stream).poll_flush(cx);
+        if flushed.is_ready() {
+            self.activity.record_written();
+        }
+        flushed
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -62,6 +68,7 @@
         cx: &mut Context<'_>,
         buffers: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.activity.record_write();
         Pin::new(&mut self.stream).poll_write_vectored(cx, buffers)
     }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -14,12 +14,14 @@
 use tamaracksail_policy::fleet::Fleet;
 use tamaracksail_policy::limit::Limiter;
 use tamaracksail_policy::memory::Budget;
+use tamaracksail_policy::stop::Stop;
 use tamaracksail_process::trace::{Span, SpanKind, TRACEPARENT, Tracer};
 
 use crate::admission::Queues;
 use crate::batches::Coordinator;
 use crate::clock::ProcessClock;
 use crate::configuration::Configuration;
+use crate::connection::Work;
 use crate::limits::Limits;
 use crate::metrics::Metrics;
 use crate::options::Options;
@@ -65,10 +67,10 @@
     pub suspects: Suspects,
     /// Whether the list of backend servers has been read.
     pub has_server_list: Cell<bool>,
-    /// Since when the process has been stopping; none while it isn't.
-    pub stopping_since: Cell<Option<Instant>>,
-    /// The number of client requests that wait for a response.
-    pub active_requests: Cell<usize>,
+    /// The stop of the process, once it was asked to.
+    pub stop: Cell<Option<Stop>>,
+    /// The requests of clients and peers whose responses are not written to their end.
+    pub work: Work,
     /// The scheduling of batches.
     pub coordinator: Coordinator,
     /// The counters and histograms of the process.
@@ -119,8 +121,8 @@
             streams: Streams::default(),
             suspects: Suspects::default(),
             has_server_list: Cell::new(false),
-            stopping_since: Cell::new(None),
-            active_requests: Cell::new(0),
+            stop: Cell::new(None),
+            work: Work::default(),
             coordinator,
             metrics,
             usage: usage.map(Rc::new),
@@ -137,9 +139,7 @@
     /// Whether the process is ready for new connections: it has read the routes and the list of
     /// servers, and isn't stopping.
     pub fn is_ready(&self) -> bool {
-        self.stopping_since.get().is_none()
-            && self.table.borrow().is_some()
-            && self.has_server_list.get()
+        self.stop.get().is_none() && self.table.borrow().is_some() && self.has_server_list.get()
     }
 
     /// Starts a span as a child of the trace context in `headers`, and replaces that context with
--- a/crates/gateway/src/peer/server.rs
+++ b/crates/gateway/src/peer/server.rs
@@ -19,8 +19,8 @@
 use super::PATH;
 use crate::batches;
 use crate::batches::Submission;
-use crate::connection::Body;
-use crate::gateway::Gateway;
+use crate::connection::{Activity, Body, ObservedStream, RequestGuard};
+use crate::gateway::{Gateway, now};
 use crate::limits;
 use crate::memory::{self, Refusal};
 use crate::request::{empty_response, response_with_body};
@@ -57,14 +57,22 @@
     if let Err(error) = socket::set_options(&stream) {
         log::warn!(peer:%, error:%; "setting options of a peer's socket failed");
     }
+    let activity = Rc::new(Activity::new(now(), gateway.work.clone()));
     let service = service_fn(|request| {
         let gateway = Rc::clone(&gateway);
-        async move { Ok::<_, Infallible>(respond(&gateway, request).await) }
+        let guard = RequestGuard::new(Rc::clone(&activity));
+        async move {
+            let response = respond(&gateway, request).await;
+            Ok::<_, Infallible>(response.map(|body| body.with_request(guard)))
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(None)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(
+            TokioIo::new(ObservedStream::new(stream, Rc::clone(&activity))),
+            service,
+        );
     if let Err(error) = connection.await {
         log::debug!(peer:%, error:%; "peer's connection failed");
     }
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -15,7 +15,6 @@
 mod streaming;
 mod trial;
 
-use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -25,6 +24,7 @@
 use tamaracksail_adapter::ingress::{self, Call};
 use tamaracksail_model::route::Kind;
 use tamaracksail_policy::memory::Use;
+use tamaracksail_policy::stop::Admission;
 
 use crate::batches;
 use crate::connection::Body;
@@ -48,18 +48,14 @@
 
 /// Handles a request. If the client disconnects, the future is dropped, and with it the work that
 /// it had begun.
-pub async fn handle(
-    gateway: &Rc<Gateway>,
-    request: Request<Incoming>,
-) -> Result<Response<Body>, Infallible> {
-    let _active = ActiveRequest::new(gateway);
+pub async fn handle(gateway: &Rc<Gateway>, request: Request<Incoming>) -> Response<Body> {
     let mut response = respond(gateway, request).await;
-    if gateway.stopping_since.get().is_some() {
+    if gateway.stop.get().is_some() {
         response
             .headers_mut()
             .insert("connection", HeaderValue::from_static("close"));
     }
-    Ok(response)
+    response
 }
 
 async fn respond(gateway: &Rc<Gateway>, request: Request<Incoming>) -> Response<Body> {
@@ -154,7 +150,22 @@
     } else {
         remaining.min(route.timeout)
     };
-    let deadline = arrival.after(limit);
+    let mut deadline = arrival.after(limit);
+    if let Some(stop) = gateway.stop.get()
+        && !is_batch
+    {
+        deadline = match stop.admit(arrival, route.kind, deadline) {
+            Admission::Until(deadline) => deadline,
+            Admission::Refused => {
+                let left_ms = stop.end().since(arrival).as_millis();
+                log::info!(
+                    request = id.as_str(), route = route.name.as_str(), left_ms, outcome = "not run";
+                    "request refused, it may outlast this process"
+                );
+                return retry_later(Duration::ZERO);
+            }
+        };
+    }
     let kind = if is_batch { Use::Batch } else { Use::Request };
     let max_bytes = table.limits.body_bytes;
     let read = memory::read_body(body, max_bytes, &gateway.memory, kind, caller.account());
@@ -189,21 +200,3 @@
         }
     }
 }
-
-/// Counts a request as active until it is dropped.
-struct ActiveRequest<'a>(&'a Gateway);
-
-impl<'a> ActiveRequest<'a> {
-    fn new(gateway: &'a Gateway) -> Self {
-        gateway
-            .active_requests
-            .set(gateway.active_requests.get() + 1);
-        Self(gateway)
-    }
-}
-
-impl Drop for ActiveRequest<'_> {
-    fn drop(&mut self) {
-        self.0.active_requests.set(self.0.active_requests.get() - 1);
-    }
-}
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -82,7 +82,7 @@
             }
         }
     });
-    client_response(head, Body::Chunks { chunks, length })
+    client_response(head, Body::chunks(chunks, length))
 }
 
 /// Returns a server's response as it goes to the client, without hop-by-hop headers.
--- a/crates/gateway/src/request/streaming.rs
+++ b/crates/gateway/src/request/streaming.rs
@@ -67,11 +67,7 @@
             }
         }
     });
-    let body = Body::Chunks {
-        chunks,
-        length: None,
-    };
-    let mut response = client_response(head, body);
+    let mut response = client_response(head, Body::chunks(chunks, None));
     response.headers_mut().remove("content-length");
     response
 }
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -4,19 +4,12 @@
 use std::time::Duration;
 
 use tamaracksail_adapter::settings::Settings;
+use tamaracksail_policy::stop::Stop;
 use tamaracksail_process::stop;
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::gateway::{Gateway, now};
 
-/// How long after SIGTERM new connections may still arrive. The balancer checks readiness once a
-/// second and stops routing to a process after two failures, and clients keep using open
-/// connections.
-const MIN_DRAIN_TIME: Duration = Duration::from_millis(3500);
-
-/// How long before SIGKILL the process exits by itself.
-const KILL_MARGIN: Duration = Duration::from_millis(600);
-
 /// How long before that exit the process gives up the lease even if the store does not answer, so
 /// that the next holder can still fetch the text of unfinished items from it.
 const HAND_OVER_MARGIN: Duration = Duration::from_secs(2);
@@ -28,35 +21,33 @@
 /// The time between two checks of whether requests are still active.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Serves until the process is asked to stop. Returns once it has drained: no request is active and
-/// no peer needs its partial texts; at the latest shortly before it would be killed.
+/// Serves until the process is asked to stop. Returns once it has drained: all responses are written to
+/// their end and no peer needs its partial texts; at the latest shortly before it would be killed.
 pub async fn serve_until_stopped(gateway: &Rc<Gateway>) {
     actix_rt::spawn(reload(Rc::clone(gateway)));
     if let Err(error) = stop::requested().await {
         log::error!(error:%; "stop signals cannot be handled");
     }
     let start = now();
-    gateway.stopping_since.set(Some(start));
-    log::info!(open = gateway.active_requests.get(); "stopping");
-    let limit = gateway
-        .settings
-        .borrow()
-        .termination_grace
-        .saturating_sub(KILL_MARGIN);
+    let stop = Stop::new(start, gateway.settings.borrow().termination_grace);
+    gateway.stop.set(Some(stop));
+    log::info!(open = gateway.work.open(); "stopping");
     let hand_over = {
         let gateway = Rc::clone(gateway);
+        let limit = stop.end().since(start);
         let deadline = start.after(limit.saturating_sub(HAND_OVER_MARGIN));
         async move { gateway.coordinator.hand_over(&gateway, deadline).await }
     };
     actix_rt::spawn(hand_over);
-    loop {
-        let elapsed = now().since(start);
-        let is_idle = gateway.active_requests.get() == 0 && !gateway.coordinator.is_needed();
-        if elapsed >= limit || (elapsed >= MIN_DRAIN_TIME && is_idle) {
-            return;
-        }
+    while !stop.is_over(now(), gateway.work.open(), gateway.coordinator.is_needed()) {
         tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
     }
+    let (open, after_ms) = (gateway.work.open(), now().since(start).as_millis());
+    if open > 0 {
+        log::warn!(open, after_ms; "responses cut off, the process would be killed");
+    } else {
+        log::info!(after_ms; "drained");
+    }
 }
 
 /// Reloads the settings on SIGHUP, and every [`RELOAD_INTERVAL`] because they may change without a
--- /dev/null
+++ b/crates/gateway/tests/planned_stops.rs
@@ -0,0 +1,74 @@
+//! Planned stops of real gateways while responses are on their way.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{run, start, wait_until};
+use tamaracksail_adapter_standins::Client;
+
+const EVENTS: u64 = 45;
+const EVENT_INTERVAL: Duration = Duration::from_millis(100);
+const STREAMS: usize = 4;
+
+/// Requests streams, and checks that each arrives to its end.
+fn spawn_streams(client: &Client) -> Vec<tokio::task::JoinHandle<()>> {
+    let request = |number: usize| {
+        let client = client.clone();
+        tokio::task::spawn_local(async move {
+            let response = client.stream(&format!("s{number}"), "/stream/x").await;
+            let response = response.expect("a response that ends");
+            let text = String::from_utf8_lossy(&response.body).into_owned();
+            assert_eq!((response.status, text.matches("\n\n").count()), (200, 45));
+        })
+    };
+    (0..STREAMS).map(request).collect()
+}
+
+// Guards against: a gateway that gets SIGTERM exits while it relays streams, and cuts them.
+#[test]
+fn streams_that_end_within_the_grace_period_are_not_cut_by_a_planned_stop() {
+    run(async {
+        let (world, mut gateways) = start(1, EVENTS, EVENT_INTERVAL).await;
+        let streams = spawn_streams(&gateways[0].client());
+        wait_until("all streams run", async || {
+            let arrivals = world.engines.iter().map(|engine| engine.arrivals().len());
+            arrivals.sum::<usize>() == STREAMS
+        })
+        .await;
+        gateways[0].signal("TERM");
+        for stream in streams {
+            stream.await.expect("a whole stream");
+        }
+        assert!(gateways[0].wait_for_exit().await);
+        let line = gateways[0].wait_for_log("drained").await;
+        // The process does not stay longer than it has to.
+        assert!(line["after_ms"].as_u64() < Some(6000), "{line}");
+    });
+}
+
+// Guards against: a stream that begins late in a stop is accepted and cut at the exit.
+#[test]
+fn a_stream_that_may_outlast_the_process_is_refused_and_short_requests_are_served() {
+    run(async {
+        let (_world, mut gateways) = start(1, EVENTS, EVENT_INTERVAL).await;
+        let client = gateways[0].client();
+        let streams = spawn_streams(&client);
+        let mut connections = Vec::new();
+        for _ in 0..2 {
+            connections.push(client.open().await.expect("a connection"));
+        }
+        gateways[0].signal("TERM");
+        tokio::time::sleep(Duration::from_millis(3200)).await;
+        let late = client.request_on(&mut connections[0], "late", "/stream/x", "");
+        let late = late.await.expect("a response");
+        assert_eq!((late.status, late.retry_after()), (503, Some(0.0)));
+        assert_eq!(late.headers["connection"], "close");
+        let short = client.request_on(&mut connections[1], "short", "/plain/x", "short");
+        assert_eq!(short.await.expect("a response").status, 200);
+        for stream in streams {
+            stream.await.expect("a whole stream");
+        }
+        assert!(gateways[0].wait_for_exit().await);
+    });
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -26,6 +26,7 @@
 //! - [`relay::Relay`]: the configuration in force at a gateway, and whom it asks for a newer one;
 //! - [`clock::Clock`]: true time, whatever steps the time of day makes;
 //! - [`lease::Lease`]: which process is the scheduling gateway;
+//! - [`stop::Stop`]: until when a stopping process serves, and what it still accepts;
 //! - [`duty::Duty`]: which process reports, and until when it may send;
 //! - [`usage`]: counts of requests by client account and window.
 //!
@@ -51,6 +52,7 @@
 pub mod relay;
 pub mod request;
 pub mod reward;
+pub mod stop;
 pub mod streams;
 pub mod usage;
 pub mod version;
