Count the grace of disappeared servers from the end of the outage

After an outage of the store of more than 5 s, or one in which calls were silent, all servers whose registrations had expired in it were dropped at once, and requests were refused until they were back.

Cause: the grace for registrations that may only have expired began when the removal was seen, for 5.2 s after the first failed call of any kind, also after that of a watch that was cut off while it waited. A list that lacked a server always began it.

Change: policy::expiry decides from what the store answered. What disappears while it is away, or until 2.2 s after it is back, counts until that time; anything else is gone at once. A watch that is lost while it waits is followed by a call that does not wait, whose failure alone means an outage; probes and suspensions of the process count as well.

Why it works: the grace ends at most 4 s after the store is stable again, so it cannot reach 2 s beyond a departure that is confirmed 3 s after that.

--- a/crates/gateway/src/batches/takeover.rs
+++ b/crates/gateway/src/batches/takeover.rs
@@ -72,7 +72,7 @@
                 .iter()
                 .for_each(|object| apply_version(&gateway, object)),
             Event::Changed(object) => apply_version(&gateway, object),
-            Event::Removed(_) | Event::Answered(_) | Event::StoreFailed => {}
+            Event::Removed(_) | Event::Answered(_) | Event::WatchLost | Event::StoreFailed => {}
         },
     )
     .await;
@@ -111,7 +111,7 @@
                 .for_each(|object| apply_manifest(&gateway, object, EarlierScheduler::Possible)),
             Event::Changed(object) => apply_manifest(&gateway, object, EarlierScheduler::None),
             Event::Removed(object) => gateway.coordinator.end_batch(&object.name),
-            Event::Answered(_) | Event::StoreFailed => {}
+            Event::Answered(_) | Event::WatchLost | Event::StoreFailed => {}
         },
     )
     .await;
--- a/crates/gateway/src/limits/sharing.rs
+++ b/crates/gateway/src/limits/sharing.rs
@@ -101,7 +101,7 @@
                 .iter()
                 .for_each(|object| merge(&gateway, object, Written::Before)),
             Event::Changed(object) => merge(&gateway, object, Written::JustNow),
-            Event::Removed(_) | Event::Answered(_) | Event::StoreFailed => {}
+            Event::Removed(_) | Event::Answered(_) | Event::WatchLost | Event::StoreFailed => {}
         },
     )
     .await;
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -39,15 +39,45 @@
 /// The name of the object that probes read.
 const PROBE_NAME: &str = "scheduling";
 
+/// How long after a probe another one must have begun. If none has, the process was suspended, and does
+/// not know whether the store answered meanwhile.
+const MAX_PROBE_GAP: Duration = Duration::from_millis(2500);
+
+/// What the probes tell of the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Access {
+    /// It has answered all probes.
+    Undisturbed,
+    /// It does not answer, or there has been no probe for a while.
+    Unknown,
+    /// It has answered all probes since this time.
+    RecoveredAt(Instant),
+}
+
 /// Whether the store answers this process. Clones share their state.
 #[derive(Clone, Debug, Default)]
 pub struct Availability {
     recovered: Rc<Notify>,
     is_unavailable: Rc<Cell<bool>>,
     probed: Rc<Notify>,
+    /// When the store last answered again after it did not.
+    recovered_at: Rc<Cell<Option<Instant>>>,
+    /// When the last probe began or ended.
+    last_probe: Rc<Cell<Option<Instant>>>,
 }
 
 impl Availability {
+    /// Returns what the probes tell of the store.
+    pub fn access(&self, now: Instant) -> Access {
+        let is_late = |at: Instant| now.since(at) > MAX_PROBE_GAP;
+        if self.is_unavailable.get() || self.last_probe.get().is_some_and(is_late) {
+            return Access::Unknown;
+        }
+        self.recovered_at
+            .get()
+            .map_or(Access::Undisturbed, Access::RecoveredAt)
+    }
+
     /// Waits until the store answers again after it did not.
     pub async fn recovered(&self) {
         self.recovered.notified().await;
@@ -92,15 +122,22 @@
     ///
     /// Calls `before_probe` before each probe.
     pub async fn run_probes(self, client: Client, before_probe: impl Fn()) {
+        self.last_probe.set(Some(now()));
         loop {
             tokio::time::sleep(PROBE_INTERVAL).await;
+            let was_suspended = self.access(now()) == Access::Unknown;
+            self.last_probe.set(Some(now()));
             before_probe();
             let probe = client.get_stale(PROBE_KIND, PROBE_NAME);
             let is_answered = matches!(
                 tokio::time::timeout(PROBE_TIMEOUT, probe).await,
                 Ok(Ok(_) | Err(Error::Missing { .. }))
             );
+            self.last_probe.set(Some(now()));
             let was_unavailable = self.is_unavailable.replace(!is_answered);
+            if is_answered && (was_unavailable || was_suspended) {
+                self.recovered_at.set(Some(now()));
+            }
             self.probed.notify_one();
             if is_answered && was_unavailable {
                 log::info!("store available again, watches restarted");
@@ -123,7 +160,18 @@
     Removed(&'a Object),
     /// The store answered a call, and all changes until this time are reported.
     Answered(Instant),
-    /// A call to the store failed; reported once until a call succeeds.
+    /// A watch ended without an answer. A store that is well may cut off watches that wait; whether it
+    /// answers is seen by the next call, which does not wait. Reported once until a call succeeds.
+    WatchLost,
+    /// A call failed that does not wait for a change; reported once until a call succeeds.
+    StoreFailed,
+}
+
+/// The failures of a watch since its last success.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Trouble {
+    None,
+    WatchLost,
     StoreFailed,
 }
 
@@ -153,10 +201,14 @@
     mut report: impl FnMut(Event),
 ) {
     let mut pause = MIN_RETRY_DELAY;
-    let mut is_failing = false;
+    let mut trouble = Trouble::None;
     let mut revision = None;
     loop {
-        let limit = limit();
+        // After a failure, the answer to a call that does not wait tells that the store is back.
+        let limit = match trouble {
+            Trouble::None => limit(),
+            Trouble::WatchLost | Trouble::StoreFailed => Some(Duration::ZERO),
+        };
         let started_at = now();
         let mut known_at = started_at;
         let outcome = match revision {
@@ -177,7 +229,9 @@
                         });
                     }
                     if !changes.events.is_empty() {
-                        tokio::time::sleep(debounce).await;
+                        if trouble == Trouble::None {
+                            tokio::time::sleep(debounce).await;
+                        }
                     } else if let Some(limit) = limit
                         && now() >= started_at.after(limit)
                     {
@@ -191,9 +245,9 @@
         };
         match outcome {
             Ok(at) => {
-                if is_failing {
+                if trouble != Trouble::None {
                     log::info!(kind, revision = at; "store calls succeed again");
-                    is_failing = false;
+                    trouble = Trouble::None;
                 }
                 report(Event::Answered(known_at));
                 revision = Some(at);
@@ -204,9 +258,14 @@
                 revision = None;
             }
             Err(error) => {
-                if !is_failing {
+                let is_waiting = revision.is_some() && trouble == Trouble::None;
+                if is_waiting {
+                    log::info!(kind, error:%; "watch lost");
+                    trouble = Trouble::WatchLost;
+                    report(Event::WatchLost);
+                } else if trouble != Trouble::StoreFailed {
                     log::warn!(kind, error:%; "store call failed");
-                    is_failing = true;
+                    trouble = Trouble::StoreFailed;
                     report(Event::StoreFailed);
                 }
                 availability.pause(pause).await;
@@ -226,8 +285,9 @@
     limit: Option<Duration>,
 ) -> Result<Changes, Error> {
     let pending = async {
-        let Some(limit) = limit else {
-            return client.watch(kind, at, WATCH_TIMEOUT).await;
+        let Some(limit) = limit.filter(|limit| !limit.is_zero()) else {
+            let limit = limit.unwrap_or(WATCH_TIMEOUT);
+            return client.watch(kind, at, limit).await;
         };
         let watch = client.watch(kind, at, limit);
         let changes = tokio::time::timeout(limit + PROBE_TIMEOUT, watch).await;
--- a/crates/gateway/src/streams/membership.rs
+++ b/crates/gateway/src/streams/membership.rs
@@ -74,7 +74,7 @@
             }
             Event::Changed(object) => add(&gateway, object),
             Event::Removed(object) => members.borrow_mut().remove(&object.name),
-            Event::Answered(_) | Event::StoreFailed => {}
+            Event::Answered(_) | Event::WatchLost | Event::StoreFailed => {}
         },
     )
     .await;
--- a/crates/gateway/src/streams/software.rs
+++ b/crates/gateway/src/streams/software.rs
@@ -142,7 +142,7 @@
                         known.remove(&object.name);
                     }
                 }
-                Event::Answered(_) | Event::StoreFailed => return,
+                Event::Answered(_) | Event::WatchLost | Event::StoreFailed => return,
             }
             software.changed.notify_waiters();
             software.check();
--- a/crates/gateway/src/suspects/sharing.rs
+++ b/crates/gateway/src/suspects/sharing.rs
@@ -63,7 +63,7 @@
                     publish_missing(&gateway, &[]);
                 }
             }
-            Event::Answered(_) | Event::StoreFailed => {}
+            Event::Answered(_) | Event::WatchLost | Event::StoreFailed => {}
         },
     )
     .await;
--- a/crates/gateway/src/usage/reporting.rs
+++ b/crates/gateway/src/usage/reporting.rs
@@ -127,7 +127,11 @@
             Event::Removed(object) if object.name == NAME => {
                 self.duty.borrow_mut().observe_absent(now());
             }
-            Event::Changed(_) | Event::Removed(_) | Event::Answered(_) | Event::StoreFailed => {}
+            Event::Changed(_)
+            | Event::Removed(_)
+            | Event::Answered(_)
+            | Event::WatchLost
+            | Event::StoreFailed => {}
         }
     }
 
--- a/crates/gateway/src/version/retirements.rs
+++ b/crates/gateway/src/version/retirements.rs
@@ -31,7 +31,7 @@
                 .iter()
                 .for_each(|object| complete_later(&gateway, object)),
             Event::Changed(object) => complete_later(&gateway, object),
-            Event::Removed(_) | Event::Answered(_) | Event::StoreFailed => {}
+            Event::Removed(_) | Event::Answered(_) | Event::WatchLost | Event::StoreFailed => {}
         },
     )
     .await;
--- a/crates/gateway/src/version/routes.rs
+++ b/crates/gateway/src/version/routes.rs
@@ -65,7 +65,7 @@
             Event::Answered(known_at) => configuration.record_read(known_at),
             // Without newer routes, those in force stay.
             Event::Removed(_) => {}
-            Event::StoreFailed => configuration.record_read_failure(),
+            Event::WatchLost | Event::StoreFailed => configuration.record_read_failure(),
         },
     )
     .await;
--- a/crates/gateway/src/version/servers.rs
+++ b/crates/gateway/src/version/servers.rs
@@ -1,29 +1,23 @@
 //! The watch of backend servers.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::BTreeSet;
 use std::rc::Rc;
-use std::time::Duration;
 
 use tamaracksail_adapter::backend::ResponseHead;
 use tamaracksail_adapter::store::Object;
 use tamaracksail_adapter::{discovery, names};
 use tamaracksail_model::backend::{Registration, State};
+use tamaracksail_model::time::Instant;
+use tamaracksail_policy::expiry::{Expiry, Verdict};
 use tamaracksail_policy::limit::Observation;
+use tokio::sync::Notify;
 
 use crate::batches;
 use crate::gateway::{Gateway, now};
-use crate::store::{self, Event};
+use crate::store::{self, Access, Availability, Event};
 use crate::streams;
 
-/// How long a registration that disappeared in an outage of the store is still used. Running
-/// servers register again within about two seconds after the outage.
-const REMOVAL_GRACE: Duration = Duration::from_millis(2200);
-
-/// How long after a failed call the store counts as recovering. A registration removed in that time
-/// may have expired only because its server could not renew it.
-const STORE_RECOVERY_TIME: Duration = Duration::from_secs(3);
-
 /// The share of the drain window of servers for which changes are coalesced. Loading of weights
 /// changes registrations all the time, and each watch is charged. The rest of the window is for the
 /// watch itself and for requests in flight.
@@ -32,80 +26,112 @@
 /// Watches the registrations of backend servers and keeps the fleet up to date.
 pub async fn watch(gateway: Rc<Gateway>) {
     let client = gateway.store.clone();
+    let availability = gateway.store_availability.clone();
     let debounce = gateway
         .settings
         .borrow()
         .drain_window
         .mul_f64(DEBOUNCE_SHARE);
-    // When a call to the store last failed.
-    let failed_at = Cell::new(None);
-    let pending_removals: Rc<RefCell<BTreeSet<String>>> = Rc::default();
-    store::watch_kind(
+    let departures = Departures::default();
+    let watch = store::watch_kind(
         client,
-        gateway.store_availability.clone(),
+        availability.clone(),
         names::SERVER_KIND,
         debounce,
-        |event| match event {
-            Event::All(objects) => {
-                let mut listed = BTreeSet::new();
-                for object in objects {
-                    listed.insert(object.name.clone());
-                    pending_removals.borrow_mut().remove(&object.name);
-                    apply(&gateway, object);
-                }
-                let known: Vec<String> = gateway.fleet.borrow().instances().cloned().collect();
-                for instance in known.into_iter().filter(|known| !listed.contains(known)) {
-                    remove_later(&gateway, &pending_removals, instance, REMOVAL_GRACE);
+        |event| {
+            departures.observe(now(), &event, &availability);
+            match event {
+                Event::All(objects) => {
+                    let mut listed = BTreeSet::new();
+                    for object in objects {
+                        listed.insert(&object.name);
+                        departures.register(&object.name);
+                        apply(&gateway, object);
+                    }
+                    let known: Vec<String> = gateway.fleet.borrow().instances().cloned().collect();
+                    for instance in known.iter().filter(|known| !listed.contains(known)) {
+                        departures.remove(&gateway, instance);
+                    }
+                    gateway.has_server_list.set(true);
+                    gateway.streams.record_list();
                 }
-                gateway.has_server_list.set(true);
-                gateway.streams.record_list();
-            }
-            Event::Changed(object) => {
-                pending_removals.borrow_mut().remove(&object.name);
-                apply(&gateway, object);
-            }
-            Event::Removed(object) => {
-                let at = now();
-                let is_recovering = failed_at.get().is_some_and(|failed_at| {
-                    at.since(failed_at) < STORE_RECOVERY_TIME + REMOVAL_GRACE
-                });
-                if is_recovering {
-                    remove_later(
-                        &gateway,
-                        &pending_removals,
-                        object.name.clone(),
-                        REMOVAL_GRACE,
-                    );
-                } else {
-                    remove(&gateway, &object.name);
+                Event::Changed(object) => {
+                    departures.register(&object.name);
+                    apply(&gateway, object);
                 }
+                Event::Removed(object) => departures.remove(&gateway, &object.name),
+                Event::Answered(_) | Event::WatchLost | Event::StoreFailed => {}
             }
-            Event::Answered(_) => {}
-            Event::StoreFailed => failed_at.set(Some(now())),
+            departures.changed.notify_one();
         },
-    )
-    .await;
+    );
+    tokio::join!(watch, departures.run(&gateway));
 }
 
-/// Removes a server after `grace`, unless it registers again meanwhile.
-fn remove_later(
-    gateway: &Rc<Gateway>,
-    pending_removals: &Rc<RefCell<BTreeSet<String>>>,
-    instance: String,
-    grace: Duration,
-) {
-    if !pending_removals.borrow_mut().insert(instance.clone()) {
-        return;
+/// The servers whose registrations have disappeared.
+#[derive(Debug, Default)]
+struct Departures {
+    expiry: RefCell<Expiry>,
+    /// Wakes the task that removes servers.
+    changed: Notify,
+}
+
+impl Departures {
+    /// Records what an event of the watch and the probes tell of the store.
+    fn observe(&self, now: Instant, event: &Event, availability: &Availability) {
+        let mut expiry = self.expiry.borrow_mut();
+        match event {
+            Event::WatchLost => return,
+            Event::StoreFailed => return expiry.record_failure(),
+            _ => expiry.record_answer(now),
+        }
+        match availability.access(now) {
+            Access::Undisturbed => {}
+            Access::Unknown => expiry.record_failure(),
+            Access::RecoveredAt(at) => expiry.record_recovery(at),
+        }
     }
-    log::info!(server = instance.as_str(), grace_ms = grace.as_millis(); "server registration expired");
-    let gateway = Rc::clone(gateway);
-    let pending_removals = Rc::clone(pending_removals);
-    actix_rt::spawn(async move {
-        tokio::time::sleep(grace).await;
-        if pending_removals.borrow_mut().remove(&instance) {
-            remove(&gateway, &instance);
+
+    fn register(&self, instance: &str) {
+        self.expiry.borrow_mut().record_registration(instance);
+    }
+
+    /// Removes a server whose registration has disappeared, unless the store was away and it may
+    /// register again.
+    fn remove(&self, gateway: &Rc<Gateway>, instance: &str) {
+        let at = now();
+        match self.expiry.borrow_mut().record_removal(at, instance) {
+            Verdict::Gone => remove(gateway, instance),
+            Verdict::Kept(end) => {
+                let left_ms = end.map(|end| end.since(at).as_millis());
+                log::info!(server = instance, left_ms; "server registration expired");
+            }
         }
-    });
+    }
+
+    /// Removes servers that have not registered again in time. Never returns.
+    async fn run(&self, gateway: &Rc<Gateway>) {
+        loop {
+            let end = self.expiry.borrow().next_end();
+            tokio::select! {
+                () = self.changed.notified() => {}
+                () = sleep_until(end) => {}
+            }
+            let gone = self.expiry.borrow_mut().take_gone(now());
+            for instance in gone {
+                log::info!(server = instance.as_str(); "server has not registered again");
+                remove(gateway, &instance);
+            }
+        }
+    }
+}
+
+/// Waits until `end`; forever if there is none.
+async fn sleep_until(end: Option<Instant>) {
+    match end {
+        Some(end) => tokio::time::sleep(end.since(now())).await,
+        None => std::future::pending().await,
+    }
 }
 
 /// Updates the server of a registration; removes it if the registration is malformed.
