Continue streams without a copy only as the store's record allows

Here it went on at v1 after v2, at a gateway whose watch reported nothing and at one that the store had just stopped answering.

Cause: where no gateway has a copy of where a stream began and the record of versions told of several or could not be read, the view in memory decided (one version for 20 s). At such a gateway that view is late.

Change: the view counts only if a record that is read then has no other version, or, without a record, the list of servers has none; if the store does not answer, the client gets 503. Streams on routes to several services are copied to other gateways as they begin, and are not given to a service drawn at random.

Why it works: no stream begins at a version before the store has acknowledged it in the record, and the read comes after the interruption.

--- a/crates/gateway/src/request/forward.rs
+++ b/crates/gateway/src/request/forward.rs
@@ -92,7 +92,7 @@
     let mut software = None;
     if let Some(resumed) = Resumed::parse(route, &content.head.headers) {
         let attempt = resumed.attempt.as_deref();
-        let is_only_service = route.targets.iter().all(|found| found.service == service);
+        let is_only_service = is_only_service(route, &service);
         let origin = streams::find(gateway, attempt, &service, is_only_service).await;
         let origin = origin.filter(|origin| {
             let targets = &mut route.targets.iter();
@@ -157,6 +157,11 @@
     response
 }
 
+/// Whether a service is the only one of a route.
+fn is_only_service(route: &Route, service: &str) -> bool {
+    route.targets.iter().all(|target| target.service == service)
+}
+
 impl<'a> Forwarding<'a> {
     /// Makes attempts until one yields the response, none is left or the deadline passes.
     async fn run(mut self) -> Response<Body> {
@@ -264,7 +269,14 @@
             .map(|registration| registration.software.clone());
         drop(fleet);
         if let (Some(began_at), None) = (&began_at, self.software) {
-            streams::begin(self.gateway, self.id, self.service, began_at);
+            let is_only_service = is_only_service(self.route, self.service);
+            streams::begin(
+                self.gateway,
+                self.id,
+                self.service,
+                began_at,
+                is_only_service,
+            );
         }
         Stream {
             began_at,
--- a/crates/gateway/src/streams/lookup.rs
+++ b/crates/gateway/src/streams/lookup.rs
@@ -17,10 +17,12 @@
 /// How long other gateways may take to respond. Clients abandon a stream after a gap of two seconds.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Returns where the stream began whose first event was brought by the client attempt `attempt`. A
-/// stream of `service` of which no gateway knows began at the only software version that the store has
-/// recorded, unless it may have begun at another service (`is_only_service`), or at the only one that
-/// the service has had for long, if there is one. Returns `None` if the origin cannot be determined.
+/// Returns where the stream began whose first event was brought by the client attempt `attempt`.
+///
+/// A stream of `service` of which no gateway knows began at the only software version that the store has
+/// recorded, or at the only one that this process has observed for long if the store knows of no other,
+/// unless it may have begun at another service (`is_only_service`). Returns `None` if the origin cannot be
+/// determined, also if the store does not answer: servers of another version may have joined unnoticed.
 pub async fn find(
     gateway: &Rc<Gateway>,
     attempt: Option<&str>,
@@ -37,17 +39,50 @@
         count("copy");
         return Some(origin);
     }
-    let began_at = |software: String| Origin {
+    let found = if is_only_service {
+        find_version(gateway, service).await
+    } else {
+        Ok(None)
+    };
+    let (label, software) = match found {
+        Ok(Some((label, software))) => (label, Some(software)),
+        Ok(None) => ("unknown", None),
+        Err(error) => {
+            log::info!(service, error:%; "record of software versions not read");
+            ("unknown", None)
+        }
+    };
+    count(label);
+    software.map(|software| Origin {
         service: service.to_owned(),
         software,
-    };
-    if is_only_service && let Some(software) = software::only(gateway, service).await {
-        count("record");
-        return Some(began_at(software));
-    }
+    })
+}
+
+/// Returns the version at which all streams of a service began, and what told it.
+///
+/// # Errors
+/// If the store does not answer.
+async fn find_version(
+    gateway: &Gateway,
+    service: &str,
+) -> Result<Option<(&'static str, String)>, software::Unread> {
+    let record = software::read(gateway, service).await?;
     let settled = gateway.streams.settled(gateway, service);
-    count(settled.as_ref().map_or("unknown", |_| "settled"));
-    settled.map(began_at)
+    let Some(record) = record else {
+        let Some(settled) = settled else {
+            return Ok(None);
+        };
+        let is_only = software::is_only_registered(gateway, service, &settled).await?;
+        return Ok(is_only.then_some(("settled", settled)));
+    };
+    let label = if record.only().is_some() {
+        "record"
+    } else {
+        "settled"
+    };
+    let version = record.began_at(settled.as_deref());
+    Ok(version.map(|version| (label, version.to_owned())))
 }
 
 /// Returns the origin of a stream that this or another gateway keeps.
--- a/crates/gateway/src/streams/recording.rs
+++ b/crates/gateway/src/streams/recording.rs
@@ -20,15 +20,22 @@
 const COPY_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Keeps the origin of a stream that begins at this gateway. While the service has several software
-/// versions, also sends it to other gateways.
-pub fn begin(gateway: &Rc<Gateway>, attempt: &str, service: &str, software: &str) {
+/// versions, or if the stream might have begun at another service (`is_only_service`), also sends it to
+/// other gateways.
+pub fn begin(
+    gateway: &Rc<Gateway>,
+    attempt: &str,
+    service: &str,
+    software: &str,
+    is_only_service: bool,
+) {
     let streams = &gateway.streams;
     let origin = Origin {
         service: service.to_owned(),
         software: software.to_owned(),
     };
     streams.origins.borrow_mut().begin(now(), attempt, origin);
-    if streams.settled(gateway, service).is_none() {
+    if !is_only_service || streams.settled(gateway, service).is_none() {
         share_unshared(gateway, service);
     }
 }
--- a/crates/gateway/src/streams/software.rs
+++ b/crates/gateway/src/streams/software.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use tamaracksail_adapter::store::{Error, Object};
-use tamaracksail_adapter::{discovery, names};
+use tamaracksail_adapter::{Malformed, discovery, names};
 use tamaracksail_model::backend::Registration;
 use tamaracksail_model::route::{Kind, Route};
 use tamaracksail_model::time::Instant;
@@ -335,28 +335,47 @@
     is_absent && !gateway.settings.borrow().is_bootstrap
 }
 
-/// Reads the only version at which streams of a service can have begun; `None` if there are several,
-/// the record is not complete, or the store does not answer.
-pub(super) async fn only(gateway: &Gateway, service: &str) -> Option<String> {
-    gateway.store_availability.check("software versions").ok()?;
+/// Reads the record of a service, for a stream that a client takes up. Returns `None` if there is none.
+///
+/// # Errors
+/// If the store does not answer, or the record is malformed.
+pub(super) async fn read(
+    gateway: &Gateway,
+    service: &str,
+) -> Result<Option<SoftwareRecord>, Unread> {
+    gateway.store_availability.check("software versions")?;
     let read = gateway.store.get(KIND, service);
-    let object = match tokio::time::timeout(READ_TIMEOUT, read).await {
-        Ok(Ok(object)) => object,
-        Ok(Err(Error::Missing { .. })) => return None,
-        Ok(Err(error)) => {
-            log::info!(service, error:%; "record of software versions not read");
-            return None;
-        }
-        Err(error) => {
-            log::info!(service, error:%; "record of software versions not read");
-            return None;
-        }
-    };
-    match object.spec::<SoftwareRecord>() {
-        Ok(record) => record.only().map(str::to_owned),
-        Err(error) => {
-            log::error!(service, error:%; "record of software versions is malformed");
-            None
-        }
+    match tokio::time::timeout(READ_TIMEOUT, read).await? {
+        Ok(object) => Ok(Some(object.spec::<SoftwareRecord>()?)),
+        Err(Error::Missing { .. }) => Ok(None),
+        Err(error) => Err(error.into()),
     }
 }
+
+/// Returns whether all servers of a service that are registered have a version, from a list read now.
+///
+/// # Errors
+/// If the store does not answer.
+pub(super) async fn is_only_registered(
+    gateway: &Gateway,
+    service: &str,
+    version: &str,
+) -> Result<bool, Unread> {
+    let list = read_registered(gateway, service);
+    let registered = tokio::time::timeout(READ_TIMEOUT, list).await??;
+    Ok(registered.iter().all(|found| found == version))
+}
+
+/// Why software versions could not be read.
+#[derive(Debug, thiserror::Error)]
+pub(super) enum Unread {
+    /// The call failed.
+    #[error(transparent)]
+    Failed(#[from] Error),
+    /// The store did not answer in time.
+    #[error("no answer of the store in time: {0}")]
+    Late(#[from] tokio::time::error::Elapsed),
+    /// The record is malformed.
+    #[error(transparent)]
+    Malformed(#[from] Malformed),
+}
--- a/crates/policy/src/streams/software_record.rs
+++ b/crates/policy/src/streams/software_record.rs
@@ -50,6 +50,18 @@
         (self.is_complete && versions.next().is_none()).then_some(only)
     }
 
+    /// Returns the version at which a stream began of which no gateway has a copy, given a record that was
+    /// read after the stream was interrupted; `None` if that cannot be told.
+    ///
+    /// `settled` is the only version that a gateway has observed for long. Its view may be late, as it may
+    /// have been cut off or have stood still. A version that joined meanwhile is in the record, since
+    /// no stream begins before.
+    #[must_use]
+    pub fn began_at<'a>(&'a self, settled: Option<&'a str>) -> Option<&'a str> {
+        let is_only = |version: &&str| self.versions.iter().all(|found| found == version);
+        self.only().or_else(|| settled.filter(is_only))
+    }
+
     /// Returns the versions that may be removed: no server of them has been registered for long. None
     /// while no server of another version is registered, as all servers may be missing.
     #[must_use]
--- a/crates/policy/tests/software_records.rs
+++ b/crates/policy/tests/software_records.rs
@@ -74,3 +74,28 @@
     let next = first.updated(&observed(&["v2"], &[], false), &BTreeSet::new());
     assert_eq!(next, record(&["v1", "v2"], true));
 }
+
+// Guards against: a gateway whose view is late takes the version that it knows for that of every stream.
+#[test]
+fn what_a_gateway_has_observed_counts_only_if_the_record_has_no_other_version() {
+    let record = |versions: &[&str], is_complete| SoftwareRecord {
+        versions: versions
+            .iter()
+            .map(|version| (*version).to_owned())
+            .collect(),
+        is_complete,
+    };
+    let cases = [
+        (record(&["v1"], true), None, Some("v1")),
+        (record(&["v2"], true), Some("v1"), Some("v2")),
+        (record(&["v1"], false), None, None),
+        (record(&["v1"], false), Some("v1"), Some("v1")),
+        (record(&["v2"], false), Some("v1"), None),
+        (record(&["v1", "v2"], false), Some("v1"), None),
+        (record(&["v1", "v2"], true), Some("v1"), None),
+        (record(&["v1", "v2"], true), Some("v2"), None),
+    ];
+    for (record, settled, expected) in cases {
+        assert_eq!(record.began_at(settled), expected, "{record:?} {settled:?}");
+    }
+}
