Accept only events as the continuation of a stream or an item

What operators reported: a stream broke off, the next server answered with an error, and clients found its text or its head in their stream, or the stream ended as if it were complete.

Refusals, 500, 422, 404 and foreign responses did no harm before either.

--- a/crates/gateway/src/batches/item_run.rs
+++ b/crates/gateway/src/batches/item_run.rs
@@ -6,7 +6,7 @@
 use http_body_util::Full;
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::{Request, StatusCode};
-use tamaracksail_adapter::backend::{RequestHeaders, ResponseHead};
+use tamaracksail_adapter::backend::{self, RequestHeaders, ResponseHead};
 use tamaracksail_adapter::event::Parser;
 use tamaracksail_adapter::{Malformed, ingress, names};
 use tamaracksail_http::IncomingResponse;
@@ -152,7 +152,10 @@
         )));
     }
     match code {
-        StatusCode::OK if head.is_attested => {}
+        StatusCode::OK if head.is_attested && backend::has_events(&response.head) => {}
+        StatusCode::OK if head.is_attested => {
+            return Err(broken(format!("{code}: the response has no events")));
+        }
         StatusCode::UNPROCESSABLE_ENTITY => return Err((Failure::Impossible, code.to_string())),
         StatusCode::INTERNAL_SERVER_ERROR => return Err((Failure::Failed, code.to_string())),
         code => return Err(broken(code.to_string())),
--- a/crates/gateway/src/request/forward.rs
+++ b/crates/gateway/src/request/forward.rs
@@ -9,6 +9,7 @@
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use hyper::{Response, StatusCode};
+use tamaracksail_adapter::backend;
 use tamaracksail_model::account::Caller;
 use tamaracksail_model::route::{Kind, Route};
 use tamaracksail_model::table::draw_target;
@@ -193,7 +194,9 @@
                         }
                         return client_response(head, Body::full(body));
                     }
-                    Outcome::Streaming(_, reply, execution) if self.is_resumable() => {
+                    Outcome::Streaming(_, reply, execution)
+                        if self.is_resumable() && backend::has_events(&reply.head) =>
+                    {
                         if !self.may_begin(key).await {
                             self.log_failure(key, "the software version is not recorded");
                             // The server ends the stream when its connection is closed.
--- a/crates/gateway/src/request/streaming.rs
+++ b/crates/gateway/src/request/streaming.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use hyper::Response;
-use tamaracksail_adapter::backend::RequestHeaders;
+use tamaracksail_adapter::backend::{self, RequestHeaders};
 use tamaracksail_adapter::event::Parser;
 use tamaracksail_http::{Error, IncomingResponse};
 use tamaracksail_model::time::Instant;
@@ -132,10 +132,19 @@
             let content = Rc::new(content);
             let outcome = attempt.run(&content, &self.id, self.deadline).await;
             match outcome {
-                Outcome::Streaming(_, reply, execution) => {
+                Outcome::Streaming(_, reply, execution) if backend::has_events(&reply.head) => {
                     self.log_continuation(last);
                     return Some((*reply, execution));
                 }
+                Outcome::Streaming(_, reply, execution) => {
+                    let status = reply.head.status.as_u16();
+                    drop(reply);
+                    log::info!(
+                        request = self.id.as_str(), status, problem = "the response has no events";
+                        "stream not resumed"
+                    );
+                    execution.break_off().await;
+                }
                 Outcome::Complete(head, _) => {
                     log::info!(
                         request = self.id.as_str(), status = head.status.as_u16();
--- a/crates/policy/src/entry/frames.rs
+++ b/crates/policy/src/entry/frames.rs
@@ -22,6 +22,12 @@
             Frame::Head {
                 status, headers, ..
             } => {
+                // An error that answers the continuation of a stream is no part of the stream.
+                let request = self.requests.get(&attempt.request);
+                let is_continuation = request.is_some_and(|request| request.relayed > 0);
+                if is_continuation && !(200..300).contains(&status) {
+                    return self.fail_attempt(now, id, false, Cause::Server(Reason::Failed));
+                }
                 if attempt.head.is_none() {
                     attempt.head = Some((status, headers));
                 }
--- a/crates/policy/tests/common/world.rs
+++ b/crates/policy/tests/common/world.rs
@@ -89,6 +89,8 @@
     fingerprint: id::Fingerprint,
     next: u64,
     has_head: bool,
+    /// The status with which the engine responds, followed by an error's text.
+    error: Option<u16>,
 }
 
 #[derive(Default)]
@@ -122,6 +124,9 @@
     fingerprints: BTreeMap<id::Attempt, id::Fingerprint>,
     /// The content that crashes the engine that runs it.
     pub poison: Option<id::Fingerprint>,
+    /// The status with which engines respond to requests that continue a stream, followed by an error's
+    /// text.
+    pub continuation_error: Option<u16>,
     pub crashes: u32,
     last_incarnation: u64,
     last_request: u64,
@@ -182,6 +187,7 @@
             listed_as_leaving: BTreeSet::new(),
             fingerprints: BTreeMap::new(),
             poison: None,
+            continuation_error: None,
             crashes: 0,
             last_incarnation: 0,
             last_request: 0,
@@ -495,6 +501,7 @@
             fingerprint,
             next: resume / length,
             has_head: false,
+            error: self.continuation_error.filter(|_| resume > 0),
         };
         self.engines[index].runs.insert(attempt, run);
     }
@@ -683,9 +690,16 @@
             run.has_head = true;
             agent::Event::Head {
                 attempt,
-                status: 200,
+                status: run.error.unwrap_or(200),
                 headers: Vec::new(),
             }
+        } else if run.error.is_some() && run.next < TOKENS {
+            run.next = TOKENS;
+            agent::Event::Chunk {
+                attempt,
+                bytes: Bytes::from_static(b"error"),
+                version: None,
+            }
         } else if run.next < TOKENS {
             let bytes = Bytes::from(token(run.fingerprint, run.next, version));
             run.next += 1;
@@ -710,6 +724,11 @@
         self.feed_agent(index, event);
     }
 
+    /// Whether an engine runs a request.
+    pub fn is_running(&self, index: usize) -> bool {
+        !self.engines[index].runs.is_empty()
+    }
+
     /// Injects a fault that affects a node.
     pub fn inject(&mut self, fault: Fault, at: Node) {
         let until = self.now.after(FAULT_DURATION);
