Decode the entries of the host list one by one

What callers would see: an entry or agent that meets one odd host in the list keeps the hosts that it knew before, without a log line, and watches the list without a pause, as its revision does not move on.

Cause: the list was decoded as a whole, and an error was dropped.

Change: store::decode_entries decodes one entry after the other; what cannot be read is logged, and a value that is no list is asked for again after a pause.

--- a/crates/control/src/config_actor.rs
+++ b/crates/control/src/config_actor.rs
@@ -111,6 +111,7 @@
                 self.publish(&Update::Config(snapshot));
             }
             Action::Hosts(hosts) => self.publish(&Update::Hosts(hosts)),
+            Action::UnreadableHost(error) => log::warn!("host list: {error}"),
         }
     }
 
--- a/crates/measure/src/spread.rs
+++ b/crates/measure/src/spread.rs
@@ -202,7 +202,7 @@
                         self.queue.push_back((to, Event::Received(message)));
                     }
                 }
-                Action::InForce(_) | Action::Hosts(_) => {}
+                Action::InForce(_) | Action::Hosts(_) | Action::UnreadableHost(_) => {}
             }
         }
     }
--- a/crates/model/src/store.rs
+++ b/crates/model/src/store.rs
@@ -1,10 +1,12 @@
 //! Calls of the state machines to the platform's object API.
 
+use std::borrow::Cow;
 use std::fmt;
 
 use crate::id::Revision;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use serde_json::value::RawValue;
 
 /// The maximum size of a value on the platform, in bytes.
 pub const MAX_VALUE_BYTES: usize = 1_000_000;
@@ -109,6 +111,52 @@
     })
 }
 
+/// Decodes the entries of a stored list. Also returns why others could not be decoded: one odd entry must not
+/// hide the rest.
+///
+/// # Errors
+/// If the value is no list.
+pub fn decode_entries<T: DeserializeOwned>(
+    key: &str,
+    value: &[u8],
+) -> Result<(Vec<T>, Vec<Error>), Error> {
+    let failed = |source| Error {
+        key: key.to_owned(),
+        source,
+    };
+    let text = readable_text(value);
+    let entries: Vec<&RawValue> = serde_json::from_str(&text).map_err(failed)?;
+    let mut decoded = Vec::new();
+    let mut errors = Vec::new();
+    for entry in entries {
+        match serde_json::from_str(entry.get()) {
+            Ok(entry) => decoded.push(entry),
+            Err(error) => errors.push(failed(error)),
+        }
+    }
+    Ok((decoded, errors))
+}
+
+/// What stands in place of bytes that are not UTF-8: an escape that no string may have alone, so that only
+/// the string with these bytes is malformed, and not the whole value.
+const UNREADABLE: &str = "\\ud800";
+
+/// Returns JSON as text, also if it has bytes that are not UTF-8.
+#[must_use]
+pub fn readable_text(json: &[u8]) -> Cow<'_, str> {
+    if let Ok(text) = std::str::from_utf8(json) {
+        return Cow::Borrowed(text);
+    }
+    let mut text = String::with_capacity(json.len() + UNREADABLE.len());
+    for chunk in json.utf8_chunks() {
+        text.push_str(chunk.valid());
+        if !chunk.invalid().is_empty() {
+            text.push_str(UNREADABLE);
+        }
+    }
+    Cow::Owned(text)
+}
+
 /// Encodes a value to store.
 ///
 /// # Panics
--- a/crates/policy/src/version/replica/action.rs
+++ b/crates/policy/src/version/replica/action.rs
@@ -30,4 +30,6 @@
     InForce(Arc<Snapshot>),
     /// A host list came into force.
     Hosts(Vec<Host>),
+    /// An entry of the host list, or the whole list, cannot be read, for this reason.
+    UnreadableHost(String),
 }
--- a/crates/policy/src/version/replica/machine.rs
+++ b/crates/policy/src/version/replica/machine.rs
@@ -314,10 +314,21 @@
         match result {
             CallResult::Value { revision, value } => {
                 self.is_platform_unreachable = false;
-                if *revision > self.hosts_revision
-                    && let Ok(hosts) = crate::store::decode::<Vec<Host>>(HOSTS_KEY, value)
-                {
-                    self.update_hosts(*revision, hosts);
+                if *revision <= self.hosts_revision {
+                    return;
+                }
+                match crate::store::decode_entries::<Host>(HOSTS_KEY, value) {
+                    Ok((hosts, errors)) => {
+                        for error in errors {
+                            self.report_unreadable_host(&error);
+                        }
+                        self.update_hosts(*revision, hosts);
+                    }
+                    // The next watch would return the same list at once.
+                    Err(error) => {
+                        self.report_unreadable_host(&error);
+                        self.back_off_platform(now);
+                    }
                 }
             }
             CallResult::Missing => self.is_platform_unreachable = false,
@@ -325,6 +336,10 @@
         }
     }
 
+    fn report_unreadable_host(&mut self, error: &crate::store::Error) {
+        self.actions.push(Action::UnreadableHost(error.to_string()));
+    }
+
     fn handle_fetched(&mut self, now: Instant, outcome: Outcome) {
         let Outcome::Found(revision, _, snapshot) = outcome else {
             return self.back_off_platform(now);
--- a/crates/policy/tests/common/spread.rs
+++ b/crates/policy/tests/common/spread.rs
@@ -306,6 +306,7 @@
                 Action::Send(..) => "follower.send",
                 Action::InForce(_) => "follower.in-force",
                 Action::Hosts(_) => "follower.hosts",
+                Action::UnreadableHost(_) => "follower.unreadable-host",
             };
             self.record_step(name, process);
             if self.incarnations[process] != incarnation {
@@ -343,7 +344,7 @@
                     });
                 }
                 Action::InForce(snapshot) => self.check_in_force(process, &snapshot),
-                Action::Hosts(_) => {}
+                Action::Hosts(_) | Action::UnreadableHost(_) => {}
             }
         }
     }
