End a release of the lease with the holder that it was told of

Cause: Lease::released was neither compared with the fencing token of the holder before nor cleared when another was observed.

Change: a release bears the token of its holder and ends when a record under another token is observed.

Evidence: the new test in policy lease failed before (commands allowed at once) and passes (3.1 s after the takeover).

--- a/crates/policy/src/lease.rs
+++ b/crates/policy/src/lease.rs
@@ -65,9 +65,8 @@
     record: Option<Record>,
     /// The address of the last holder that was another process.
     previous_holder: Option<SocketAddr>,
-    /// The revision at which the holder is known to have stopped, and when it last sent a load
-    /// command.
-    released: Option<(u64, Instant)>,
+    /// The holder that is known to have stopped.
+    released: Option<Released>,
     /// The fencing token under which this process will not act any more.
     relinquished: Option<u64>,
     /// The lease, if this process has acquired it.
@@ -83,6 +82,17 @@
     commands_from: Instant,
 }
 
+/// A holder that has stopped.
+#[derive(Clone, Copy, Debug)]
+struct Released {
+    /// Its fencing token.
+    fence: u64,
+    /// The revision of the object at that time.
+    revision: u64,
+    /// When it last sent a load command.
+    last_command: Instant,
+}
+
 /// What a process that wants the lease does next.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Step {
@@ -131,6 +141,8 @@
             .address
             .filter(|address| *address != self.candidate.address);
         self.previous_holder = other.or(self.previous_holder);
+        // The next holder may have sent load commands since.
+        self.released = self.released.filter(|found| found.fence == record.fence);
         self.record = Some(record);
     }
 
@@ -172,10 +184,8 @@
         if self.record.is_none() || previous_host == Some(&self.candidate.host) {
             return now;
         }
-        match self.released {
-            Some((_, last_command)) => last_command.after(self.command_gap + COMMAND_MARGIN),
-            None => now.after(self.command_gap + COMMAND_MARGIN),
-        }
+        let last_command = self.released.map_or(now, |found| found.last_command);
+        last_command.after(self.command_gap + COMMAND_MARGIN)
     }
 
     /// Records that the object does not exist.
@@ -193,7 +203,11 @@
             .as_ref()
             .is_some_and(|record| record.fence == fence);
         if let Some((revision, _)) = self.observed.filter(|_| is_current) {
-            self.released = Some((revision, last_command));
+            self.released = Some(Released {
+                fence,
+                revision,
+                last_command,
+            });
         }
     }
 
@@ -292,7 +306,9 @@
         }
         let is_own_host = record.holder.as_ref() == Some(&self.candidate.host);
         let is_expired = now.since(since) >= self.duration + EXPIRY_MARGIN;
-        let is_released = self.released.is_some_and(|(at, _)| at == revision);
+        let is_released = self
+            .released
+            .is_some_and(|found| found.revision == revision);
         if record.holder.is_none() || is_own_host || is_expired || is_released {
             return Step::Replace(revision, self.next_record(record.fence + 1, record.writes));
         }
--- a/crates/policy/tests/lease.rs
+++ b/crates/policy/tests/lease.rs
@@ -233,3 +233,38 @@
     assert_eq!(other.expires_in(at(4000)), Some(Duration::from_millis(700)));
     assert_eq!(other.expires_in(at(9000)), Some(Duration::ZERO));
 }
+
+// Guards against: a process that lost the race for a released lease takes over from the next holder, and sends
+// load commands at once, as if the release had been that of the next holder.
+#[test]
+fn a_release_does_not_outlive_the_holder_that_it_was_told_of() {
+    let record = |host: u8, fence: u64| Record {
+        holder: Some(format!("h{host}")),
+        address: Some(address(host)),
+        incarnation: u64::from(host),
+        fence,
+        writes: fence,
+    };
+    for is_told_again in [false, true] {
+        let mut lease = lease(1);
+        lease.observe(at(0), 1, record(2, 5));
+        lease.record_release(5, at(0));
+        // Another process is faster.
+        lease.observe(at(50), 2, record(3, 6));
+        if is_told_again {
+            lease.record_release(5, at(0));
+        }
+        assert_ne!(lease.step(at(60), false), Step::Create(record(1, 1)));
+        // It falls silent, and this process takes over when the lease has stood still.
+        let taken_at = at(50 + 4700);
+        let taken = requested_write(lease.step(taken_at, true));
+        assert_eq!(taken.fence, 7);
+        lease.record_write(taken_at, taken_at, 3, taken);
+        assert_eq!(lease.fence(taken_at), Some(7));
+        for millis in (0..3100).step_by(100) {
+            let now = at(50 + 4700 + millis);
+            assert_eq!(lease.command_fence(now), None, "{millis}");
+        }
+        assert_eq!(lease.command_fence(at(50 + 4700 + 3100)), Some(7));
+    }
+}
