Learn the account of an existing batch from the store's conflict

Cause: any failed read counted as a batch of another account.

Change: the store's conflict brings the existing object, whose account is compared without a further read. Without it the account is read, and if that fails the outcome is unknown (504).

Evidence: the new test in accounts failed before (503) and passes; a batch of another account is refused as before.

--- a/crates/gateway/src/batches/accept.rs
+++ b/crates/gateway/src/batches/accept.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use hyper::http::request::Parts;
 use hyper::{Response, StatusCode};
-use tamaracksail_adapter::store::Error;
+use tamaracksail_adapter::store::{Error, Object};
 use tamaracksail_adapter::{batch, ingress};
 use tamaracksail_model::account::Caller;
 use tamaracksail_model::batch::Item;
@@ -229,18 +229,28 @@
         }
     }
     match create(gateway, schema::MANIFESTS, id, &manifest, deadline).await {
-        Ok(Created::Existing) if !is_own(gateway, submission).await => {
-            log::info!(batch = id, outcome = "not run"; "batch refused, the id is in use");
-            Outcome::NotStored
+        Ok(Created::New) => {
+            log::info!(batch = id, items = total, is_new = true; "batch accepted");
+            takeover::schedule(gateway, id, &manifest, &submission.body, Vec::new(), 0);
+            Outcome::Stored
         }
-        Ok(created) => {
-            let is_new = created == Created::New;
-            log::info!(batch = id, items = total, is_new; "batch accepted");
-            // A batch that existed before may have ended, so it is left to the watch of manifests.
-            if is_new {
-                takeover::schedule(gateway, id, &manifest, &submission.body, Vec::new(), 0);
+        Ok(Created::Existing(existing)) => {
+            match check_account(gateway, submission, existing.as_deref()).await {
+                // It may have ended, so it is left to the watch of manifests.
+                Ok(()) => {
+                    log::info!(batch = id, items = total, is_new = false; "batch accepted");
+                    Outcome::Stored
+                }
+                Err(Error::Missing { .. }) => {
+                    log::info!(batch = id, outcome = "not run"; "batch refused, the id is in use");
+                    Outcome::NotStored
+                }
+                Err(error) => {
+                    // If it is the caller's, it runs.
+                    log::warn!(batch = id, error:%, outcome = "unknown"; "account of the batch not read");
+                    Outcome::Unknown
+                }
             }
-            Outcome::Stored
         }
         Err(CreateError::NotDone(error)) => {
             log::warn!(batch = id, error:%, outcome = "not run"; "batch not stored");
@@ -253,13 +263,25 @@
     }
 }
 
-/// Whether the stored batch with the id of a submission belongs to the same account.
-async fn is_own(gateway: &Gateway, submission: &Submission) -> bool {
+/// Checks that the stored batch with the id of a submission belongs to the same account. `existing` is its
+/// manifest, if the store sent it.
+///
+/// # Errors
+/// As [`owner::check`].
+async fn check_account(
+    gateway: &Gateway,
+    submission: &Submission,
+    existing: Option<&Object>,
+) -> Result<(), Error> {
     let Some(account) = &submission.account else {
-        return true;
+        return Ok(());
     };
     let caller = Caller::Account(account.clone());
-    owner::check(gateway, &caller, &submission.id).await.is_ok()
+    match existing.map(Object::spec::<Manifest>) {
+        Some(Ok(manifest)) if caller.may_use(manifest.account.as_deref()) => Ok(()),
+        Some(Ok(_)) => Err(owner::missing(&submission.id)),
+        Some(Err(_)) | None => owner::check(gateway, &caller, &submission.id).await,
+    }
 }
 
 /// Stores a batch for a peer, which has checked the routes of its reward calls: the routes here may be
@@ -280,12 +302,13 @@
 }
 
 /// How an object came to exist.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Debug)]
 enum Created {
     /// This call created it.
     New,
-    /// It existed before, or an earlier call without a response created it.
-    Existing,
+    /// It existed before, or an earlier call without a response created it; the object, if the store sent
+    /// it.
+    Existing(Option<Box<Object>>),
 }
 
 /// Why the creation of an object failed.
@@ -311,7 +334,7 @@
     loop {
         let error = match gateway.store.create(kind, name, spec).await {
             Ok(_) => return Ok(Created::New),
-            Err(Error::Conflict { .. }) => return Ok(Created::Existing),
+            Err(Error::Conflict { object, .. }) => return Ok(Created::Existing(object)),
             Err(error) => error,
         };
         is_unknown |= matches!(error, Error::Unknown { .. });
--- a/crates/gateway/tests/accounts.rs
+++ b/crates/gateway/tests/accounts.rs
@@ -310,3 +310,22 @@
         assert_eq!(response.expect("a response").status, 200);
     });
 }
+
+// Guards against: a batch that exists, and runs, is answered as not run since the read of its account failed.
+#[test]
+fn a_repeated_submission_is_accepted_while_the_account_of_the_batch_cannot_be_read() {
+    run(async {
+        let (world, gateways) = start(2).await;
+        let client = gateways[0].client().with_key("key-of-north");
+        let accepted = client.submit("b1", &["i1", "i2"], 1).await;
+        assert_eq!(accepted.expect("a response").status, 202);
+        let slow = Fault::Slow("batches/".to_owned(), Duration::from_secs(30));
+        world.store.set_fault(slow);
+        let repeated = gateways[1].client().with_key("key-of-north");
+        let repeated = repeated.submit("b1", &["i1", "i2"], 1).await;
+        assert_eq!(repeated.expect("a response").status, 202);
+        let foreign = gateways[1].client().with_key("key-of-south");
+        let foreign = foreign.submit("b1", &["i1", "i2"], 1).await;
+        assert_eq!(foreign.expect("a response").status, 503);
+    });
+}
