Keep a stream at its last server while that server pauses

Cause: the limit on pauses, which moves a stream to another server, also applied when no attempt was left.

Change: without an attempt left, the stream waits for its server until its deadline.

Evidence: the new test in broken_streams failed before (incomplete) and passes.

--- a/crates/gateway/src/request/streaming.rs
+++ b/crates/gateway/src/request/streaming.rs
@@ -82,7 +82,9 @@
     ) {
         let mut last = None;
         loop {
-            let problem = match relay_events(&mut reply, &client, &mut last).await {
+            // With no server left to go on at, the stream is not given up because this one is slow.
+            let idle_timeout = (self.attempts_left > 0).then_some(STREAM_IDLE_TIMEOUT);
+            let problem = match relay_events(&mut reply, &client, &mut last, idle_timeout).await {
                 Ok(()) => {
                     execution.complete();
                     if let Some(admitted) = &self.admitted {
@@ -206,24 +208,29 @@
 /// Relays complete events until the end of the response, keeping the last event's id in `last`.
 ///
 /// # Errors
-/// If the server is silent for too long, skips an event, or ends without a proper end of the
+/// If the server is silent for longer than `idle_timeout`, skips an event, or ends without a proper end of the
 /// stream; also if the client has disconnected.
 async fn relay_events(
     reply: &mut IncomingResponse,
     client: &mpsc::Sender<Result<Bytes, Error>>,
     last: &mut Option<u64>,
+    idle_timeout: Option<Duration>,
 ) -> Result<(), Error> {
     let has_framed_end =
         reply.head.headers.contains_key("transfer-encoding") || reply.length().is_some();
     let mut parser = Parser::default();
     let mut last_event = now();
     loop {
-        let idle_limit = STREAM_IDLE_TIMEOUT.saturating_sub(now().since(last_event));
-        let chunk = tokio::time::timeout(idle_limit, reply.next())
-            .await
-            .map_err(|_| {
-                reply.body_error("the server sent no event within the idle limit".to_owned())
-            })??;
+        let chunk = match idle_timeout {
+            Some(timeout) => {
+                let left = timeout.saturating_sub(now().since(last_event));
+                let chunk = tokio::time::timeout(left, reply.next()).await;
+                chunk.map_err(|_| {
+                    reply.body_error("the server sent no event within the idle limit".to_owned())
+                })??
+            }
+            None => reply.next().await?,
+        };
         let Some(chunk) = chunk else {
             break;
         };
--- a/crates/gateway/tests/broken_streams.rs
+++ b/crates/gateway/tests/broken_streams.rs
@@ -97,3 +97,20 @@
         }
     });
 }
+
+// Guards against: a stream is abandoned since each server that it may use pauses once.
+#[test]
+fn a_stream_is_not_abandoned_while_the_last_server_that_it_may_use_pauses() {
+    run(async {
+        let (world, gateways) = start(1, EVENTS, EVENT_INTERVAL).await;
+        let client = gateways[0].client();
+        for engine in &world.engines {
+            engine.push_faults(&[Fault::PausesAfter(2); 3]);
+        }
+        // The route allows three servers.
+        let part = client.stream_part("s1", "/stream/x", None, Duration::from_secs(8));
+        let part = part.await.expect("a response");
+        assert!(part.is_complete, "{part:?}");
+        assert_eq!(part.events.len() as u64, EVENTS);
+    });
+}
