Serve metrics on their own port only

Cause: the path was compared on every port.

Change: a listener knows whom it is for; only that of metrics answers the path.

Evidence: the new test in requests failed before (metrics instead of the server's answer) and passes.

--- a/crates/gateway/src/connection/mod.rs
+++ b/crates/gateway/src/connection/mod.rs
@@ -50,25 +50,40 @@
     let settings = gateway.settings.borrow().clone();
     let mut addresses: Vec<SocketAddr> = settings.ingress.into_iter().collect();
     addresses.extend(settings.readiness);
-    if let Some(port) = gateway.metrics_port {
-        addresses.push(SocketAddr::new(settings.address, port));
-    }
+    let metrics = gateway
+        .metrics_port
+        .map(|port| SocketAddr::new(settings.address, port));
+    addresses.extend(metrics);
     addresses.dedup();
     for address in addresses {
         let listener = TcpListener::bind(address).await?;
         log::info!(address:%; "listening");
-        actix_rt::spawn(accept(Rc::clone(gateway), listener));
+        let port = if Some(address) == metrics {
+            Port::Metrics
+        } else {
+            Port::Clients
+        };
+        actix_rt::spawn(accept(Rc::clone(gateway), listener, port));
     }
     Ok(())
 }
 
-async fn accept(gateway: Rc<Gateway>, listener: TcpListener) {
+/// Whom a port is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Port {
+    /// Clients and readiness checks. All paths but those of the platform belong to routes.
+    Clients,
+    /// The collector of metrics.
+    Metrics,
+}
+
+async fn accept(gateway: Rc<Gateway>, listener: TcpListener, port: Port) {
     loop {
         match listener.accept().await {
             Ok((stream, client)) => {
                 let gateway = Rc::clone(&gateway);
                 actix_rt::spawn(async move {
-                    if let Err(error) = serve(&gateway, stream).await {
+                    if let Err(error) = serve(&gateway, stream, port).await {
                         log::debug!(client:%, error:%; "connection failed");
                     }
                 });
@@ -82,7 +97,11 @@
     }
 }
 
-async fn serve(gateway: &Rc<Gateway>, stream: TcpStream) -> Result<(), Box<dyn std::error::Error>> {
+async fn serve(
+    gateway: &Rc<Gateway>,
+    stream: TcpStream,
+    port: Port,
+) -> Result<(), Box<dyn std::error::Error>> {
     socket::set_options(&stream)?;
     let activity = Rc::new(Activity::new(now(), gateway.work.clone()));
     let service = {
@@ -92,7 +111,7 @@
             let gateway = Rc::clone(&gateway);
             let guard = RequestGuard::new(Rc::clone(&activity));
             async move {
-                let response = request::handle(&gateway, request).await;
+                let response = request::handle(&gateway, port, request).await;
                 Ok::<_, Infallible>(response.map(|body| body.with_request(guard)))
             }
         })
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -27,7 +27,7 @@
 use tamaracksail_policy::stop::Admission;
 
 use crate::batches;
-use crate::connection::Body;
+use crate::connection::{Body, Port};
 use crate::gateway::{Gateway, now};
 use crate::memory::{self, Refusal};
 use crate::usage;
@@ -48,8 +48,12 @@
 
 /// Handles a request. If the client disconnects, the future is dropped, and with it the work that
 /// it had begun.
-pub async fn handle(gateway: &Rc<Gateway>, request: Request<Incoming>) -> Response<Body> {
-    let mut response = respond(gateway, request).await;
+pub async fn handle(
+    gateway: &Rc<Gateway>,
+    port: Port,
+    request: Request<Incoming>,
+) -> Response<Body> {
+    let mut response = respond(gateway, port, request).await;
     if gateway.stop.get().is_some() {
         response
             .headers_mut()
@@ -58,7 +62,7 @@
     response
 }
 
-async fn respond(gateway: &Rc<Gateway>, request: Request<Incoming>) -> Response<Body> {
+async fn respond(gateway: &Rc<Gateway>, port: Port, request: Request<Incoming>) -> Response<Body> {
     let (head, body) = request.into_parts();
     let call = match Call::parse(&head) {
         Ok(call) => call,
@@ -73,7 +77,7 @@
         Call::Results { .. } | Call::ItemBody { .. } | Call::EndBatch { .. } => {
             handle_batch_call(gateway, call, &head).await
         }
-        Call::Routed if head.uri.path() == METRICS_PATH && gateway.metrics_port.is_some() => {
+        Call::Routed if port == Port::Metrics && head.uri.path() == METRICS_PATH => {
             response_with_body(StatusCode::OK, gateway.metrics.render())
         }
         Call::Routed => handle_routed(gateway, head, body).await,
--- a/crates/gateway/tests/requests.rs
+++ b/crates/gateway/tests/requests.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use common::{Gateway, World, run, start_server};
+use common::{Gateway, World, run, start_server, wait_until};
 use hyper::Method;
 use tamaracksail_adapter_standins::Engine;
 use tamaracksail_adapter_standins::engine::Fault;
@@ -332,3 +332,19 @@
         assert_eq!(response.await.expect("a response").status, 200);
     });
 }
+
+// Guards against: a path of a route is answered with the metrics of the process.
+#[test]
+fn metrics_are_served_on_their_own_port_only() {
+    run(async {
+        let (world, gateways) = common::start(1, 1, EVENT_INTERVAL).await;
+        world.store.put_routes(settings::moved_routes(2, "/"));
+        wait_until("the new routes are in force", async || {
+            gateways[0].metric("routes_version").await == 2
+        })
+        .await;
+        let response = gateways[0].client().request("r1", "/metrics", "body").await;
+        let response = response.expect("a response");
+        assert_eq!((response.status, &response.body[..]), (200, &b"body"[..]));
+    });
+}
