Write the queued log lines before a process exits

What operators saw: the last lines of a process, which say how its stop went, could be missing.

Cause: lines go through a queue to a writing thread, and the exit did not wait for it.

Change: logs::flush waits until the queue is written, 200 ms at the longest; all programs call it before they exit.

--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -118,5 +118,6 @@
     });
     http.await?;
     tracer.stop();
+    logs::flush();
     Ok(())
 }
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -153,6 +153,7 @@
     });
     http.await?;
     tracer.stop();
+    logs::flush();
     Ok(())
 }
 
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -65,5 +65,6 @@
             tracer.stop();
         }
         log::info!("stop");
+        logs::flush();
     });
 }
--- a/crates/process/src/logs.rs
+++ b/crates/process/src/logs.rs
@@ -57,3 +57,9 @@
         drop(log4rs::init_config(config));
     }
 }
+
+/// Waits until the lines so far are written, for a moment at the longest. To be called before the process
+/// exits, which would lose them.
+pub fn flush() {
+    log::logger().flush();
+}
--- a/crates/process/src/logs/queue.rs
+++ b/crates/process/src/logs/queue.rs
@@ -2,8 +2,8 @@
 
 use std::io::Write as _;
 use std::sync::Mutex;
-use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
-use std::time::Instant;
+use std::sync::mpsc::{Receiver, Sender, SyncSender, channel, sync_channel};
+use std::time::{Duration, Instant};
 
 use log::{Level, Record};
 use log4rs::append::Append;
@@ -14,11 +14,22 @@
 /// The maximum number of lines that wait to be written.
 const MAX_QUEUED_LINES: usize = 1024;
 
+/// How long a flush waits for the lines that are queued.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// What the writing thread gets.
+#[derive(Debug)]
+enum Entry {
+    Line(Vec<u8>),
+    /// All lines before are written once this is dropped.
+    Flush(Sender<()>),
+}
+
 /// Passes lines to the writing thread without waiting.
 #[derive(Debug)]
 pub(super) struct Queue {
     encoder: Box<dyn Encode>,
-    lines: SyncSender<Vec<u8>>,
+    entries: SyncSender<Entry>,
     budget: Mutex<Budget>,
 }
 
@@ -49,11 +60,11 @@
 impl Queue {
     /// Starts the writing thread.
     pub(super) fn start(encoder: Box<dyn Encode>) -> Self {
-        let (lines, queued) = sync_channel(MAX_QUEUED_LINES);
+        let (entries, queued) = sync_channel(MAX_QUEUED_LINES);
         std::thread::spawn(move || write_lines(&queued));
         Self {
             encoder,
-            lines,
+            entries,
             budget: Mutex::new(Budget {
                 second_start: Instant::now(),
                 remaining: MAX_LINES_PER_SECOND,
@@ -67,19 +78,25 @@
 const MAX_WRITE_BYTES: usize = 4096;
 
 /// Writes lines as they arrive. Lines that are in the queue at the same time are written together.
-fn write_lines(queued: &Receiver<Vec<u8>>) {
+fn write_lines(queued: &Receiver<Entry>) {
     let mut text = Vec::new();
-    while let Ok(line) = queued.recv() {
-        text.extend_from_slice(&line);
-        while let Ok(line) = queued.try_recv() {
-            if text.len() + line.len() > MAX_WRITE_BYTES {
-                write_to_stdout(&text);
-                text.clear();
+    let mut flushes = Vec::new();
+    while let Ok(first) = queued.recv() {
+        for entry in std::iter::once(first).chain(queued.try_iter()) {
+            match entry {
+                Entry::Line(line) => {
+                    if text.len() + line.len() > MAX_WRITE_BYTES {
+                        write_to_stdout(&text);
+                        text.clear();
+                    }
+                    text.extend_from_slice(&line);
+                }
+                Entry::Flush(flush) => flushes.push(flush),
             }
-            text.extend_from_slice(&line);
         }
         write_to_stdout(&text);
         text.clear();
+        flushes.clear();
     }
 }
 
@@ -107,7 +124,7 @@
             );
         }
         self.encoder.encode(&mut SimpleWriter(&mut line), record)?;
-        if self.lines.try_send(line).is_ok() {
+        if self.entries.try_send(Entry::Line(line)).is_ok() {
             budget.dropped = 0;
         } else {
             budget.dropped += 1;
@@ -115,5 +132,12 @@
         Ok(())
     }
 
-    fn flush(&self) {}
+    /// Waits until the queued lines are written, for a moment at the longest.
+    fn flush(&self) {
+        let (flush, done) = channel();
+        if self.entries.try_send(Entry::Flush(flush)).is_ok() {
+            // Nothing is sent: the writing thread drops the other end.
+            done.recv_timeout(FLUSH_TIMEOUT).ok();
+        }
+    }
 }
--- a/crates/process/tests/logs.rs
+++ b/crates/process/tests/logs.rs
@@ -29,6 +29,13 @@
     );
     // The test runner has printed the start of a line.
     println!();
+    if scene == "exit" {
+        for number in 0..100 {
+            log::info!(number; "before the exit");
+        }
+        tamaracksail_process::logs::flush();
+        std::process::exit(0);
+    }
     if scene == "flood" {
         for number in 0..5000 {
             log::info!(number; "flood");
@@ -66,3 +73,11 @@
     assert_eq!(written + dropped, 5000);
     assert!(lines.iter().any(|line| line["event"] == "after"));
 }
+
+// Guards against: the last lines of a process, which say how it ended, are lost as it exits.
+#[test]
+fn no_line_before_an_exit_is_lost() {
+    for _ in 0..20 {
+        assert_eq!(lines("exit").len(), 100);
+    }
+}
--- a/crates/shelf/src/main.rs
+++ b/crates/shelf/src/main.rs
@@ -59,5 +59,7 @@
         readiness.set(false);
         handle.stop(true).await;
     });
-    http.await
+    http.await?;
+    logs::flush();
+    Ok(())
 }
