Refuse a request of a stopping process after its body has arrived

A connection that closes while the body of a request arrives is reset, and with it the refusal could be lost. The decision is made on arrival as before. planned_stops passes.

--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -154,22 +154,11 @@
     } else {
         remaining.min(route.timeout)
     };
-    let mut deadline = arrival.after(limit);
-    if let Some(stop) = gateway.stop.get()
-        && !is_batch
-    {
-        deadline = match stop.admit(arrival, route.kind, deadline) {
-            Admission::Until(deadline) => deadline,
-            Admission::Refused => {
-                let left_ms = stop.end().since(arrival).as_millis();
-                log::info!(
-                    request = id.as_str(), route = route.name.as_str(), left_ms, outcome = "not run";
-                    "request refused, it may outlast this process"
-                );
-                return retry_later(Duration::ZERO);
-            }
-        };
-    }
+    let deadline = arrival.after(limit);
+    let admission = match gateway.stop.get() {
+        Some(stop) if !is_batch => stop.admit(arrival, route.kind, deadline),
+        _ => Admission::Until(deadline),
+    };
     let kind = if is_batch { Use::Batch } else { Use::Request };
     let max_bytes = table.limits.body_bytes;
     let read = memory::read_body(body, max_bytes, &gateway.memory, kind, caller.account());
@@ -181,6 +170,14 @@
             return empty_response(StatusCode::REQUEST_TIMEOUT);
         }
     };
+    // A refusal while the body arrives could be lost with the connection.
+    let Admission::Until(deadline) = admission else {
+        log::info!(
+            request = id.as_str(), route = route.name.as_str(), outcome = "not run";
+            "request refused, it may outlast this process"
+        );
+        return retry_later(Duration::ZERO);
+    };
     if is_batch {
         return batches::accept(gateway, route, &caller, &head, &id, body, deadline).await;
     }
--- a/crates/gateway/src/request/streaming.rs
+++ b/crates/gateway/src/request/streaming.rs
@@ -208,8 +208,8 @@
 /// Relays complete events until the end of the response, keeping the last event's id in `last`.
 ///
 /// # Errors
-/// If the server is silent for longer than `idle_timeout`, skips an event, or ends without a proper end of the
-/// stream; also if the client has disconnected.
+/// If the server is silent for longer than `idle_timeout`, skips an event, or ends without a proper end
+/// of the stream; also if the client has disconnected.
 async fn relay_events(
     reply: &mut IncomingResponse,
     client: &mpsc::Sender<Result<Bytes, Error>>,
