Read awaited routes only once a batch waits for them

Cause: version 0 stood for nothing awaited, and a process without routes does not have it.

Change: nothing is awaited until a batch waits.

--- a/crates/gateway/src/configuration/state.rs
+++ b/crates/gateway/src/configuration/state.rs
@@ -24,8 +24,8 @@
     is_relayed: Cell<bool>,
     /// Wakes the task that asks other gateways when a call to the store has failed.
     pub(super) failed: Notify,
-    /// The newest version that a task waits for.
-    awaited: Cell<u64>,
+    /// The newest version that a task has waited for; `None` if none has.
+    awaited: Cell<Option<u64>>,
     /// Wakes the task that reads awaited versions.
     requested: Notify,
     /// Notifies of a new version in force.
@@ -41,7 +41,7 @@
             text: RefCell::new(None),
             is_relayed: Cell::new(false),
             failed: Notify::new(),
-            awaited: Cell::new(0),
+            awaited: Cell::new(None),
             requested: Notify::new(),
             changed: Notify::new(),
         }
@@ -69,7 +69,7 @@
             if self.has(version) {
                 return;
             }
-            self.awaited.set(self.awaited.get().max(version));
+            self.awaited.set(self.awaited.get().max(Some(version)));
             self.requested.notify_one();
             changed.await;
         }
@@ -77,10 +77,12 @@
 
     /// Waits until a task waits for a version that is not in force, and returns that version.
     pub async fn requested(&self) -> u64 {
-        while self.has(self.awaited.get()) {
-            self.requested.notified().await;
+        loop {
+            match self.awaited.get() {
+                Some(version) if !self.has(version) => return version,
+                _ => self.requested.notified().await,
+            }
         }
-        self.awaited.get()
     }
 
     /// Whether `version` or a newer one is in force.
