End the runs of a stopping process before it says that its lease has ended

Callers saw: items that ran from their start after a planned stop in an outage of the store. Cause: a process that stops while the store is away schedules on without the lease. When the store answered again it told its successor that the lease had ended, and cancelled its runs some 10 ms later; the successor asked for partial texts in between and got none. Change: the runs end first, as the texts are complete then.

--- a/crates/gateway/src/batches/lease_query.rs
+++ b/crates/gateway/src/batches/lease_query.rs
@@ -149,6 +149,17 @@
 /// Responds that this process does not hold the lease under a fencing token, and makes sure that it
 /// never does again.
 fn released(gateway: &Gateway, fence: u64) -> PeerResponse {
+    let coordinator = &gateway.coordinator;
+    let is_current = coordinator
+        .lease
+        .borrow()
+        .record()
+        .is_some_and(|record| record.fence == fence);
+    if is_current && gateway.stop.get().is_some() {
+        // A process that stops schedules on without the lease while the store does not answer. The peer asks
+        // for the partial texts next, which this process has once no item runs.
+        coordinator.stop_scheduling("a peer was told that the lease has ended");
+    }
     gateway.coordinator.lease.borrow_mut().relinquish(fence);
     let age = now().since(gateway.coordinator.last_command.get());
     PeerResponse::Released {
