Ask the store again before what is watched is older than its bound

Cause: a watch whose answer is lost was kept for its 30 s and 2 s more, while probes on another connection were answered. All ten watched kinds were affected.

policy::freshness decides without a network when the store is asked again: each kind of fact states a bound on its age and what is done beyond it; a current read tells a revision that the store had reached, and stale reads at a tenth of the price confirm all other facts if they show it. The lease holder states that revision in its answers to lease queries. Reads that a watch waits for are given up within 0.8 to 1 s, a watch of results 0.3 s after its wait. A list after 410 is left out if checks have advanced the revision, a probe if the store has just answered; while it does not answer, probes are sent twice a second.

--- a/crates/gateway/src/batches/lease_loop.rs
+++ b/crates/gateway/src/batches/lease_loop.rs
@@ -6,6 +6,7 @@
 
 use tamaracksail_adapter::store::{Error, Object};
 use tamaracksail_model::time::Instant;
+use tamaracksail_policy::freshness::Index;
 use tamaracksail_policy::lease::{Record, Step};
 use tamaracksail_wire::peer::{Request as PeerRequest, Response as PeerResponse};
 
@@ -202,6 +203,18 @@
     {
         gateway.clock.record_response(at, time);
     }
+    if let Ok(PeerResponse::Holding {
+        index: Some(index), ..
+    }) = &response
+        && let Some(known_at) = at.0.checked_add_signed(index.since_arrival_us)
+    {
+        // The query arrived after it was sent, so this is no later than the time that the peer means.
+        gateway.store_availability.learn(Index {
+            at: Instant(known_at),
+            revision: index.revision,
+            learned_at: now(),
+        });
+    }
     match response {
         Ok(PeerResponse::Holding {
             is_store_unreachable: false,
@@ -286,6 +299,11 @@
     match outcome {
         Ok(object) => {
             record_store_outcome(gateway, true);
+            gateway.store_availability.learn(Index {
+                at: sent_at,
+                revision: object.revision,
+                learned_at: now(),
+            });
             let was_held = coordinator.lease.borrow().fence(now()).is_some();
             let fence = wanted.fence;
             let mut lease = coordinator.lease.borrow_mut();
--- a/crates/gateway/src/batches/lease_query.rs
+++ b/crates/gateway/src/batches/lease_query.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use tamaracksail_model::time::Instant;
-use tamaracksail_wire::peer::{PeerTime, Response as PeerResponse};
+use tamaracksail_wire::peer::{PeerTime, Response as PeerResponse, StoreIndex};
 
 use super::lease_loop;
 use crate::gateway::{Gateway, now};
@@ -60,6 +60,7 @@
                 is_store_unreachable,
                 revision,
                 time: time_for_peer(gateway, arrival),
+                index: index_for_peer(gateway, arrival),
             };
         }
         let left = end.since(now());
@@ -75,6 +76,17 @@
     gateway.clock.for_peer(&settings.host, held)
 }
 
+/// The revision that the store is known to have reached, as stated in the response to a query that arrived at
+/// `arrival`. A holder renews its lease about once a second, so that peers need not read the store for it.
+fn index_for_peer(gateway: &Gateway, arrival: Instant) -> Option<StoreIndex> {
+    let index = gateway.store_availability.index()?;
+    let micros = |time: Instant| i64::try_from(time.0).ok();
+    Some(StoreIndex {
+        revision: index.revision,
+        since_arrival_us: micros(index.at)? - micros(arrival)?,
+    })
+}
+
 /// Stops scheduling in favour of a peer that reaches the store, if this process does not.
 pub async fn yield_lease(gateway: &Gateway, fence: u64, successor: SocketAddr) -> PeerResponse {
     let coordinator = &gateway.coordinator;
@@ -90,6 +102,7 @@
                 is_store_unreachable: false,
                 revision: coordinator.lease.borrow().revision(),
                 time: None,
+                index: None,
             };
         }
     }
@@ -100,6 +113,7 @@
             is_store_unreachable: false,
             revision: coordinator.lease.borrow().revision(),
             time: None,
+            index: None,
         };
     }
     if is_held {
--- a/crates/gateway/src/batches/read.rs
+++ b/crates/gateway/src/batches/read.rs
@@ -29,6 +29,9 @@
 /// batch from the store. Clients wait 1.5 s in addition to the wait that they request.
 const PEER_RESPONSE_ALLOWANCE: Duration = Duration::from_millis(900);
 
+/// How long the store may take to answer a watch of results, in addition to its wait.
+const WATCH_ALLOWANCE: Duration = Duration::from_millis(300);
+
 /// How long a peer may take to store the end of a batch or to return the body of an item.
 const PEER_CALL_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -272,9 +275,12 @@
         if results.len() > from || is_ended || results.len() >= total || left.is_zero() {
             return Ok(page_response(total, from, results.into_iter().skip(from)));
         }
-        // Whatever the watch returns, the chunks are listed again.
-        if let Err(error) = gateway.store.watch(&kind, revision, left).await {
-            log::debug!(batch = id, error:%; "watch ended");
+        // Whatever the watch returns, the chunks are listed again, also if it gets no answer in time.
+        let watch = gateway.store.watch(&kind, revision, left);
+        match tokio::time::timeout(left + WATCH_ALLOWANCE, watch).await {
+            Ok(Ok(_)) => {}
+            Ok(Err(error)) => log::debug!(batch = id, error:%; "watch ended"),
+            Err(error) => log::info!(batch = id, error:%; "watch not answered in time"),
         }
     }
 }
--- a/crates/gateway/src/batches/takeover.rs
+++ b/crates/gateway/src/batches/takeover.rs
@@ -11,6 +11,7 @@
 use tamaracksail_adapter::{batch, names};
 use tamaracksail_model::batch::ItemResult;
 use tamaracksail_policy::batch::{BatchKey, Submission, item_expiry};
+use tamaracksail_policy::freshness::Fact;
 use tokio::sync::Notify;
 
 use super::coordinator::resolve_service;
@@ -18,7 +19,7 @@
 use super::schema::{self, BatchStatus, Chunk, Manifest, Part};
 use super::{partial_texts, retention};
 use crate::gateway::{Gateway, now};
-use crate::store::{self, Event};
+use crate::store::{self, Event, Watched};
 
 /// The delay before a failed read of a batch is repeated.
 const READ_RETRY_DELAY: Duration = Duration::from_millis(300);
@@ -65,14 +66,21 @@
     store::watch_kind(
         client,
         gateway.store_availability.clone(),
-        names::VERSION_KIND,
-        Duration::ZERO,
+        Watched {
+            kind: names::VERSION_KIND,
+            fact: Fact::Versions,
+            debounce: Duration::ZERO,
+        },
         |event| match event {
             Event::All(objects) => objects
                 .iter()
                 .for_each(|object| apply_version(&gateway, object)),
             Event::Changed(object) => apply_version(&gateway, object),
-            Event::Removed(_) | Event::Answered(_) | Event::WatchLost | Event::StoreFailed => {}
+            Event::Removed(_)
+            | Event::Answered(_)
+            | Event::WatchLost
+            | Event::StoreFailed
+            | Event::Overdue => {}
         },
     )
     .await;
@@ -102,8 +110,11 @@
     store::watch_kind(
         client,
         gateway.store_availability.clone(),
-        schema::MANIFESTS,
-        Duration::ZERO,
+        Watched {
+            kind: schema::MANIFESTS,
+            fact: Fact::Batches,
+            debounce: Duration::ZERO,
+        },
         |event| match event {
             // An earlier scheduler may have written results of batches that exist already.
             Event::All(objects) => objects
@@ -111,7 +122,7 @@
                 .for_each(|object| apply_manifest(&gateway, object, EarlierScheduler::Possible)),
             Event::Changed(object) => apply_manifest(&gateway, object, EarlierScheduler::None),
             Event::Removed(object) => gateway.coordinator.end_batch(&object.name),
-            Event::Answered(_) | Event::WatchLost | Event::StoreFailed => {}
+            Event::Answered(_) | Event::WatchLost | Event::StoreFailed | Event::Overdue => {}
         },
     )
     .await;
--- a/crates/gateway/src/configuration/asking.rs
+++ b/crates/gateway/src/configuration/asking.rs
@@ -10,7 +10,7 @@
 
 use super::Configuration;
 use super::state::millis;
-use crate::gateway::now;
+use crate::gateway::{now, sleep_until};
 use crate::metrics::Metrics;
 use crate::peer::Error;
 use crate::store::Availability;
@@ -69,15 +69,6 @@
     }
 }
 
-/// Waits until a round of questions is due; forever if none will be. While no other gateway is known,
-/// looks again after the shortest time between two rounds.
-async fn sleep_until(round: Option<Instant>) {
-    let Some(round) = round else {
-        return std::future::pending().await;
-    };
-    tokio::time::sleep(round.since(now())).await;
-}
-
 fn begin_round(configuration: &Configuration, peers: &[SocketAddr]) -> Vec<SocketAddr> {
     let mut relay = configuration.relay.borrow_mut();
     let asked = relay.begin_round(now(), peers);
--- a/crates/gateway/src/configuration/mod.rs
+++ b/crates/gateway/src/configuration/mod.rs
@@ -8,4 +8,4 @@
 mod state;
 
 pub use asking::{Links, run};
-pub use state::{Configuration, WATCH_LIMIT};
+pub use state::Configuration;
--- a/crates/gateway/src/configuration/state.rs
+++ b/crates/gateway/src/configuration/state.rs
@@ -8,12 +8,6 @@
 use tamaracksail_wire::peer::{Configuration as Text, Response as PeerResponse};
 use tokio::sync::Notify;
 
-/// How long a watch of the configuration may wait for a change while client accounts are
-/// configured. If a report is lost without a probe of the store failing, the next watch brings it:
-/// less than 4 s after the path to the store is whole again, from when on a revoked key must be
-/// refused.
-pub const WATCH_LIMIT: Duration = Duration::from_millis(2500);
-
 /// What this process knows of the newest configuration.
 #[derive(Debug)]
 pub struct Configuration {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -12,6 +12,7 @@
 use tamaracksail_model::table::Table;
 use tamaracksail_model::time::Instant;
 use tamaracksail_policy::fleet::Fleet;
+use tamaracksail_policy::freshness::Bounds;
 use tamaracksail_policy::limit::Limiter;
 use tamaracksail_policy::memory::Budget;
 use tamaracksail_policy::stop::Stop;
@@ -88,9 +89,15 @@
         let incarnation = rand::random::<u64>() >> 11;
         let coordinator = Coordinator::new(&settings, incarnation);
         let store = store::Client::new(settings.store);
-        let store_availability = Availability::default();
         let http = http::Client::default();
         let metrics = Metrics::new();
+        let bounds = Bounds {
+            configuration: settings.configuration_bound,
+            drain: settings.drain_window,
+            cancel: settings.cancel_bound,
+            stable: settings.stable_time,
+        };
+        let store_availability = Availability::new(bounds, metrics.watch_checks.clone());
         let usage = Usage::new(&settings, incarnation, || usage::Connections {
             store: store.clone(),
             store_availability: store_availability.clone(),
@@ -179,6 +186,14 @@
     Instant(seconds * 1_000_000 + nanos / 1000)
 }
 
+/// Waits until `at`; forever if there is none.
+pub async fn sleep_until(at: Option<Instant>) {
+    match at {
+        Some(at) => tokio::time::sleep(at.since(now())).await,
+        None => std::future::pending().await,
+    }
+}
+
 /// The address at which other gateways reach the gateway with these settings.
 pub fn peer_address(settings: &Settings) -> SocketAddr {
     SocketAddr::new(settings.address, settings.internal_ports.0)
--- a/crates/gateway/src/limits/sharing.rs
+++ b/crates/gateway/src/limits/sharing.rs
@@ -6,6 +6,7 @@
 
 use tamaracksail_adapter::store::Object;
 use tamaracksail_policy::fleet::ServerKey;
+use tamaracksail_policy::freshness::Fact;
 use tamaracksail_policy::limit::Authority;
 use tamaracksail_wire::peer::{Request as PeerRequest, ServerLimit};
 
@@ -14,7 +15,7 @@
 use super::publication::{KIND, NAME, Publication};
 use crate::batches;
 use crate::gateway::{Gateway, now};
-use crate::store::{self, Event};
+use crate::store::{self, Event, Watched};
 
 /// The time over which changes are collected, and the time between two writes.
 const SHARE_INTERVAL: Duration = Duration::from_millis(500);
@@ -94,14 +95,21 @@
     store::watch_kind(
         gateway.store.clone(),
         gateway.store_availability.clone(),
-        KIND,
-        WATCH_DEBOUNCE,
+        Watched {
+            kind: KIND,
+            fact: Fact::Limits,
+            debounce: WATCH_DEBOUNCE,
+        },
         |event| match event {
             Event::All(objects) => objects
                 .iter()
                 .for_each(|object| merge(&gateway, object, Written::Before)),
             Event::Changed(object) => merge(&gateway, object, Written::JustNow),
-            Event::Removed(_) | Event::Answered(_) | Event::WatchLost | Event::StoreFailed => {}
+            Event::Removed(_)
+            | Event::Answered(_)
+            | Event::WatchLost
+            | Event::StoreFailed
+            | Event::Overdue => {}
         },
     )
     .await;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -71,6 +71,8 @@
     pub routes_questions: IntCounterVec,
     /// The error of the estimate of true time, in milliseconds.
     pub clock_error_ms: IntGauge,
+    /// Calls beside watches of the store, by kind of objects and outcome.
+    pub watch_checks: IntCounterVec,
 }
 
 impl Metrics {
@@ -173,6 +175,11 @@
                 "clock_error_ms",
                 "The error of the estimate of true time, in milliseconds.",
             ),
+            watch_checks: metrics.counters(
+                "watch_checks",
+                "Calls beside watches of the store, by kind of objects and outcome.",
+                &["kind", "outcome"],
+            ),
             registry: metrics.registry,
         }
     }
--- a/crates/gateway/src/streams/membership.rs
+++ b/crates/gateway/src/streams/membership.rs
@@ -6,11 +6,12 @@
 
 use tamaracksail_adapter::store::Object;
 use tamaracksail_model::plain;
+use tamaracksail_policy::freshness::Fact;
 
 use super::software;
 use crate::batches::has_spare_cpu;
 use crate::gateway::Gateway;
-use crate::store::{self, Event};
+use crate::store::{self, Event, Watched};
 
 /// The kind of these objects. Each has the name of the gateway's host.
 const KIND: &str = "gateways";
@@ -62,8 +63,11 @@
     store::watch_kind(
         gateway.store.clone(),
         gateway.store_availability.clone(),
-        KIND,
-        WATCH_DEBOUNCE,
+        Watched {
+            kind: KIND,
+            fact: Fact::Gateways,
+            debounce: WATCH_DEBOUNCE,
+        },
         |event| match event {
             Event::All(objects) => {
                 let hosts: Vec<&str> = objects.iter().map(|object| &*object.name).collect();
@@ -74,7 +78,7 @@
             }
             Event::Changed(object) => add(&gateway, object),
             Event::Removed(object) => members.borrow_mut().remove(&object.name),
-            Event::Answered(_) | Event::WatchLost | Event::StoreFailed => {}
+            Event::Answered(_) | Event::WatchLost | Event::StoreFailed | Event::Overdue => {}
         },
     )
     .await;
--- a/crates/gateway/src/streams/software.rs
+++ b/crates/gateway/src/streams/software.rs
@@ -16,11 +16,12 @@
 use tamaracksail_model::route::{Kind, Route};
 use tamaracksail_model::time::Instant;
 use tamaracksail_policy::fleet::ServerKey;
+use tamaracksail_policy::freshness::Fact;
 use tamaracksail_policy::streams::{Observed, SETTLE_TIME, SoftwareRecord};
 use tokio::sync::Notify;
 
 use crate::gateway::{Gateway, now};
-use crate::store::{self, Event};
+use crate::store::{self, Event, Watched};
 
 /// The kind of the records. Each has the name of a service.
 const KIND: &str = "software";
@@ -120,8 +121,11 @@
     store::watch_kind(
         gateway.store.clone(),
         gateway.store_availability.clone(),
-        KIND,
-        Duration::ZERO,
+        Watched {
+            kind: KIND,
+            fact: Fact::Software,
+            debounce: Duration::ZERO,
+        },
         |event| {
             match event {
                 Event::All(objects) => {
@@ -142,7 +146,7 @@
                         known.remove(&object.name);
                     }
                 }
-                Event::Answered(_) | Event::WatchLost | Event::StoreFailed => return,
+                Event::Answered(_) | Event::WatchLost | Event::StoreFailed | Event::Overdue => return,
             }
             software.changed.notify_waiters();
             software.check();
--- a/crates/gateway/src/suspects/sharing.rs
+++ b/crates/gateway/src/suspects/sharing.rs
@@ -5,12 +5,13 @@
 use std::time::Duration;
 
 use tamaracksail_adapter::store::Object;
+use tamaracksail_policy::freshness::Fact;
 use tamaracksail_policy::request::suspects::SUSPECT_LIFETIME;
 use tamaracksail_wire::Suspect;
 
 use super::publication::{KIND, MAX_CONTENTS, Publication};
 use crate::gateway::{Gateway, now};
-use crate::store::{self, Event};
+use crate::store::{self, Event, Watched};
 
 /// The delay before the first crash of a content is published. Most requests under which a server
 /// ends for another reason complete at another server within this time, which ends the suspicion.
@@ -41,8 +42,11 @@
     store::watch_kind(
         client,
         availability,
-        KIND,
-        WATCH_DEBOUNCE,
+        Watched {
+            kind: KIND,
+            fact: Fact::Suspects,
+            debounce: WATCH_DEBOUNCE,
+        },
         |event| match event {
             Event::All(objects) => {
                 gateway.suspects.revisions.replace(Some(BTreeMap::new()));
@@ -63,7 +67,7 @@
                     publish_missing(&gateway, &[]);
                 }
             }
-            Event::Answered(_) | Event::WatchLost | Event::StoreFailed => {}
+            Event::Answered(_) | Event::WatchLost | Event::StoreFailed | Event::Overdue => {}
         },
     )
     .await;
--- a/crates/gateway/src/usage/reporting.rs
+++ b/crates/gateway/src/usage/reporting.rs
@@ -7,11 +7,12 @@
 use tamaracksail_model::time::Instant;
 use tamaracksail_model::usage::Report;
 use tamaracksail_policy::duty::{Member, Record, Write, rank};
+use tamaracksail_policy::freshness::Fact;
 use tamaracksail_wire::peer::Reporter;
 
 use super::state::{Usage, View};
 use crate::gateway::now;
-use crate::store::{self, Event};
+use crate::store::{self, Event, Watched};
 
 /// The kind of the object.
 const KIND: &str = "duties";
@@ -108,8 +109,11 @@
                 store::watch_kind(
                     connections.store.clone(),
                     connections.store_availability.clone(),
-                    KIND,
-                    Duration::ZERO,
+                    Watched {
+                        kind: KIND,
+                        fact: Fact::Duties,
+                        debounce: Duration::ZERO,
+                    },
                     |event| usage.observe_event(&event),
                 )
                 .await;
@@ -131,7 +135,8 @@
             | Event::Removed(_)
             | Event::Answered(_)
             | Event::WatchLost
-            | Event::StoreFailed => {}
+            | Event::StoreFailed
+            | Event::Overdue => {}
         }
     }
 
--- a/crates/gateway/src/version/retirements.rs
+++ b/crates/gateway/src/version/retirements.rs
@@ -7,9 +7,10 @@
 use tamaracksail_adapter::names;
 use tamaracksail_adapter::retirement::{self, State, Status};
 use tamaracksail_adapter::store::{Error, Object};
+use tamaracksail_policy::freshness::Fact;
 
 use crate::gateway::Gateway;
-use crate::store::{self, Event};
+use crate::store::{self, Event, Watched};
 
 /// The longest random delay before a gateway completes a request. All gateways see it at once, and
 /// with the delay mostly a single one writes.
@@ -24,14 +25,21 @@
     store::watch_kind(
         client,
         gateway.store_availability.clone(),
-        names::RETIREMENT_KIND,
-        Duration::ZERO,
+        Watched {
+            kind: names::RETIREMENT_KIND,
+            fact: Fact::Retirements,
+            debounce: Duration::ZERO,
+        },
         |event| match event {
             Event::All(objects) => objects
                 .iter()
                 .for_each(|object| complete_later(&gateway, object)),
             Event::Changed(object) => complete_later(&gateway, object),
-            Event::Removed(_) | Event::Answered(_) | Event::WatchLost | Event::StoreFailed => {}
+            Event::Removed(_)
+            | Event::Answered(_)
+            | Event::WatchLost
+            | Event::StoreFailed
+            | Event::Overdue => {}
         },
     )
     .await;
--- a/crates/gateway/src/version/routes.rs
+++ b/crates/gateway/src/version/routes.rs
@@ -7,13 +7,14 @@
 use tamaracksail_adapter::{manifest, names};
 use tamaracksail_model::route::{Kind, Route};
 use tamaracksail_model::table::Table;
+use tamaracksail_policy::freshness::Fact;
 use tamaracksail_policy::relay::{ANSWER_TIMEOUT, Source};
 use tamaracksail_wire::peer::Response as PeerResponse;
 
-use crate::configuration::{self, Links, WATCH_LIMIT};
+use crate::configuration::{self, Links};
 use crate::gateway::{Gateway, now};
 use crate::peer;
-use crate::store::{self, Event};
+use crate::store::{self, Event, Watched};
 use crate::streams;
 
 /// The pause before routes that another gateway already has are read again, after a read that did not
@@ -53,19 +54,24 @@
 pub async fn watch(gateway: Rc<Gateway>) {
     let client = gateway.store.clone();
     let configuration = &gateway.configuration;
-    store::watch_kind_within(
+    let watched = Watched {
+        kind: names::ROUTES_KIND,
+        fact: Fact::Routes,
+        debounce: Duration::ZERO,
+    };
+    store::watch_kind(
         client,
         gateway.store_availability.clone(),
-        names::ROUTES_KIND,
-        Duration::ZERO,
-        || configuration.is_relayed().then_some(WATCH_LIMIT),
+        watched,
         |event| match event {
             Event::All(objects) => objects.iter().for_each(|object| apply(&gateway, object)),
             Event::Changed(object) => apply(&gateway, object),
             Event::Answered(known_at) => configuration.record_read(known_at),
             // Without newer routes, those in force stay.
             Event::Removed(_) => {}
-            Event::WatchLost | Event::StoreFailed => configuration.record_read_failure(),
+            Event::WatchLost | Event::StoreFailed | Event::Overdue => {
+                configuration.record_read_failure();
+            }
         },
     )
     .await;
--- a/crates/gateway/src/version/servers.rs
+++ b/crates/gateway/src/version/servers.rs
@@ -10,12 +10,13 @@
 use tamaracksail_model::backend::{Registration, State};
 use tamaracksail_model::time::Instant;
 use tamaracksail_policy::expiry::{Expiry, Verdict};
+use tamaracksail_policy::freshness::Fact;
 use tamaracksail_policy::limit::Observation;
 use tokio::sync::Notify;
 
 use crate::batches;
-use crate::gateway::{Gateway, now};
-use crate::store::{self, Access, Availability, Event};
+use crate::gateway::{Gateway, now, sleep_until};
+use crate::store::{self, Access, Availability, Event, Watched};
 use crate::streams;
 
 /// The share of the drain window of servers for which changes are coalesced. Loading of weights
@@ -33,38 +34,37 @@
         .drain_window
         .mul_f64(DEBOUNCE_SHARE);
     let departures = Departures::default();
-    let watch = store::watch_kind(
-        client,
-        availability.clone(),
-        names::SERVER_KIND,
+    let watched = Watched {
+        kind: names::SERVER_KIND,
+        fact: Fact::Servers,
         debounce,
-        |event| {
-            departures.observe(now(), &event, &availability);
-            match event {
-                Event::All(objects) => {
-                    let mut listed = BTreeSet::new();
-                    for object in objects {
-                        listed.insert(&object.name);
-                        departures.register(&object.name);
-                        apply(&gateway, object);
-                    }
-                    let known: Vec<String> = gateway.fleet.borrow().instances().cloned().collect();
-                    for instance in known.iter().filter(|known| !listed.contains(known)) {
-                        departures.remove(&gateway, instance);
-                    }
-                    gateway.has_server_list.set(true);
-                    gateway.streams.record_list();
-                }
-                Event::Changed(object) => {
+    };
+    let watch = store::watch_kind(client, availability.clone(), watched, |event| {
+        departures.observe(now(), &event, &availability);
+        match event {
+            Event::All(objects) => {
+                let mut listed = BTreeSet::new();
+                for object in objects {
+                    listed.insert(&object.name);
                     departures.register(&object.name);
                     apply(&gateway, object);
                 }
-                Event::Removed(object) => departures.remove(&gateway, &object.name),
-                Event::Answered(_) | Event::WatchLost | Event::StoreFailed => {}
+                let known: Vec<String> = gateway.fleet.borrow().instances().cloned().collect();
+                for instance in known.iter().filter(|known| !listed.contains(known)) {
+                    departures.remove(&gateway, instance);
+                }
+                gateway.has_server_list.set(true);
+                gateway.streams.record_list();
+            }
+            Event::Changed(object) => {
+                departures.register(&object.name);
+                apply(&gateway, object);
             }
-            departures.changed.notify_one();
-        },
-    );
+            Event::Removed(object) => departures.remove(&gateway, &object.name),
+            Event::Answered(_) | Event::WatchLost | Event::StoreFailed | Event::Overdue => {}
+        }
+        departures.changed.notify_one();
+    });
     tokio::join!(watch, departures.run(&gateway));
 }
 
@@ -81,7 +81,7 @@
     fn observe(&self, now: Instant, event: &Event, availability: &Availability) {
         let mut expiry = self.expiry.borrow_mut();
         match event {
-            Event::WatchLost => return,
+            Event::WatchLost | Event::Overdue => return,
             Event::StoreFailed => return expiry.record_failure(),
             _ => expiry.record_answer(now),
         }
@@ -126,14 +126,6 @@
     }
 }
 
-/// Waits until `end`; forever if there is none.
-async fn sleep_until(end: Option<Instant>) {
-    match end {
-        Some(end) => tokio::time::sleep(end.since(now())).await,
-        None => std::future::pending().await,
-    }
-}
-
 /// Updates the server of a registration; removes it if the registration is malformed.
 fn apply(gateway: &Rc<Gateway>, object: &Object) {
     match discovery::parse(object) {
--- /dev/null
+++ b/crates/policy/src/freshness.rs
@@ -0,0 +1,20 @@
+//! How old a process lets what it knows of the platform's store become.
+//!
+//! A watch of the store reports changes as they are made, but a store or a connection may fail without a
+//! sign: a watch is never answered, or waits on a connection that brings nothing any more. So each kind of
+//! fact has a bound on its age, and before that is reached the store is asked again.
+//!
+//! A current read is charged in full. A stale read costs a tenth and may be out of date, but it states the
+//! revision of the store that it shows. Once one current read has told which revision the store was at, stale
+//! reads at that revision or later confirm all other facts. This is the read index of replicated logs, with the
+//! stale replica as the follower.
+
+mod bounds;
+mod fact;
+mod index;
+mod watch;
+
+pub use bounds::Bounds;
+pub use fact::{Fact, Overdue};
+pub use index::Index;
+pub use watch::{Answer, Call, Check, Failure, Finding, Loss, MAX_WAIT, Watch};
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -26,6 +26,7 @@
 //! - [`relay::Relay`]: the configuration in force at a gateway, and whom it asks for a newer one;
 //! - [`clock::Clock`]: true time, whatever steps the time of day makes;
 //! - [`lease::Lease`]: which process is the scheduling gateway;
+//! - [`freshness::Watch`]: when the store is asked again for what a process watches;
 //! - [`expiry::Expiry`]: which registrations that disappeared from the store still count;
 //! - [`stop::Stop`]: until when a stopping process serves, and what it still accepts;
 //! - [`duty::Duty`]: which process reports, and until when it may send;
@@ -45,6 +46,7 @@
 pub mod entry;
 pub mod expiry;
 pub mod fleet;
+pub mod freshness;
 pub mod lease;
 pub mod limit;
 pub mod locality;
--- /dev/null
+++ b/crates/policy/tests/freshness.rs
@@ -0,0 +1,482 @@
+//! Property tests of watches before a store whose answers are lost, cut, delayed, refused or out of date.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use proptest::prelude::*;
+use tamaracksail_model::time::Instant;
+use tamaracksail_policy::freshness::{
+    Answer, Bounds, Call, Check, Fact, Failure, Finding, Index, MAX_WAIT, Watch,
+};
+
+const BOUNDS: Bounds = Bounds {
+    configuration: Duration::from_secs(2),
+    drain: Duration::from_secs(2),
+    cancel: Duration::from_secs(3),
+    stable: Duration::from_secs(3),
+};
+
+/// The facts of one process. Their kinds in the store have the same numbers.
+const FACTS: [Fact; 4] = [Fact::Routes, Fact::Servers, Fact::Batches, Fact::Suspects];
+
+/// The length of a step of time, in milliseconds.
+const STEP_MS: u64 = 10;
+
+/// How long an answer is on its way, in milliseconds.
+const TRIP_MS: u64 = 10;
+
+/// The time limit on a call that does not wait, in milliseconds.
+const LIMIT_MS: u64 = 800;
+
+/// How long a play lasts, in milliseconds.
+const LENGTH_MS: u64 = 60_000;
+
+/// What the store does with calls for a while.
+#[derive(Clone, Copy, Debug)]
+enum Fault {
+    /// Calls that arrive or are due get no answer, and their connections bring nothing more.
+    Silent,
+    /// The connections of calls that arrive or wait are closed.
+    Cut,
+    /// Answers take half a second.
+    Slow,
+    /// Calls that arrive are refused.
+    Refuses,
+    /// Watches that wait or arrive hear nothing, then the history is dropped. Calls that do not wait are
+    /// answered.
+    Deaf,
+    /// The history is dropped.
+    Compacts,
+    /// Stale reads show what the store had two seconds ago.
+    Lags,
+}
+
+/// A fault of calls of one kind, or of all.
+#[derive(Clone, Copy, Debug)]
+struct Disturbance {
+    start_ms: u64,
+    length_ms: u64,
+    kind: Option<usize>,
+    fault: Fault,
+}
+
+impl Disturbance {
+    fn applies(&self, now_ms: u64, kind: usize) -> bool {
+        let end_ms = self.start_ms + self.length_ms;
+        (self.start_ms..end_ms).contains(&now_ms) && self.kind.is_none_or(|own| own == kind)
+    }
+}
+
+/// The store: the times and revisions of the changes of each kind.
+struct Store {
+    disturbances: Vec<Disturbance>,
+    /// The changes: when each was made, of which kind.
+    changes: Vec<(u64, usize)>,
+}
+
+impl Store {
+    fn fault(&self, now_ms: u64, kind: usize) -> Option<Fault> {
+        let mut found = self.disturbances.iter();
+        found
+            .find(|disturbance| disturbance.applies(now_ms, kind))
+            .map(|disturbance| disturbance.fault)
+    }
+
+    /// The number of changes until a time, which is the store's revision then.
+    fn revision(&self, at_ms: u64) -> u64 {
+        let made = self.changes.iter().filter(|(made_ms, _)| *made_ms <= at_ms);
+        made.count() as u64
+    }
+
+    fn has_change(&self, kind: usize, since: u64, until: u64) -> bool {
+        let numbered = (1..).zip(&self.changes);
+        let mut between = numbered.filter(|(number, _)| (since + 1..=until).contains(number));
+        between.any(|(_, (_, of))| *of == kind)
+    }
+
+    /// The revision until which the history was dropped.
+    fn dropped(&self, now_ms: u64) -> u64 {
+        let drops = self
+            .disturbances
+            .iter()
+            .filter_map(|found| match found.fault {
+                Fault::Compacts => Some(found.start_ms),
+                Fault::Deaf => Some(found.start_ms + found.length_ms),
+                _ => None,
+            });
+        let last = drops.filter(|at_ms| *at_ms <= now_ms).max();
+        last.map_or(0, |at_ms| self.revision(at_ms))
+    }
+
+    /// When the last disturbance before `now_ms` ended; the present time in one.
+    fn disturbed_at(&self, now_ms: u64) -> u64 {
+        let begun = self
+            .disturbances
+            .iter()
+            .filter(|found| found.start_ms <= now_ms);
+        let ends = begun.map(|found| (found.start_ms + found.length_ms).min(now_ms));
+        ends.max().unwrap_or(0)
+    }
+}
+
+/// When an answer arrives, and the revision that it shows with whether it has changes.
+type Arrival = (u64, Result<(u64, bool), Failure>);
+
+/// A call on its way.
+#[derive(Clone, Copy, Debug)]
+enum Sent {
+    Main(Call),
+    Beside(Check),
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Pending {
+    sent: Sent,
+    sent_ms: u64,
+    /// Whether the connection brings nothing any more.
+    is_dead: bool,
+    /// Whether the watch hears of no changes.
+    is_deaf: bool,
+    /// When the answer arrives, and what it is; none while the store holds the call.
+    answer: Option<Arrival>,
+}
+
+impl Pending {
+    fn since(&self) -> Option<u64> {
+        match self.sent {
+            Sent::Main(Call::List) => None,
+            Sent::Main(Call::Wait { since } | Call::Read { since })
+            | Sent::Beside(Check::Stale { since, .. } | Check::Current { since }) => Some(since),
+        }
+    }
+
+    fn is_waiting(&self) -> bool {
+        matches!(self.sent, Sent::Main(Call::Wait { .. }))
+    }
+
+    /// Lets the store act on the call.
+    fn step(&mut self, store: &Store, now_ms: u64, kind: usize) {
+        if self.is_dead || self.answer.is_some() {
+            return;
+        }
+        let fault = store.fault(now_ms, kind);
+        let arrives = now_ms == self.sent_ms;
+        let current = store.revision(now_ms);
+        let since = self.since();
+        let shown = match (self.sent, fault) {
+            (Sent::Beside(Check::Stale { .. }), Some(Fault::Lags)) => {
+                store.revision(now_ms.saturating_sub(2000))
+            }
+            _ => current,
+        };
+        let has_changes = since.is_none_or(|since| store.has_change(kind, since, shown));
+        let waited = now_ms >= self.sent_ms + millis(MAX_WAIT);
+        let is_heard = has_changes && !self.is_deaf;
+        let is_due = !self.is_waiting() || is_heard || waited;
+        let is_gone = arrives && since.is_some_and(|since| since < store.dropped(now_ms));
+        let reply = |delay_ms: u64, result| Some((now_ms + delay_ms, result));
+        match fault {
+            Some(Fault::Silent) if is_due || arrives => self.is_dead = true,
+            Some(Fault::Cut) => self.answer = reply(TRIP_MS, Err(Failure::Other)),
+            Some(Fault::Refuses) if arrives => {
+                self.answer = reply(TRIP_MS, Err(Failure::Other));
+            }
+            Some(Fault::Deaf) if self.is_waiting() => self.is_deaf = true,
+            _ if is_gone => self.answer = reply(TRIP_MS, Err(Failure::HistoryGone)),
+            Some(Fault::Slow) if is_due => self.answer = reply(500, Ok((shown, has_changes))),
+            _ if is_due && !(self.is_deaf && has_changes) => {
+                self.answer = reply(TRIP_MS, Ok((shown, has_changes)));
+            }
+            _ => {}
+        }
+    }
+}
+
+/// The watch of one kind, driven as a process does it.
+struct Driver {
+    watch: Watch,
+    kind: usize,
+    main: Option<Pending>,
+    beside: Option<Pending>,
+    resume_ms: u64,
+    /// All changes of the kind until this revision were reported.
+    reported: u64,
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).expect("a short time")
+}
+
+fn instant(ms: u64) -> Instant {
+    Instant::from_millis(ms)
+}
+
+impl Driver {
+    fn fail(&mut self, now_ms: u64, sent: Sent, failure: Failure) {
+        let call = match sent {
+            Sent::Main(call) => call,
+            Sent::Beside(Check::Stale { since, .. } | Check::Current { since }) => {
+                Call::Read { since }
+            }
+        };
+        let (_, pause) = self.watch.failed(call, failure);
+        self.main = None;
+        self.beside = None;
+        self.resume_ms = now_ms + millis(pause);
+    }
+
+    fn pending(sent: Sent, now_ms: u64) -> Pending {
+        Pending {
+            sent,
+            sent_ms: now_ms,
+            is_dead: false,
+            is_deaf: false,
+            answer: None,
+        }
+    }
+
+    /// Carries out what is due. Returns an index if one was learned.
+    fn step(&mut self, store: &Store, now_ms: u64, index: Option<Index>) -> Option<Index> {
+        let mut learned = None;
+        if self.main.is_none() && now_ms >= self.resume_ms {
+            self.main = Some(Self::pending(Sent::Main(self.watch.next()), now_ms));
+        }
+        let is_waiting = self.main.is_some_and(|main| main.is_waiting());
+        if is_waiting
+            && self.beside.is_none()
+            && let Some((due, check)) = self.watch.check(index)
+            && instant(now_ms) >= due
+        {
+            self.beside = Some(Self::pending(Sent::Beside(check), now_ms));
+        }
+        for pending in [&mut self.main, &mut self.beside].into_iter().flatten() {
+            pending.step(store, now_ms, self.kind);
+        }
+        if let Some(pending) = self.beside {
+            learned = self.finish_check(pending, now_ms);
+        }
+        if let Some(pending) = self.main {
+            learned = self.finish_main(pending, now_ms).or(learned);
+        }
+        learned
+    }
+
+    fn finish_main(&mut self, pending: Pending, now_ms: u64) -> Option<Index> {
+        let Sent::Main(call) = pending.sent else {
+            return None;
+        };
+        let is_late = !pending.is_waiting() && now_ms >= pending.sent_ms + LIMIT_MS;
+        let (revision, has_changes) = match pending.answer {
+            Some((at_ms, Ok(answer))) if now_ms >= at_ms => answer,
+            Some((at_ms, Err(failure))) if now_ms >= at_ms => {
+                self.fail(now_ms, pending.sent, failure);
+                return None;
+            }
+            _ if is_late => {
+                self.fail(now_ms, pending.sent, Failure::Other);
+                return None;
+            }
+            _ => return None,
+        };
+        self.main = None;
+        self.beside = None;
+        self.reported = self.reported.max(revision);
+        let answer = Answer {
+            sent_at: instant(pending.sent_ms),
+            revision,
+            has_changes,
+        };
+        Some(self.watch.answered(instant(now_ms), call, answer))
+    }
+
+    fn finish_check(&mut self, pending: Pending, now_ms: u64) -> Option<Index> {
+        let Sent::Beside(check) = pending.sent else {
+            return None;
+        };
+        let is_stale = matches!(check, Check::Stale { .. });
+        let is_late = now_ms >= pending.sent_ms + LIMIT_MS;
+        let result = match pending.answer {
+            Some((at_ms, result)) if now_ms >= at_ms => result,
+            _ if is_late => Err(Failure::Other),
+            _ => return None,
+        };
+        self.beside = None;
+        let (revision, has_changes) = match result {
+            Ok(answer) => answer,
+            Err(Failure::Other) if is_stale => {
+                self.watch.stale_failed(instant(now_ms));
+                return None;
+            }
+            Err(failure) => {
+                self.fail(now_ms, pending.sent, failure);
+                return None;
+            }
+        };
+        self.reported = self.reported.max(revision);
+        let sent_at = instant(pending.sent_ms);
+        let answer = Answer {
+            sent_at,
+            revision,
+            has_changes,
+        };
+        let finding = self.watch.checked(instant(now_ms), check, answer);
+        if has_changes {
+            self.main = None;
+        }
+        match finding {
+            Finding::Confirmed(at) if !is_stale => Some(Index {
+                at,
+                revision,
+                learned_at: instant(now_ms),
+            }),
+            _ => None,
+        }
+    }
+}
+
+/// What a play showed.
+#[derive(Debug, Default)]
+struct Tally {
+    /// The longest time that a change was unknown while the store was undisturbed, by kind.
+    oldest_ms: BTreeMap<usize, u64>,
+    /// Calls: watches, current reads and lists, and stale reads.
+    watches: u64,
+    reads: u64,
+    stale_reads: u64,
+}
+
+/// Plays watches of all kinds, and checks at each step that no change that is older than the bound of its
+/// fact is unknown while the store has been undisturbed for the time after which bounds hold.
+fn play(disturbances: Vec<Disturbance>, changes: &[(u64, usize)]) -> Result<Tally, String> {
+    let mut changes = changes.to_vec();
+    changes.sort_unstable();
+    let store = Store {
+        disturbances,
+        changes,
+    };
+    let mut drivers: Vec<Driver> = FACTS
+        .iter()
+        .enumerate()
+        .map(|(kind, fact)| Driver {
+            watch: Watch::new(*fact, fact.bound(&BOUNDS)),
+            kind,
+            main: None,
+            beside: None,
+            resume_ms: 0,
+            reported: 0,
+        })
+        .collect();
+    let mut index: Option<Index> = None;
+    let mut tally = Tally::default();
+    for now_ms in (0..LENGTH_MS / STEP_MS).map(|step| step * STEP_MS) {
+        for number in 0..drivers.len() {
+            let (main, beside) = (drivers[number].main, drivers[number].beside);
+            let learned = drivers[number].step(&store, now_ms, index);
+            let driver = &drivers[number];
+            if main.is_none() && driver.main.is_some() {
+                match driver.watch.next() {
+                    Call::Wait { .. } => tally.watches += 1,
+                    Call::List | Call::Read { .. } => tally.reads += 1,
+                }
+            }
+            match driver.beside.map(|beside| beside.sent) {
+                Some(Sent::Beside(Check::Stale { .. })) if beside.is_none() => {
+                    tally.stale_reads += 1;
+                }
+                Some(Sent::Beside(Check::Current { .. })) if beside.is_none() => tally.reads += 1,
+                _ => {}
+            }
+            if let Some(learned) = learned {
+                let newest = learned.newer(index);
+                index = Some(newest);
+                for driver in &mut drivers {
+                    driver.watch.learn(newest);
+                }
+            }
+        }
+        let stable_ms = now_ms - store.disturbed_at(now_ms);
+        if stable_ms < millis(BOUNDS.stable) || now_ms < 3000 {
+            continue;
+        }
+        for driver in &drivers {
+            let unknown = store
+                .changes
+                .iter()
+                .enumerate()
+                .find(|(number, (_, kind))| {
+                    *kind == driver.kind && *number as u64 >= driver.reported
+                });
+            let Some((_, (made_ms, _))) = unknown.filter(|(_, (made, _))| *made <= now_ms) else {
+                continue;
+            };
+            let age_ms = now_ms - made_ms;
+            let oldest = tally.oldest_ms.entry(driver.kind).or_default();
+            *oldest = age_ms.max(*oldest);
+            if age_ms > millis(driver.watch.bound()) {
+                let fact = FACTS[driver.kind];
+                return Err(format!(
+                    "{fact:?} at {now_ms} ms: a change of {made_ms} ms is unknown"
+                ));
+            }
+        }
+    }
+    Ok(tally)
+}
+
+fn disturbance() -> impl Strategy<Value = Disturbance> {
+    let fault = prop_oneof![
+        Just(Fault::Silent),
+        Just(Fault::Cut),
+        Just(Fault::Slow),
+        Just(Fault::Refuses),
+        Just(Fault::Deaf),
+        Just(Fault::Compacts),
+        Just(Fault::Lags),
+    ];
+    let kind = prop_oneof![Just(None), (0..FACTS.len()).prop_map(Some)];
+    (3000..LENGTH_MS - 5000, 10..4000_u64, kind, fault).prop_map(
+        |(start_ms, length_ms, kind, fault)| Disturbance {
+            start_ms: start_ms / STEP_MS * STEP_MS,
+            length_ms: length_ms / STEP_MS * STEP_MS,
+            kind,
+            fault,
+        },
+    )
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(400))]
+
+    // Guards against: a watch that is silent, cut, late, deaf or refused hides a change for longer than the
+    // fact's bound while the store is undisturbed.
+    #[test]
+    fn no_change_is_unknown_for_longer_than_its_bound(
+        disturbances in proptest::collection::vec(disturbance(), 0..8),
+        changes in proptest::collection::vec((0..LENGTH_MS, 0..FACTS.len()), 0..40),
+    ) {
+        let outcome = play(disturbances, &changes);
+        prop_assert!(outcome.is_ok(), "{outcome:?}");
+    }
+}
+
+// Guards against: the bound is kept by calls that are charged in full for each fact.
+#[test]
+fn facts_of_a_store_at_rest_cost_one_current_read_for_all() {
+    let tally = play(Vec::new(), &[]).expect("no change is unknown");
+    let seconds = LENGTH_MS / 1000;
+    let reads = u64::try_from(FACTS.len()).expect("a few") + seconds * 10 / 16 + 1;
+    assert!(tally.reads <= reads, "{tally:?}");
+    assert_eq!(tally.stale_reads, 0, "{tally:?}");
+}
+
+// Guards against: the same while the store changes all the time.
+#[test]
+fn facts_that_do_not_change_are_confirmed_by_stale_reads() {
+    let changes: Vec<(u64, usize)> = (0..LENGTH_MS / 100)
+        .map(|number| (number * 100, 3))
+        .collect();
+    let tally = play(Vec::new(), &changes).expect("no change is unknown");
+    let seconds = LENGTH_MS / 1000;
+    assert!(tally.reads <= seconds + FACTS.len() as u64, "{tally:?}");
+    assert!(tally.stale_reads > seconds / 2, "{tally:?}");
+}
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -222,6 +222,16 @@
     }
 }
 
+plain! {
+    /// A revision that the platform's store had reached.
+    pub struct StoreIndex {
+        /// The revision. No change that was confirmed before has a higher one.
+        pub revision: u64,
+        /// When that was, in microseconds since the arrival of the request; negative for a time before it.
+        pub since_arrival_us: i64,
+    }
+}
+
 plain! {
     /// A response to a [`Request`].
     pub enum Response {
@@ -235,6 +245,9 @@
             /// The peer's time, if it is known.
             #[serde(default)]
             time: Option<PeerTime>,
+            /// A revision that the store had reached, if the peer knows one.
+            #[serde(default)]
+            index: Option<StoreIndex>,
         },
         /// The peer does not hold the lease and will not act under the fencing token again.
         Released {
