Fail attempts whose response is cut short, and repeat none that was sent

Two faults of agents and entries, in one commit as one change of client mends both. Callers saw (1) a 200 with an empty body where the service had closed after the head of its response, and (2) 503 for a filing that may not be repeated and had run 11 times, where the service had closed without a response. Causes: (1) awc ends a body without an error when the connection closes, and the entry frames what came as whole; (2) awc reports a close before the head as ConnectError::Disconnected, which was taken as proof that nothing was sent. Change: agents send attempts with tamaracksail-http, whose errors tell a short body and whether anything was sent; entries and load commands use control::delivery::is_unsent, which leaves Disconnected out.

--- a/crates/agent/src/attempts.rs
+++ b/crates/agent/src/attempts.rs
@@ -7,6 +7,7 @@
 use actix_web::{HttpResponse, web};
 use bytes::{Bytes, BytesMut};
 use futures_util::Stream;
+use tamaracksail_http as http;
 use tamaracksail_model::id;
 use tamaracksail_policy::agent::Event;
 use tamaracksail_process::trace::{Span, SpanKind, Tracer};
@@ -29,10 +30,19 @@
     pub tracer: Tracer,
 }
 
+/// The clients of a traffic thread.
+#[derive(Clone, Default)]
+pub struct Clients {
+    /// For requests to the server. It tells a body that was cut short from a complete one.
+    pub server: http::Client,
+    /// For probes of the server.
+    pub probes: awc::Client,
+}
+
 /// Handles an attempt that an entry dispatched, and streams its frames back.
 pub async fn receive(
     state: web::Data<State>,
-    http: web::Data<awc::Client>,
+    clients: web::Data<Clients>,
     body: web::Bytes,
 ) -> HttpResponse {
     let received = match wire::decode::<wire::Attempt>(&body) {
@@ -53,7 +63,8 @@
     };
     let task = server::run_attempt(
         state.control.clone(),
-        awc::Client::clone(&http),
+        clients.server.clone(),
+        clients.probes.clone(),
         state.server.clone(),
         attempt,
         content,
--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -90,6 +90,7 @@
             .app_data(web::Data::new(router.clone()))
             .app_data(web::Data::new(state.clone()))
             .app_data(web::Data::new(awc::Client::default()))
+            .app_data(web::Data::new(attempts::Clients::default()))
             .app_data(web::Data::new(readiness.clone()))
             .app_data(registry.clone())
             .app_data(web::PayloadConfig::new(tamaracksail_wire::codec::MAX_BYTES))
--- a/crates/agent/src/server.rs
+++ b/crates/agent/src/server.rs
@@ -5,13 +5,16 @@
 use std::time::Duration;
 
 use actix::Addr;
-use awc::error::{PayloadError, SendRequestError};
-use awc::http::{Method, StatusCode};
+use awc::error::SendRequestError;
 use bytes::Bytes;
 use eventsource_stream::Eventsource;
-use futures_util::{Stream, StreamExt};
+use futures_util::{Stream, StreamExt, TryStreamExt, stream};
+use http_body_util::Full;
+use hyper::Request;
 use serde_json::Value;
+use tamaracksail_control::delivery::is_unsent;
 use tamaracksail_control::headers::end_to_end;
+use tamaracksail_http::{self as http, IncomingResponse};
 use tamaracksail_model::id;
 use tamaracksail_policy::agent::Event;
 use tamaracksail_wire::{Content, LoadCommand, Usage};
@@ -23,6 +26,9 @@
 /// How long a load command may take.
 const LOAD_TIMEOUT: Duration = Duration::from_mins(2);
 
+/// How long a connection to the server, on the same host, may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// How long a request may take if its entry does not cancel it earlier.
 const RUN_TIMEOUT: Duration = Duration::from_hours(1);
 
@@ -77,10 +83,23 @@
 /// Why a request to the server failed.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
-    /// The request could not be sent, or no response came in time.
+    /// The server's address is not known. Nothing was sent.
+    #[error("{operation} at {peer}: {cause}")]
+    Address {
+        /// The operation: `run`.
+        operation: &'static str,
+        /// The server's URL.
+        peer: String,
+        /// The cause.
+        cause: String,
+    },
+    /// The request of an attempt failed.
+    #[error("run: {0}")]
+    Run(#[from] http::Error),
+    /// A load command could not be sent, or no response came in time.
     #[error("{operation} at {peer}: {source}")]
     Send {
-        /// The operation: `run` or `load`.
+        /// The operation: `load`.
         operation: &'static str,
         /// The server's URL.
         peer: String,
@@ -105,20 +124,19 @@
         /// The server's URL.
         peer: String,
         /// The HTTP status.
-        status: StatusCode,
+        status: u16,
     },
 }
 
 impl Error {
     /// Returns whether the request may have reached the server.
     fn may_have_been_sent(&self) -> bool {
-        !matches!(
-            self,
-            Self::Send {
-                source: SendRequestError::Connect(_),
-                ..
-            }
-        )
+        match self {
+            Self::Address { .. } => false,
+            Self::Run(error) => !error.is_unsent(),
+            Self::Send { source, .. } => !is_unsent(source),
+            Self::Body { .. } | Self::Status { .. } => true,
+        }
     }
 }
 
@@ -126,7 +144,8 @@
 /// result to the control thread. The next directive, or the end of the channel, cancels it.
 pub async fn run_attempt(
     control: Addr<Control>,
-    http: awc::Client,
+    client: http::Client,
+    prober: awc::Client,
     server: Server,
     attempt: id::Attempt,
     content: Content,
@@ -135,17 +154,22 @@
     if directives.recv().await != Some(Directive::Run) {
         return;
     }
-    let execution = execute(&control, &http, &server, attempt, content);
+    let execution = execute(&control, &client, &server, attempt, content);
     // Dropping the execution closes the connection, upon which the server cancels the request.
+    let execution = tokio::time::timeout(RUN_TIMEOUT, execution);
     let result = tokio::select! {
-        result = execution => result,
+        result = execution => result.unwrap_or_else(|elapsed| {
+            let (operation, peer) = ("run", server.url.clone());
+            let cause = elapsed.to_string();
+            Err(Error::Body { operation, peer, cause })
+        }),
         _ = directives.recv() => return,
     };
     if let Err(error) = result {
         log::warn!("attempt {attempt}: {error}");
         // If the server crashed, the state machine must learn so before it learns that the attempt
         // failed.
-        control.do_send(ProbeResult(probe::probe(&http, &server).await));
+        control.do_send(ProbeResult(probe::probe(&prober, &server).await));
         control.do_send(Input(Event::Failed {
             attempt,
             sent: error.may_have_been_sent(),
@@ -156,46 +180,61 @@
 /// Sends the request of an attempt to the server and forwards the response to the control thread.
 async fn execute(
     control: &Addr<Control>,
-    http: &awc::Client,
+    client: &http::Client,
     server: &Server,
     attempt: id::Attempt,
     content: Content,
 ) -> Result<(), Error> {
     const OPERATION: &str = "run";
     let peer = server.url.clone();
-    let method = Method::from_str(&content.method).unwrap_or(Method::GET);
-    let url = format!("{}{}", server.url, content.path);
-    let mut request = http
-        .request(method, url)
-        .timeout(RUN_TIMEOUT)
-        .no_decompress();
-    for header in &content.headers {
-        request = request.insert_header((header.name.as_str(), header.value.as_str()));
-    }
-    let response = request.send_body(content.body).await;
-    let response = response.map_err(|source| Error::Send {
+    let unsent = |cause: String| Error::Address {
         operation: OPERATION,
-        peer: peer.clone(),
-        source,
-    })?;
-    let status = response.status();
+        peer: server.url.clone(),
+        cause,
+    };
+    let authority = server.url.trim_start_matches("http://");
+    let addresses = tokio::net::lookup_host(authority).await;
+    let address = addresses
+        .map_err(|error| unsent(error.to_string()))?
+        .next()
+        .ok_or_else(|| unsent("the name has no address".to_owned()))?;
+    let mut request = Request::builder()
+        .method(content.method.as_str())
+        .uri(&content.path)
+        .header("host", authority);
+    for header in content
+        .headers
+        .iter()
+        .filter(|header| header.name != "host")
+    {
+        request = request.header(&header.name, &header.value);
+    }
+    let request = request
+        .body(Full::new(content.body))
+        .map_err(|error| unsent(error.to_string()))?;
+    let response = client.send(address, request, CONNECT_TIMEOUT).await?;
+    let status = response.head.status;
     if server.kind == Kind::Engine && status.is_server_error() {
         return Err(Error::Status {
             operation: OPERATION,
             peer,
-            status,
+            status: status.as_u16(),
         });
     }
-    let headers = end_to_end(response.headers(), &["date"]);
+    let headers = response.head.headers.iter();
+    let headers = headers.map(|(name, value)| (name.as_str(), value.as_bytes()));
+    let headers = end_to_end(headers, &["date"]);
     control.do_send(Input(Event::Head {
         attempt,
         status: status.as_u16(),
         headers,
     }));
-    let result = if server.kind == Kind::Engine && status.is_success() {
-        forward_events(control, attempt, response).await
+    let is_stream = server.kind == Kind::Engine && status.is_success();
+    let body = std::pin::pin!(body(client, response));
+    let result = if is_stream {
+        forward_events(control, attempt, body).await
     } else {
-        forward_bytes(control, attempt, response).await
+        forward_bytes(control, attempt, body).await
     };
     let usage = result.map_err(|cause| Error::Body {
         operation: OPERATION,
@@ -211,6 +250,20 @@
     Ok(())
 }
 
+/// Returns the chunks of a body. Fails if the body ends before the end that its framing states.
+fn body(
+    client: &http::Client,
+    response: IncomingResponse,
+) -> impl Stream<Item = Result<Bytes, http::Error>> {
+    stream::try_unfold(response, async |mut response| {
+        let Some(chunk) = response.next().await? else {
+            response.release(client);
+            return Ok(None);
+        };
+        Ok(Some((chunk, response)))
+    })
+}
+
 /// Forwards the events of an engine's response, each as one line of JSON, and returns the token
 /// usage that the engine reported.
 async fn forward_events<S>(
@@ -219,7 +272,7 @@
     response: S,
 ) -> Result<Usage, String>
 where
-    S: Stream<Item = Result<Bytes, PayloadError>> + Unpin,
+    S: Stream<Item = Result<Bytes, http::Error>> + Unpin,
 {
     let mut usage = Usage::default();
     let mut events = response.eventsource();
@@ -269,10 +322,13 @@
     mut response: S,
 ) -> Result<Usage, String>
 where
-    S: Stream<Item = Result<Bytes, PayloadError>> + Unpin,
+    S: Stream<Item = Result<Bytes, http::Error>> + Unpin,
 {
-    while let Some(bytes) = response.next().await {
-        let bytes = bytes.map_err(|error| error.to_string())?;
+    while let Some(bytes) = response
+        .try_next()
+        .await
+        .map_err(|error| error.to_string())?
+    {
         control.do_send(Input(Event::Chunk {
             attempt,
             bytes,
@@ -319,7 +375,7 @@
         Err(Error::Status {
             operation: OPERATION,
             peer,
-            status,
+            status: status.as_u16(),
         })
     }
 }
--- a/crates/control/src/headers.rs
+++ b/crates/control/src/headers.rs
@@ -1,6 +1,5 @@
 //! Selects the end-to-end headers of an HTTP message.
 
-use awc::http::header::HeaderMap;
 use tamaracksail_wire::Header;
 
 /// Headers that apply to a single connection.
@@ -14,19 +13,23 @@
     "expect",
 ];
 
-/// Returns the headers to forward: all but hop-by-hop headers and those named in `excluded`. A
-/// header whose value is not text is dropped.
+/// Returns the headers to forward, given the names in lower case and the values of all headers: all but
+/// hop-by-hop headers and those named in `excluded`. A header whose value is not text is dropped.
 #[must_use]
-pub fn end_to_end(headers: &HeaderMap, excluded: &[&str]) -> Vec<Header> {
+pub fn end_to_end<'a>(
+    headers: impl Iterator<Item = (&'a str, &'a [u8])>,
+    excluded: &[&str],
+) -> Vec<Header> {
     let is_forwarded = |name: &str| !HOP_BY_HOP.contains(&name) && !excluded.contains(&name);
-    let forwarded = headers
-        .iter()
-        .filter(|(name, _)| is_forwarded(name.as_str()));
+    let forwarded = headers.filter(|(name, _)| is_forwarded(name));
     let headers = forwarded.filter_map(|(name, value)| {
-        let value = value.to_str().ok()?.to_owned();
+        let is_text = |byte: &u8| *byte == b'\t' || (32..127).contains(byte);
+        if !value.iter().all(is_text) {
+            return None;
+        }
         Some(Header {
-            name: name.as_str().to_owned(),
-            value,
+            name: name.to_owned(),
+            value: String::from_utf8(value.to_owned()).ok()?,
         })
     });
     headers.collect()
--- a/crates/entry/src/api/services.rs
+++ b/crates/entry/src/api/services.rs
@@ -44,10 +44,12 @@
     let once = headers.once || state.config.load().is_once(&service, method, &path);
     let mut digest = format!("{service} {method} {target}\n").into_bytes();
     digest.extend_from_slice(&body);
+    let received = request.headers().iter();
+    let received = received.map(|(name, value)| (name.as_str(), value.as_bytes()));
     let content = Content {
         method: method.to_owned(),
         path: target,
-        headers: end_to_end(request.headers(), &["host"]),
+        headers: end_to_end(received, &["host"]),
         body,
     };
     let id = common::new_request_id();
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use actix::Addr;
-use awc::error::SendRequestError;
 use bytes::BytesMut;
 use futures_util::StreamExt;
+use tamaracksail_control::delivery::is_unsent;
 use tamaracksail_policy::entry::Event;
 use tamaracksail_wire as wire;
 use tokio_util::codec::{Decoder, LengthDelimitedCodec};
@@ -68,7 +68,7 @@
         .await
         .map_err(|error| {
             log::info!("sending attempt {id} to {peer} failed: {error}");
-            !matches!(error, SendRequestError::Connect(_))
+            !is_unsent(&error)
         })?;
     if !response.status().is_success() {
         log::warn!(
