--- a/crates/http/tests/cut_responses.rs
+++ b/crates/http/tests/cut_responses.rs
@@ -31,9 +31,7 @@
     match framing {
         Framing::Length => format!("HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n{BODY}"),
         Framing::Chunked => {
-            format!(
-                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n6\r\na whol\r\n6\r\ne body\r\n0\r\n\r\n"
-            )
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n6\r\na whol\r\n6\r\ne body\r\n0\r\n\r\n".to_owned()
         }
         Framing::Closing => format!("HTTP/1.1 200 OK\r\nX-Kind: a\r\n\r\n{BODY}"),
     }
--- a/crates/standins/tests/common/mod.rs
+++ b/crates/standins/tests/common/mod.rs
@@ -41,9 +41,9 @@
 /// Processes that listen on a loopback address of their own, so that no two tests share a port.
 pub struct Cluster {
     pub address: Ipv4Addr,
-    directory: PathBuf,
+    pub directory: PathBuf,
     children: Vec<(String, Child)>,
-    http: awc::Client,
+    pub http: awc::Client,
 }
 
 impl Drop for Cluster {
--- a/crates/standins/tests/processes.rs
+++ b/crates/standins/tests/processes.rs
@@ -4,6 +4,8 @@
 
 mod common;
 
+use std::time::Duration;
+
 use common::{Cluster, MAX_POLLS, POLL_INTERVAL};
 use serde_json::{Value, json};
 
