Show with tests what a stopping process does with late requests

The report of another operator: requests taken late in the grace of a planned stop were cut at its end.

--- a/crates/gateway/tests/planned_stops.rs
+++ b/crates/gateway/tests/planned_stops.rs
@@ -72,3 +72,58 @@
         assert!(gateways[0].wait_for_exit().await);
     });
 }
+
+/// How late in a stop requests arrive, which have 5 s.
+const LATE: Duration = Duration::from_millis(3200);
+
+// Guards against: a request that may not be repeated is taken late in a stop, on a kept or a new connection, and
+// cut at the exit.
+#[test]
+fn late_requests_that_may_not_be_repeated_are_refused_and_do_not_run() {
+    run(async {
+        let (world, mut gateways) = start(1, EVENTS, EVENT_INTERVAL).await;
+        let client = gateways[0].client();
+        let streams = spawn_streams(&client);
+        let mut kept = client.open().await.expect("a connection");
+        let first = client.request_on(&mut kept, "first", "/once/x", "x");
+        assert_eq!(first.await.expect("a response").status, 200);
+        gateways[0].signal("TERM");
+        tokio::time::sleep(LATE).await;
+        let before = world.app.arrivals().len();
+        let late = client.request_on(&mut kept, "kept", "/once/x", "x").await;
+        let late = late.expect("a response");
+        assert_eq!((late.status, late.retry_after()), (503, Some(0.0)));
+        let late = client.request("new", "/once/x", "x").await;
+        assert_eq!(late.expect("a response").status, 503);
+        for stream in streams {
+            stream.await.expect("a whole stream");
+        }
+        assert!(gateways[0].wait_for_exit().await);
+        assert_eq!(world.app.arrivals().len(), before);
+    });
+}
+
+// Guards against: a request that may be repeated is taken late in a stop, its server works on past the exit, and
+// the client gets no answer.
+#[test]
+fn late_requests_whose_servers_work_past_the_exit_get_an_answer() {
+    run(async {
+        let (world, mut gateways) = start(1, EVENTS, EVENT_INTERVAL).await;
+        let client = gateways[0].client();
+        let mut kept = client.open().await.expect("a connection");
+        let streams = spawn_streams(&client);
+        gateways[0].signal("TERM");
+        tokio::time::sleep(LATE).await;
+        world.app.set_work_time(Duration::from_secs(20));
+        let late = client.request_on(&mut kept, "kept", "/plain/x", "x");
+        let other = client.request("new", "/plain/x", "x");
+        let (late, other) = futures_util::future::join(late, other).await;
+        for response in [late, other] {
+            assert_eq!(response.expect("a response").status, 504);
+        }
+        for stream in streams {
+            stream.await.expect("a whole stream");
+        }
+        assert!(gateways[0].wait_for_exit().await);
+    });
+}
