--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -284,6 +284,8 @@
         self.runs, self.orders = [], []
         self.lengths = lambda item: 10
         self.on_request = None
+        self.queue, self.waiting = 0, 0
+        self.pause = lambda request, number: 0.0
         self.is_up = False
         self.http = None
 
@@ -320,7 +322,7 @@
     async def handle(self, method, target, headers, body, writer):
         expected = headers.get(P + "expect-instance")
         base = [(P + "instance-id", self.name),
-                (P + "server-load", f"{len(self.running)},0,{self.slots}")]
+                (P + "server-load", f"{len(self.running)},{self.waiting},{self.slots}")]
         request = headers.get(P + "request-id")
         if request:
             base.append((P + "request-id", request))
@@ -343,6 +345,13 @@
                 fate = await fate
             if isinstance(fate, bytes):
                 return fate
+        if len(self.running) >= self.slots and self.waiting < self.queue:
+            self.waiting += 1
+            try:
+                while len(self.running) >= self.slots:
+                    await asyncio.sleep(0.005)
+            finally:
+                self.waiting -= 1
         if len(self.running) >= self.slots or self.is_busy:
             return response_bytes(503, b"", base + [(P + "not-executed", "1")])
         key = object()
@@ -366,7 +375,7 @@
         head += "".join(f"{name}: {value}\r\n" for name, value in base) + "\r\n"
         writer.write(head.encode())
         for number in range(int(after) + 1 if after else 1, total + 1):
-            await asyncio.sleep(self.interval)
+            await asyncio.sleep(self.interval + self.pause(request, number))
             event = f"id: {number}\ndata: {request}-{number}\n\n".encode()
             writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
             await writer.drain()
