--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -283,7 +283,7 @@
         self.running = {}
         self.runs, self.orders = [], []
         self.lengths = lambda item: 10
-        self.on_request = None
+        self.on_request, self.gone = None, {}
         self.queue, self.waiting = 0, 0
         self.pause = lambda request, number: 0.0
         self.is_up = False
@@ -310,7 +310,8 @@
         self.record(f"server {self.name} crashes, running {sorted(self.running)}")
         self.is_up = False
         self.http.stop()
-        for task in list(self.running.values()):
+        for (request, _), task in list(self.running.items()):
+            self.gone[request] = at()
             task.cancel()
         self.running.clear()
 
@@ -596,6 +597,8 @@
         self.addresses = Addresses()
         self.store = Store(self.addresses.next(), self.record)
         self.engines, self.gateways, self.proxies = [], [], []
+        # When a server that crashed or left broke off a run of an item last, by the item.
+        self.gone = {}
 
     async def start(self, gateways, engines, slots, interval, lengths, **options):
         await self.store.start()
@@ -603,7 +606,7 @@
         for number in range(engines):
             engine = Engine(f"i-{number:04x}", self.addresses.next(), self.store, self.record,
                             slots=slots, interval=interval)
-            engine.lengths = lengths
+            engine.lengths, engine.gone = lengths, self.gone
             await engine.start()
             self.engines.append(engine)
         for number in range(gateways):
