--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -626,9 +626,12 @@
         lease = self.lease() or {}
         return next((g for g in self.gateways if g.name == lease.get("holder")), None)
 
-    def stop(self):
+    async def stop(self):
         for gateway in self.gateways:
             gateway.stop()
+        for gateway in self.gateways:
+            if gateway.process is not None:
+                await gateway.process.wait()
         keep = os.environ.get("KEEP_LOGS")
         if keep:
             shutil.copytree(self.folder, keep, dirs_exist_ok=True)
@@ -669,7 +672,7 @@
         try:
             return world, await asyncio.wait_for(play(world, trouble), limit)
         finally:
-            world.stop()
+            await world.stop()
 
     try:
         world, problems = asyncio.run(run())
