Keep a stream at a server that pauses until another sends the next event

Cause: a server that sent no event for 0.9 s was given up before another had taken the stream, and refusals of the others used up its attempts. The time that a client took to read counted as silence of the server too.

The search runs beside the first server; all servers that have the stream keep it until one of them sends the next event. A refusal is no attempt while a server has the stream. Why it works: no connection to a sound server is closed before its successor has sent an event, and each server is accepted only with the event that follows the last one relayed.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -34,6 +34,8 @@
     pub continuations: IntCounterVec,
     /// Streams that clients took up, by what told where they began.
     pub resumptions: IntCounterVec,
+    /// Searches for another server of a silent stream, by outcome.
+    pub standbys: IntCounterVec,
     /// Responses that broke off, by the state of the server afterwards.
     pub broken_responses: IntCounterVec,
     /// Runs of items, by outcome.
@@ -98,11 +100,7 @@
                 "latency_seconds",
                 "Time from a request's arrival to its response.",
             ),
-            sends: metrics.counters(
-                "sends",
-                "Attempts of requests at backend servers.",
-                &["outcome"],
-            ),
+            sends: metrics.counters("sends", "Attempts at backend servers.", &["outcome"]),
             limited_sends: metrics.counters(
                 "limited_sends",
                 "Requests sent to servers that state a request limit, by cause.",
@@ -118,6 +116,7 @@
                 "Streams that clients took up, by what told where they began.",
                 &["origin"],
             ),
+            standbys: metrics.counters("standbys", "Searches of silent streams.", &["outcome"]),
             broken_responses: metrics.counters(
                 "broken_responses",
                 "Responses that broke off, by the state of the server afterwards.",
--- a/crates/gateway/src/request/forward.rs
+++ b/crates/gateway/src/request/forward.rs
@@ -1,5 +1,6 @@
 //! Forwarding of one request to backend servers, with retries and a hedged second attempt.
 
+use std::cell::RefCell;
 use std::future::Future;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -25,7 +26,7 @@
 use super::relay::{self, client_response};
 use super::response::{UNAVAILABLE_RETRY_AFTER, empty_response, retry_later};
 use super::resumed::Resumed;
-use super::streaming::{self, Stream};
+use super::streaming::{self, Attempts, Stream};
 use super::trial::Trial;
 use crate::connection::Body;
 use crate::gateway::{Gateway, now};
@@ -203,7 +204,7 @@
                             drop((reply, execution));
                             return empty_response(StatusCode::BAD_GATEWAY);
                         }
-                        return streaming::relay(self.into_stream(key), *reply, execution);
+                        return streaming::relay(self.into_stream(key), key, *reply, execution);
                     }
                     Outcome::Streaming(first, reply, execution) => {
                         self.record_served();
@@ -288,8 +289,10 @@
             content: Rc::clone(self.content),
             id: self.id.to_owned(),
             deadline: self.deadline,
-            attempts_left: (self.route.max_attempts as usize).saturating_sub(self.tried.len()),
-            tried: self.tried,
+            attempts: RefCell::new(Attempts {
+                left: (self.route.max_attempts as usize).saturating_sub(self.tried.len()),
+                tried: self.tried,
+            }),
             admitted: self.admitted,
         }
     }
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -13,6 +13,8 @@
 mod relay;
 mod response;
 mod resumed;
+mod server_stream;
+mod stream_servers;
 mod streaming;
 mod trial;
 
