Run items at the service of their batch's route

Cause: the service of an item was looked up by its own path, not by the route that accepted the batch.

Change: manifests state the prefix of the accepting route, and `Table::find_submission` finds that route in any version. Why it works: host and prefix are what identifies a route through changes of its name, its services and of other routes, and the store keeps them for successors and restarts. The same cause on related paths: adopted runs, repeated submissions whose path has another route by now, reward calls below a route for batches.

--- a/crates/gateway/src/batches/accept.rs
+++ b/crates/gateway/src/batches/accept.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use hyper::http::request::Parts;
-use hyper::{Response, StatusCode};
+use hyper::{Method, Response, StatusCode};
 use tamaracksail_adapter::store::{Error, Object};
 use tamaracksail_adapter::{batch, ingress};
 use tamaracksail_model::account::Caller;
@@ -53,6 +53,8 @@
     pub host: String,
     /// The path of the request.
     pub path: String,
+    /// The prefix of its route; `None` if the gateway that accepted it did not state it.
+    pub prefix: Option<String>,
     /// The name of the client's account, if it has one.
     pub account: Option<String>,
     /// The body.
@@ -79,11 +81,12 @@
         id: id.to_owned(),
         host: ingress::host(head).unwrap_or_default().to_owned(),
         path: head.uri.path().to_owned(),
+        prefix: Some(route.prefix.clone()),
         account: caller.account().map(str::to_owned),
         body,
         routes_version: gateway.configuration.version().unwrap_or_default(),
     };
-    let mut outcome = match check(gateway, &submission) {
+    let mut outcome = match check(gateway, caller, &submission).await {
         Ok(total) => match gateway.store_availability.check("batch") {
             Ok(()) => store_batch(gateway, &submission, total, deadline).await,
             Err(error) => {
@@ -126,6 +129,7 @@
         batch: submission.id.clone(),
         host: submission.host.clone(),
         path: submission.path.clone(),
+        prefix: submission.prefix.clone(),
         account: submission.account.clone(),
         body: submission.body.clone(),
         limit_ms: u64::try_from(deadline.since(now()).as_millis()).unwrap_or(0),
@@ -153,8 +157,13 @@
 /// items.
 ///
 /// # Errors
-/// [`Outcome::Malformed`].
-fn check(gateway: &Gateway, submission: &Submission) -> Result<usize, Outcome> {
+/// [`Outcome::Malformed`]. If only routes are missing and the batch was accepted before,
+/// [`Outcome::Stored`].
+async fn check(
+    gateway: &Gateway,
+    caller: &Caller,
+    submission: &Submission,
+) -> Result<usize, Outcome> {
     let id = submission.id.as_str();
     let items = parse(submission)?;
     let mut calls = items.iter().filter_map(|item| item.reward.as_ref());
@@ -165,13 +174,65 @@
         log::info!(
             batch = id, call = call.id.as_str(), host = call.host.as_str(),
             path = call.path.as_str();
-            "batch refused, a reward call has no route"
+            "a reward call of the batch has no route"
         );
-        return Err(Outcome::Malformed);
+        let Submission { host, path, .. } = submission;
+        return Err(match is_accepted(gateway, caller, id, (host, path)).await {
+            Ok(true) => Outcome::Stored,
+            Ok(false) => Outcome::Malformed,
+            Err(error) => {
+                log::info!(batch = id, error:%, outcome = "not run"; "batch not read");
+                Outcome::NotStored
+            }
+        });
     }
     Ok(items.len())
 }
 
+/// Returns whether a request repeats the submission of a batch that was accepted before, although its path
+/// belongs to another route by now.
+///
+/// # Errors
+/// If that cannot be read from the store.
+pub async fn is_repeated(
+    gateway: &Gateway,
+    caller: &Caller,
+    head: &Parts,
+    id: &str,
+    body: &[u8],
+) -> Result<bool, Error> {
+    let (host, path) = (ingress::host(head).unwrap_or_default(), head.uri.path());
+    let is_possible = head.method == Method::POST
+        && !id.is_empty()
+        && gateway
+            .table()
+            .is_some_and(|table| table.find_batch(host, path).is_some())
+        && batch::parse(body).is_ok();
+    Ok(is_possible && is_accepted(gateway, caller, id, (host, path)).await?)
+}
+
+/// Returns whether `caller` has submitted the batch `id` at this host and path, and it was accepted.
+///
+/// # Errors
+/// If the store cannot be read.
+async fn is_accepted(
+    gateway: &Gateway,
+    caller: &Caller,
+    id: &str,
+    (host, path): (&str, &str),
+) -> Result<bool, Error> {
+    gateway.store_availability.check("batch")?;
+    match gateway.store.get(schema::MANIFESTS, id).await {
+        Ok(object) => Ok(object.spec::<Manifest>().is_ok_and(|manifest| {
+            manifest.host == host
+                && manifest.path == path
+                && caller.may_use(manifest.account.as_deref())
+        })),
+        Err(Error::Missing { .. }) => Ok(false),
+        Err(error) => Err(error),
+    }
+}
+
 /// Returns the items of a submission.
 ///
 /// # Errors
@@ -208,6 +269,7 @@
     let manifest = Manifest {
         host: submission.host.clone(),
         path: submission.path.clone(),
+        prefix: submission.prefix.clone(),
         parts: parts.len(),
         total,
         submitted: submitted.unix_ms,
--- a/crates/gateway/src/batches/coordinator.rs
+++ b/crates/gateway/src/batches/coordinator.rs
@@ -8,8 +8,9 @@
 
 use tamaracksail_adapter::settings::Settings;
 use tamaracksail_model::backend::Registration;
-use tamaracksail_model::batch::PartialText;
+use tamaracksail_model::batch::{PartialText, SubmissionRoute};
 use tamaracksail_model::carried::Carried;
+use tamaracksail_model::route::Target;
 use tamaracksail_model::table::{Table, draw_target};
 use tamaracksail_model::time::Instant;
 use tamaracksail_policy::acquire_delay::AcquireDelay;
@@ -178,7 +179,9 @@
         if let Some(table) = gateway.table() {
             self.scheduler
                 .borrow_mut()
-                .update_routes(now(), |host, path| resolve_service(&table, host, path));
+                .update_routes(now(), |route, preferred| {
+                    resolve_service(&table, route, preferred)
+                });
             self.wake.notify_one();
         }
     }
@@ -363,10 +366,19 @@
     }
 }
 
-/// Returns the service that a path is routed to, drawn at random by weight.
-pub(super) fn resolve_service(table: &Table, host: &str, path: &str) -> Option<String> {
-    let route = table.find(host, path)?;
-    draw_target(&route.targets, rand::random()).map(|target| target.service.clone())
+/// Returns a service of the route of a batch: `preferred` if the route names it, or else one that is drawn
+/// at random by weight.
+pub(super) fn resolve_service(
+    table: &Table,
+    submission: &SubmissionRoute,
+    preferred: Option<&str>,
+) -> Option<String> {
+    let targets = &table.find_submission(submission)?.targets;
+    let is_preferred =
+        |target: &&Target| target.weight > 0 && preferred == Some(target.service.as_str());
+    let target = targets.iter().find(is_preferred);
+    let target = target.or_else(|| draw_target(targets, rand::random()))?;
+    Some(target.service.clone())
 }
 
 /// Runs the scheduling loop: polls the scheduler and carries out its actions. Never returns.
--- a/crates/gateway/src/batches/mod.rs
+++ b/crates/gateway/src/batches/mod.rs
@@ -19,7 +19,7 @@
 mod schema;
 mod takeover;
 
-pub use accept::{Submission, accept, store_for_peer};
+pub use accept::{Submission, accept, is_repeated, store_for_peer};
 pub use coordinator::{Coordinator, Tenure};
 pub use lease_loop::{find_holder, known_holder, request_lease};
 pub use lease_query::{answer_lease_query, has_spare_cpu, yield_lease};
--- a/crates/gateway/src/batches/reward_calls.rs
+++ b/crates/gateway/src/batches/reward_calls.rs
@@ -9,7 +9,7 @@
 use tamaracksail_adapter::{Malformed, names};
 use tamaracksail_http::IncomingResponse;
 use tamaracksail_model::reward::Call;
-use tamaracksail_model::route::{Kind, Route};
+use tamaracksail_model::route::Route;
 use tamaracksail_model::table::{Table, draw_target};
 use tamaracksail_model::time::Instant;
 use tamaracksail_policy::fleet::ServerKey;
@@ -23,11 +23,10 @@
 /// How long reading the rest of a long response may take.
 const READ_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Returns the route of a call. A route of batches is none.
+/// Returns the route of a call. Routes of batches are none.
 pub fn find_route<'a>(table: &'a Table, call: &Call) -> Option<&'a Route> {
     let path = call.path.split('?').next().unwrap_or_default();
-    let route = table.find(&call.host, path);
-    route.filter(|route| route.kind != Kind::Batch)
+    table.find_plain(&call.host, path)
 }
 
 /// Returns where the route of a call leads, to a target drawn at random by weight.
--- a/crates/gateway/src/batches/schema.rs
+++ b/crates/gateway/src/batches/schema.rs
@@ -10,7 +10,7 @@
 //! - `text/save.N`: a [checkpoint](tamaracksail_model::checkpoint::Checkpoint) of text that is not
 //!   in a result yet. Numbers wrap around, so that new checkpoints replace the oldest.
 
-use tamaracksail_model::batch::ItemResult;
+use tamaracksail_model::batch::{ItemResult, SubmissionRoute};
 use tamaracksail_model::plain;
 use tamaracksail_policy::clock::Estimate;
 
@@ -39,6 +39,9 @@
         pub host: String,
         /// The path of the submission request.
         pub path: String,
+        /// The prefix of the route that accepted it; `None` in manifests that state none.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub prefix: Option<String>,
         /// The number of parts of the body.
         pub parts: usize,
         /// The number of items.
@@ -61,6 +64,15 @@
 }
 
 impl Manifest {
+    /// Returns how the batch's route is found.
+    pub fn submission_route(&self) -> SubmissionRoute {
+        SubmissionRoute {
+            host: self.host.clone(),
+            path: self.path.clone(),
+            prefix: self.prefix.clone(),
+        }
+    }
+
     /// Returns the time of submission.
     pub fn submitted(&self) -> Estimate {
         self.submitted_error_ms.map_or_else(
--- a/crates/gateway/src/batches/takeover.rs
+++ b/crates/gateway/src/batches/takeover.rs
@@ -396,7 +396,8 @@
             return;
         }
     };
-    let route = table.find(&manifest.host, &manifest.path);
+    let submission_route = manifest.submission_route();
+    let route = table.find_submission(&submission_route);
     let batching = route.and_then(|route| route.batching.as_ref());
     let patience = batching.map_or(DEFAULT_PATIENCE, |batching| batching.patience);
     let due = batching.map_or(patience, |batching| batching.due);
@@ -409,7 +410,7 @@
         .collect();
     let with_result: BTreeSet<String> = results.iter().map(|result| result.item.clone()).collect();
     let scheduler_submission = Submission {
-        host: manifest.host.clone(),
+        route: submission_route,
         account: manifest.account.clone(),
         model: submission.model,
         min_version: submission.min_version,
@@ -427,13 +428,11 @@
         left_ms = expires.since(at).as_millis(), time_error_ms = time.map(|time| time.error_ms);
         "batch added to the scheduler"
     );
-    let batch =
-        coordinator
-            .scheduler
-            .borrow_mut()
-            .submit(now(), scheduler_submission, |host, path| {
-                resolve_service(&table, host, path)
-            });
+    let batch = coordinator.scheduler.borrow_mut().submit(
+        now(),
+        scheduler_submission,
+        |route, preferred| resolve_service(&table, route, preferred),
+    );
     coordinator
         .batch_ids
         .borrow_mut()
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -216,6 +216,20 @@
         progress.begin();
         return batches::accept(gateway, route, &caller, &head, &id, body, deadline).await;
     }
+    match batches::is_repeated(gateway, &caller, &head, &id, &body).await {
+        Ok(false) => {}
+        Ok(true) => {
+            log::info!(
+                batch = id.as_str(), route = route.name.as_str();
+                "repeated submission, its path has another route by now"
+            );
+            return empty_response(StatusCode::ACCEPTED);
+        }
+        Err(error) => {
+            log::info!(batch = id.as_str(), error:%, outcome = "not run"; "batch not read");
+            return retry_later(response::UNAVAILABLE_RETRY_AFTER);
+        }
+    }
     let mut content = Content::new(head, body, progress.clone());
     content.usage = usage::request(gateway, &caller);
     forward::forward(gateway, route, &caller, content, &id, arrival, deadline).await
--- a/crates/gateway/tests/rewards.rs
+++ b/crates/gateway/tests/rewards.rs
@@ -6,8 +6,8 @@
 
 use common::{Gateway, World, assert_complete, read_results, run, start, start_server, wait_until};
 use serde_json::{Value, json};
-use tamaracksail_adapter_standins::Client;
 use tamaracksail_adapter_standins::engine::{Engine, FatalRequest, Fault};
+use tamaracksail_adapter_standins::{Client, settings};
 use tamaracksail_model::batch::{Ending, ItemResult};
 
 const EVENT_INTERVAL: Duration = Duration::from_millis(5);
@@ -338,3 +338,56 @@
         assert_eq!(world.arrival_count("i0"), 1);
     });
 }
+
+// Guards against: calls that find no route since routes for batches have longer prefixes of their paths, and
+// batches that are refused for it when they are submitted again.
+#[test]
+fn calls_are_sent_though_a_route_for_batches_begins_their_paths() {
+    run(async {
+        let (world, gateways) = start(1, 60, EVENT_INTERVAL).await;
+        let client = gateways[0].client();
+        let submit = async || {
+            let response = client.submit_scored("b1", &ITEMS, 1).await;
+            response.expect("a response").status
+        };
+        assert_eq!(submit().await, 202);
+        let routes = settings::with_batch_route(settings::routes(2), "/plain/score/");
+        let mut routes = settings::with_batch_route(routes, "/plain/s/");
+        routes["routes"][5]["path-prefix"] = "/plain/".into();
+        routes["routes"][0]["path-prefix"] = "/".into();
+        world.store.put_routes(routes);
+        wait_until("the routes are in force", async || {
+            gateways[0].metric("routes_version").await == 2
+        })
+        .await;
+        assert_eq!(submit().await, 202);
+        let results = read_results(&client, "b1", ITEMS.len()).await;
+        assert_scored(&world, &results, &ITEMS);
+    });
+}
+
+// Guards against: an accepted batch that is refused when it is submitted again, since the route of its calls
+// has ended.
+#[test]
+fn a_batch_is_accepted_again_after_the_route_of_its_calls_has_ended() {
+    run(async {
+        let (world, gateways) = start(2, 5, EVENT_INTERVAL).await;
+        let client = gateways[0].client();
+        let response = client.submit_scored("b1", &ITEMS, 1).await;
+        assert_eq!(response.expect("a response").status, 202);
+        let mut routes = settings::routes(2);
+        routes["routes"].as_array_mut().expect("a list").remove(0);
+        world.store.put_routes(routes);
+        for gateway in &gateways {
+            wait_until("the routes are in force", async || {
+                gateway.metric("routes_version").await == 2
+            })
+            .await;
+            let client = gateway.client();
+            let again = client.submit_scored("b1", &ITEMS, 1).await;
+            assert_eq!(again.expect("a response").status, 202);
+            let other = client.submit_scored("b2", &ITEMS, 1).await;
+            assert_eq!(other.expect("a response").status, 400);
+        }
+    });
+}
--- a/crates/model/src/batch.rs
+++ b/crates/model/src/batch.rs
@@ -38,6 +38,18 @@
     }
 }
 
+plain! {
+    /// How a batch was submitted, by which its route is found in any version of the routes.
+    pub struct SubmissionRoute {
+        /// The host name of the submission.
+        pub host: String,
+        /// The path of the submission.
+        pub path: String,
+        /// The prefix of the route that accepted it; `None` if a process of an earlier version did.
+        pub prefix: Option<String>,
+    }
+}
+
 plain! {
     /// A batch as its client submitted it.
     pub struct Submission {
--- a/crates/model/src/table.rs
+++ b/crates/model/src/table.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use crate::account::Accounts;
+use crate::batch::SubmissionRoute;
 use crate::route::{Kind, Limits, Route, ServiceSettings, Target};
 
 /// One version of the routes. It is immutable: a new version replaces it as a whole.
@@ -56,10 +57,45 @@
     /// Returns the route with the longest prefix of `path`.
     #[must_use]
     pub fn find(&self, host: &str, path: &str) -> Option<&Route> {
-        self.routes
-            .get(host)?
-            .iter()
-            .find(|route| path.starts_with(&route.prefix))
+        self.find_where(host, path, |_| true)
+    }
+
+    /// Returns the route with the longest prefix of `path` among those that do not accept batches. A
+    /// request that belongs to a batch does not end at a route that a later version adds for batches.
+    #[must_use]
+    pub fn find_plain(&self, host: &str, path: &str) -> Option<&Route> {
+        self.find_where(host, path, |route| route.kind != Kind::Batch)
+    }
+
+    /// Returns the route with the longest prefix of `path` among those that accept batches.
+    #[must_use]
+    pub fn find_batch(&self, host: &str, path: &str) -> Option<&Route> {
+        self.find_where(host, path, |route| route.kind == Kind::Batch)
+    }
+
+    /// Returns the route of a batch: the one that accepted it, also if its name or services have changed
+    /// and if the path of the submission belongs to another route by now. If there is no route of that
+    /// prefix any more, it is the route for batches with the longest prefix of the path. Paths of items
+    /// do not matter.
+    #[must_use]
+    pub fn find_submission(&self, submission: &SubmissionRoute) -> Option<&Route> {
+        let SubmissionRoute { host, path, prefix } = submission;
+        let accepted = prefix.as_ref().and_then(|prefix| {
+            let is_accepting =
+                |route: &&Route| route.kind == Kind::Batch && route.prefix == *prefix;
+            self.routes.get(host)?.iter().find(is_accepting)
+        });
+        accepted.or_else(|| self.find_batch(host, path))
+    }
+
+    fn find_where(
+        &self,
+        host: &str,
+        path: &str,
+        is_allowed: impl Fn(&Route) -> bool,
+    ) -> Option<&Route> {
+        let mut routes = self.routes.get(host)?.iter();
+        routes.find(|route| path.starts_with(&route.prefix) && is_allowed(route))
     }
 
     /// Whether clients may use batches of `host` without a key.
--- a/crates/policy/src/batch/open_batch.rs
+++ b/crates/policy/src/batch/open_batch.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use tamaracksail_model::batch::ItemResult;
+use tamaracksail_model::batch::{ItemResult, SubmissionRoute};
 use tamaracksail_model::time::Instant;
 
 use super::task::TaskKey;
@@ -27,8 +27,8 @@
 /// A batch that is open, or ended recently enough that runs of it may continue.
 #[derive(Clone, Debug)]
 pub(crate) struct Batch {
-    /// The route's host name, by which an item's path finds its service.
-    pub(crate) host: String,
+    /// How its route is found, whose service runs its items.
+    pub(crate) route: SubmissionRoute,
     /// The client account that submitted the batch, if any.
     pub(crate) account: Option<String>,
     pub(crate) model: Option<String>,
--- a/crates/policy/src/batch/scheduler.rs
+++ b/crates/policy/src/batch/scheduler.rs
@@ -5,7 +5,7 @@
 
 use slotmap::SlotMap;
 use tamaracksail_model::backend::Registration;
-use tamaracksail_model::batch::PartialText;
+use tamaracksail_model::batch::{PartialText, SubmissionRoute};
 use tamaracksail_model::carried::Carried;
 use tamaracksail_model::checkpoint::Checkpoint;
 use tamaracksail_model::pace::Reading;
@@ -117,7 +117,7 @@
     #[must_use]
     pub fn host_of(&self, run: u64) -> Option<&str> {
         let batch = self.batches.get(self.batch_of(run)?)?;
-        Some(batch.host.as_str())
+        Some(batch.route.host.as_str())
     }
 
     /// Returns the client account that submitted the batch of a run, if any.
@@ -132,20 +132,26 @@
         *announced = version.max(*announced);
     }
 
-    /// Adds a batch. `route` returns the service for a host name and a path.
+    /// Adds a batch. `route` returns the service of the route of a batch; the given one if the route
+    /// still names it.
     ///
-    /// Items without a service are aborted.
+    /// The items of a batch without a service are aborted.
     pub fn submit(
         &mut self,
         now: Instant,
         submission: Submission,
-        route: impl Fn(&str, &str) -> Option<String>,
+        route: impl Fn(&SubmissionRoute, Option<&str>) -> Option<String>,
     ) -> BatchKey {
         submission::submit(self, now, submission, route)
     }
 
-    /// Applies new routes. Items whose path no longer has a service are aborted.
-    pub fn update_routes(&mut self, now: Instant, route: impl Fn(&str, &str) -> Option<String>) {
+    /// Applies new routes, with `route` as in [`Self::submit`]. Items of batches whose route has ended are
+    /// aborted.
+    pub fn update_routes(
+        &mut self,
+        now: Instant,
+        route: impl Fn(&SubmissionRoute, Option<&str>) -> Option<String>,
+    ) {
         submission::update_routes(self, now, route);
     }
 
--- a/crates/policy/src/batch/submission.rs
+++ b/crates/policy/src/batch/submission.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::rc::Rc;
 
-use tamaracksail_model::batch::Item;
+use tamaracksail_model::batch::{Item, SubmissionRoute};
 use tamaracksail_model::carried::Carried;
 use tamaracksail_model::time::Instant;
 
@@ -16,8 +16,8 @@
 /// A batch as it is submitted to the scheduler.
 #[derive(Clone, Debug)]
 pub struct Submission {
-    /// The host name by which the route is found.
-    pub host: String,
+    /// How its route is found.
+    pub route: SubmissionRoute,
     /// The client account that submitted the batch, if any.
     pub account: Option<String>,
     /// The model, for training steps.
@@ -40,7 +40,8 @@
     pub expires: Instant,
 }
 
-/// Adds a batch. `route` returns the service for a host name and a path.
+/// Adds a batch. `route` returns the service of the route of a batch; the given one if the route still
+/// names it.
 ///
 /// Optional items start last; within either part, the items expected to be the longest start
 /// first.
@@ -48,7 +49,7 @@
     scheduler: &mut Scheduler,
     now: Instant,
     submission: Submission,
-    route: impl Fn(&str, &str) -> Option<String>,
+    route: impl Fn(&SubmissionRoute, Option<&str>) -> Option<String>,
 ) -> BatchKey {
     let (names, group_of) = group_items(
         submission
@@ -89,7 +90,7 @@
         })
         .collect();
     let batch_key = scheduler.batches.insert(Batch {
-        host: submission.host,
+        route: submission.route,
         account: submission.account,
         model: submission.model,
         min_version: submission.min_version,
@@ -114,7 +115,7 @@
         (optional.contains(group), std::cmp::Reverse(length))
     });
     for (item, group) in order {
-        let Some(item) = adopt_detached(scheduler, now, batch_key, item, group) else {
+        let Some(item) = adopt_detached(scheduler, now, batch_key, (item, group), &route) else {
             continue;
         };
         let is_optional = optional.contains(&group);
@@ -131,13 +132,14 @@
 }
 
 /// Moves a detached run of the same item into the batch. Returns the item if there is none, or if the
-/// batch may not use its text, in which case the run is stopped.
+/// batch may not use its text or the route of the batch does not name the run's service, in which cases
+/// the run is stopped.
 pub(super) fn adopt_detached(
     scheduler: &mut Scheduler,
     now: Instant,
     batch_key: BatchKey,
-    item: Item,
-    group: usize,
+    (item, group): (Item, usize),
+    route: &impl Fn(&SubmissionRoute, Option<&str>) -> Option<String>,
 ) -> Option<Item> {
     let batch = &mut scheduler.batches[batch_key];
     let carried = Carried::new(batch.account.as_deref(), &item.id);
@@ -150,8 +152,14 @@
     let is_allowed = task
         .text
         .is_usable(batch.min_version, batch.is_single_version);
-    if !is_allowed {
-        ending::stop_task(scheduler, key, "its text is too old for the next batch");
+    let is_routed = route(&batch.route, Some(&task.service)).as_ref() == Some(&task.service);
+    if !is_allowed || !is_routed {
+        let reason = if is_allowed {
+            "the route of the next batch does not name its service"
+        } else {
+            "its text is too old for the next batch"
+        };
+        ending::stop_task(scheduler, key, reason);
         ending::remove_task(scheduler, now, key);
         return Some(item);
     }
@@ -176,7 +184,7 @@
     batch_key: BatchKey,
     (item, group, is_optional): (Item, usize, bool),
     with_result: &BTreeSet<String>,
-    route: &impl Fn(&str, &str) -> Option<String>,
+    route: &impl Fn(&SubmissionRoute, Option<&str>) -> Option<String>,
 ) {
     let batch = &mut scheduler.batches[batch_key];
     let has_result = with_result.contains(&item.id);
@@ -191,7 +199,7 @@
         text = None;
     }
     let text = text.unwrap_or_default();
-    let service = route(&batch.host, &item.path);
+    let service = route(&batch.route, None);
     let is_whole = text.is_whole;
     let is_routed = service.is_some();
     let task = scheduler.tasks.insert(Task {
@@ -224,11 +232,11 @@
     }
 }
 
-/// Applies new routes. Items whose path no longer has a service are aborted.
+/// Applies new routes. Items of batches whose route has ended are aborted.
 pub(super) fn update_routes(
     scheduler: &mut Scheduler,
     now: Instant,
-    route: impl Fn(&str, &str) -> Option<String>,
+    route: impl Fn(&SubmissionRoute, Option<&str>) -> Option<String>,
 ) {
     let open: Vec<TaskKey> = scheduler
         .tasks
@@ -244,7 +252,7 @@
         let Some(batch) = scheduler.batches.get(task.batch) else {
             continue;
         };
-        match route(&batch.host, &task.item.path) {
+        match route(&batch.route, None) {
             Some(service) => scheduler.tasks[key].service = service,
             None => ending::abort_task(scheduler, now, key),
         }
--- a/crates/policy/tests/batch_accounts.rs
+++ b/crates/policy/tests/batch_accounts.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use tamaracksail_model::backend::{Registration, State};
-use tamaracksail_model::batch::Item;
+use tamaracksail_model::batch::{Item, SubmissionRoute};
 use tamaracksail_model::time::Instant;
 use tamaracksail_policy::batch::{Action, Scheduler, Submission};
 
@@ -36,7 +36,11 @@
         reward: None,
     };
     Submission {
-        host: "app".to_owned(),
+        route: SubmissionRoute {
+            host: "app".to_owned(),
+            path: "/x".to_owned(),
+            prefix: None,
+        },
         account: account.map(str::to_owned),
         model: Some("drafts".to_owned()),
         min_version: Some(1),
--- a/crates/policy/tests/common/engines.rs
+++ b/crates/policy/tests/common/engines.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use tamaracksail_model::backend::{Registration, State};
-use tamaracksail_model::batch::{Ending, Item, ItemResult};
+use tamaracksail_model::batch::{Ending, Item, ItemResult, SubmissionRoute};
 use tamaracksail_model::checkpoint::Checkpoint;
 use tamaracksail_model::pace::Reading;
 use tamaracksail_model::time::Instant;
@@ -206,7 +206,11 @@
             }
         }
         let submission = Submission {
-            host: "app".to_owned(),
+            route: SubmissionRoute {
+                host: "app".to_owned(),
+                path: "/x".to_owned(),
+                prefix: None,
+            },
             account: self.account.map(str::to_owned),
             model: Some(MODEL.to_owned()),
             min_version: Some(min_version),
@@ -236,7 +240,7 @@
             .iter()
             .map(|result| result.item.clone())
             .collect();
-        let route = |_: &str, _: &str| Some("pool".to_owned());
+        let route = |_: &SubmissionRoute, _: Option<&str>| Some("pool".to_owned());
         let batch = self.scheduler.submit(self.now, submission, route);
         self.open_batches.insert(batch, id.to_owned());
     }
--- a/crates/policy/tests/weights.rs
+++ b/crates/policy/tests/weights.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use tamaracksail_model::backend::{Registration, State};
-use tamaracksail_model::batch::Item;
+use tamaracksail_model::batch::{Item, SubmissionRoute};
 use tamaracksail_model::time::Instant;
 use tamaracksail_policy::batch::{Action, Scheduler, Submission};
 
@@ -37,7 +37,11 @@
         reward: None,
     };
     Submission {
-        host: "app".to_owned(),
+        route: SubmissionRoute {
+            host: "app".to_owned(),
+            path: "/x".to_owned(),
+            prefix: None,
+        },
         account: None,
         model: Some(model.to_owned()),
         min_version: Some(min_version),
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -111,6 +111,9 @@
             host: String,
             /// The path of the submission.
             path: String,
+            /// The prefix of the route under which the sender accepted the batch.
+            #[serde(default)]
+            prefix: Option<String>,
             /// The name of the client's account, if it has one.
             account: Option<String>,
             /// The body of the submission as the client sent it.
