Take a response without a final status for a broken one

Cause: the HTTP library accepts 101 and 200 to 999, and no reader asked whether such a status ends an exchange.

Change: `model::status::is_final` (RFC 9110: 200 to 599) decides it, and `http::Connection::send` asks it for every response; entries ask it for frames and forwarded responses. At most 16 interim responses are read. Why it works: all readers but those with `awc` go through `Connection`, and those accept single codes or 2xx only.

--- a/crates/entry/src/api/trainers.rs
+++ b/crates/entry/src/api/trainers.rs
@@ -9,6 +9,7 @@
 use serde_json::{Map, Value, json};
 use tamaracksail_model::host::Host;
 use tamaracksail_model::id::{self, Batch, Epoch, Nonce, Step};
+use tamaracksail_model::status;
 use tamaracksail_policy::version::ledger::Sample;
 use tamaracksail_policy::version::owner::{Event, Request, Response};
 
@@ -292,8 +293,10 @@
     match request.send_body(body).await {
         Ok(mut forwarded) => match forwarded.body().limit(MAX_RESPONSE_BYTES).await {
             Ok(body) => {
-                let status = StatusCode::from_u16(forwarded.status().as_u16())
-                    .unwrap_or(StatusCode::BAD_GATEWAY);
+                let code = forwarded.status().as_u16();
+                let status = StatusCode::from_u16(code).ok();
+                let status = status.filter(|_| status::is_final(code));
+                let status = status.unwrap_or(StatusCode::BAD_GATEWAY);
                 let mut builder = HttpResponse::build(status);
                 for name in ["content-type", "retry-after", "retry-after-ms"] {
                     if let Some(value) = forwarded.headers().get(name) {
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -1,6 +1,8 @@
 //! One connection to a peer.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -9,7 +11,9 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
+use tamaracksail_model::status;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::task::AbortHandle;
 
 use crate::error::{Error, Stage};
@@ -22,6 +26,9 @@
 /// bytes long.
 const MAX_BUFFERED_BYTES: usize = 64 << 10;
 
+/// The limit on the interim responses to a request. Servers send one or two.
+const MAX_INTERIM_RESPONSES: usize = 16;
+
 /// A connection that carries one request at a time. Dropping it closes the socket immediately,
 /// which tells the peer that the request was abandoned.
 #[derive(Debug)]
@@ -107,14 +114,15 @@
         Ok(IncomingResponse::new(head, body, self))
     }
 
-    /// Sends a request and waits for the head of the response.
+    /// Sends a request and waits for the head of the response. The connection is closed if that has no
+    /// final status.
     ///
     /// # Errors
     /// With [`Stage::Head`] if the request may have been sent; with [`Stage::Connect`] if the
     /// connection was closed before anything was sent.
     pub async fn send(
         &mut self,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, Error> {
         let peer = self.peer;
         if self.sender.is_closed() || self.sender.ready().await.is_err() {
@@ -129,7 +137,15 @@
         if let Some(mark) = &mark {
             mark.set(Some(Instant::now()));
         }
-        self.sender.send_request(request).await.map_err(|error| {
+        let too_many = limit_interim_responses(&mut request);
+        let response = tokio::select! {
+            response = self.sender.send_request(request) => response,
+            () = too_many.notified() => {
+                let problem = format!("more than {MAX_INTERIM_RESPONSES} interim responses");
+                return Err(self.fail_head(problem));
+            }
+        };
+        let response = response.map_err(|error| {
             let is_unsent = error.is_canceled();
             if let Some(mark) = mark.filter(|_| is_unsent) {
                 mark.set(None);
@@ -143,7 +159,22 @@
                 peer,
                 problem: describe(&error),
             }
-        })
+        })?;
+        let code = response.status().as_u16();
+        if !status::is_final(code) {
+            return Err(self.fail_head(format!("{code} is no final status")));
+        }
+        Ok(response)
+    }
+
+    /// Closes the connection, which carried bytes that are no response, and returns the error.
+    fn fail_head(&self, problem: String) -> Error {
+        self.driver.abort();
+        Error {
+            stage: Stage::Head,
+            peer: self.peer,
+            problem,
+        }
     }
 }
 
@@ -153,6 +184,20 @@
     }
 }
 
+/// Limits the interim responses to a request, which the HTTP library passes over. Returns what is notified
+/// when there are too many.
+fn limit_interim_responses(request: &mut Request<Full<Bytes>>) -> Arc<Notify> {
+    let exceeded = Arc::new(Notify::new());
+    let notifier = Arc::clone(&exceeded);
+    let count = AtomicUsize::new(0);
+    hyper::ext::on_informational(request, move |_| {
+        if count.fetch_add(1, Ordering::Relaxed) >= MAX_INTERIM_RESPONSES {
+            notifier.notify_one();
+        }
+    });
+    exceeded
+}
+
 /// Returns the text of an error, followed by those of its causes.
 pub(crate) fn describe(error: &dyn std::error::Error) -> String {
     let mut text = error.to_string();
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod rate;
 pub mod reward;
 pub mod route;
+pub mod status;
 pub mod store;
 pub mod table;
 pub mod time;
--- a/crates/policy/src/entry/frames.rs
+++ b/crates/policy/src/entry/frames.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use tamaracksail_model::id;
+use tamaracksail_model::status;
 use tamaracksail_model::time::Instant;
 use tamaracksail_wire::{Failure, Frame, Load, Reason, Revoked, Usage};
 
@@ -20,16 +21,22 @@
         attempt.last_frame_at = now;
         match frame {
             Frame::Head {
-                status, headers, ..
+                status: code,
+                headers,
+                ..
             } => {
+                // A status that is not final is no response, also if an agent passes it on.
+                if !status::is_final(code) {
+                    return self.fail_attempt(now, id, false, Cause::Server(Reason::Failed));
+                }
                 // An error that answers the continuation of a stream is no part of the stream.
                 let request = self.requests.get(&attempt.request);
                 let is_continuation = request.is_some_and(|request| request.relayed > 0);
-                if is_continuation && !(200..300).contains(&status) {
+                if is_continuation && !(200..300).contains(&code) {
                     return self.fail_attempt(now, id, false, Cause::Server(Reason::Failed));
                 }
                 if attempt.head.is_none() {
-                    attempt.head = Some((status, headers));
+                    attempt.head = Some((code, headers));
                 }
             }
             Frame::Data {
