Bound what is kept of a server's bytes on every path

Callers saw: a request that waited until its deadline while a server sent interim responses without end; items aborted after a minute beside an engine that sent events without end. Operators of other systems saw processes end by memory.

A text that could not be stored is discarded, and its item runs again.

--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -6,6 +6,7 @@
 //! the server's health, and `weights` serves the weights of its engine to other engines.
 
 mod attempts;
+mod body_counter;
 mod control;
 mod options;
 mod probe;
--- a/crates/agent/src/server.rs
+++ b/crates/agent/src/server.rs
@@ -20,6 +20,7 @@
 use tamaracksail_wire::{Content, LoadCommand, Usage};
 use tokio::sync::mpsc;
 
+use crate::body_counter::{BodyCounter, BodyLimits};
 use crate::control::{Control, Input, ProbeResult};
 use crate::probe;
 
@@ -230,9 +231,15 @@
         headers,
     }));
     let is_stream = server.kind == Kind::Engine && status.is_success();
-    let body = std::pin::pin!(body(client, response));
+    let limits = if is_stream {
+        BodyLimits::EVENTS
+    } else {
+        BodyLimits::BYTES
+    };
+    let counter = BodyCounter::new(limits);
+    let body = std::pin::pin!(body(client, response, &counter));
     let result = if is_stream {
-        forward_events(control, attempt, body).await
+        forward_events(control, attempt, body, &counter).await
     } else {
         forward_bytes(control, attempt, body).await
     };
@@ -250,16 +257,21 @@
     Ok(())
 }
 
-/// Returns the chunks of a body. Fails if the body ends before the end that its framing states.
+/// Returns the chunks of a body. Fails if the body ends before the end that its framing states, or exceeds
+/// a limit of `counter`.
 fn body(
     client: &http::Client,
     response: IncomingResponse,
+    counter: &BodyCounter,
 ) -> impl Stream<Item = Result<Bytes, http::Error>> {
     stream::try_unfold(response, async |mut response| {
         let Some(chunk) = response.next().await? else {
             response.release(client);
             return Ok(None);
         };
+        counter
+            .record_chunk(chunk.len())
+            .map_err(|problem| response.body_error(problem))?;
         Ok(Some((chunk, response)))
     })
 }
@@ -270,6 +282,7 @@
     control: &Addr<Control>,
     attempt: id::Attempt,
     response: S,
+    counter: &BodyCounter,
 ) -> Result<Usage, String>
 where
     S: Stream<Item = Result<Bytes, http::Error>> + Unpin,
@@ -278,6 +291,7 @@
     let mut events = response.eventsource();
     while let Some(event) = events.next().await {
         let data = event.map_err(|error| error.to_string())?.data;
+        counter.record_event();
         if data == "[DONE]" {
             return Ok(usage);
         }
--- a/crates/gateway/src/batches/takeover.rs
+++ b/crates/gateway/src/batches/takeover.rs
@@ -38,7 +38,7 @@
     coordinator.start_scheduling();
     let max_bytes = gateway.settings.borrow().max_value_bytes;
     let mut scheduler = coordinator.scheduler.borrow_mut();
-    scheduler.limit_writes(max_bytes / partial_texts::TEXT_LENGTH_DIVISOR);
+    scheduler.limit_writes(max_bytes / partial_texts::TEXT_LENGTH_DIVISOR, max_bytes);
     drop(scheduler);
     gateway.metrics.scheduling.set(1);
     log::info!("scheduling started");
--- a/crates/gateway/tests/endless_responses.rs
+++ b/crates/gateway/tests/endless_responses.rs
@@ -73,7 +73,7 @@
 #[test]
 fn plain_requests_are_served_beside_a_server_that_sends_bytes_without_end() {
     run(async {
-        for kind in [Kind::Head, Kind::Refusal, Kind::Failure] {
+        for kind in [Kind::Head, Kind::Interim, Kind::Refusal, Kind::Failure] {
             let (_world, gateway, endless) = start(kind, "app").await;
             let begin = Instant::now();
             // Requests at the same time are sent to both servers.
@@ -137,7 +137,8 @@
 fn items_complete_elsewhere_when_an_engine_sends_bytes_without_end() {
     run(async {
         // A failure of an item counts as one of its attempts, whatever its body.
-        for kind in Kind::ALL.into_iter().filter(|kind| *kind != Kind::Failure) {
+        let kinds = Kind::ALL.into_iter().filter(|kind| *kind != Kind::Failure);
+        for kind in kinds.chain([Kind::Events]) {
             let (world, gateway, endless) = start(kind, "pool").await;
             let items = ["i0", "i1", "i2", "i3"];
             let client = gateway.client();
--- a/crates/policy/src/batch/reports.rs
+++ b/crates/policy/src/batch/reports.rs
@@ -64,6 +64,13 @@
         run_failed(scheduler, now, run_id, Failure::Broken);
         return false;
     }
+    let max_bytes = scheduler.max_text_bytes.unwrap_or(usize::MAX);
+    if task.text.data.len() + data.len() > max_bytes {
+        // It is no text of this item: an engine that is sound sends no text that cannot be stored.
+        task.discard_text();
+        run_failed(scheduler, now, run_id, Failure::Broken);
+        return false;
+    }
     if task.text.last.is_none() {
         let engine = scheduler.pool.engines.get(engine);
         task.text.software = engine.map(|engine| engine.registration.software.clone());
--- a/crates/policy/src/batch/scheduler.rs
+++ b/crates/policy/src/batch/scheduler.rs
@@ -65,6 +65,8 @@
     pub(super) actions: Vec<Action>,
     /// The limit on the text of the results in one write, in bytes; `None` if there is none.
     max_write_bytes: Option<usize>,
+    /// The limit on the text of an item, in bytes; `None` if there is none.
+    pub(super) max_text_bytes: Option<usize>,
     /// The last number given to a run.
     pub(super) last_run: u64,
     pub(super) ranking: Ranking,
@@ -207,9 +209,10 @@
     }
 
     /// Limits the text of the results in one [`Action::WriteResults`], in bytes. A single result may
-    /// be longer.
-    pub fn limit_writes(&mut self, max_bytes: usize) {
+    /// be longer, but no longer than `max_text_bytes`: a longer one could not be stored, and is discarded.
+    pub fn limit_writes(&mut self, max_bytes: usize, max_text_bytes: usize) {
         self.max_write_bytes = Some(max_bytes);
+        self.max_text_bytes = Some(max_text_bytes);
     }
 
     /// Records that the results in the last [`Action::WriteResults`] of a batch are durable.
--- a/crates/standins/tests/common/mod.rs
+++ b/crates/standins/tests/common/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses some of it")]
 
+pub mod scripted;
+
 use std::net::Ipv4Addr;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
