--- a/crates/gateway/src/batches/accept.rs
+++ b/crates/gateway/src/batches/accept.rs
@@ -1,9 +1,11 @@
 //! Acceptance of batches. A batch is in the store before its client gets the response.
 
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_util::future::select;
 use hyper::http::request::Parts;
 use hyper::{Method, Response, StatusCode};
 use tamaracksail_adapter::store::{Error, Object};
@@ -15,7 +17,7 @@
 use tamaracksail_wire::peer::{Request as PeerRequest, Response as PeerResponse};
 
 use super::schema::{self, Manifest, Part};
-use super::{lease_loop, owner, reward_calls, takeover};
+use super::{announcement, lease_loop, owner, reward_calls, takeover};
 use crate::connection::Body;
 use crate::gateway::{Gateway, now};
 use crate::peer::{self, Error as PeerError};
@@ -27,6 +29,10 @@
 /// The delay before a call whose outcome is unknown is repeated.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 
+/// How long the store may take to answer before a call is made again. In an undisturbed platform it takes
+/// milliseconds.
+const ANSWER_TIME: Duration = Duration::from_millis(300);
+
 /// The divisor of the store's maximum value length that limits a part's text, which escaping
 /// lengthens.
 const PART_LENGTH_DIVISOR: usize = 2;
@@ -293,6 +299,7 @@
     match create(gateway, schema::MANIFESTS, id, &manifest, deadline).await {
         Ok(Created::New) => {
             log::info!(batch = id, items = total, is_new = true; "batch accepted");
+            announcement::send(gateway, id);
             takeover::schedule(gateway, id, &manifest, &submission.body, Vec::new(), 0);
             Outcome::Stored
         }
@@ -394,7 +401,7 @@
 ) -> Result<Created, CreateError> {
     let mut is_unknown = false;
     loop {
-        let error = match gateway.store.create(kind, name, spec).await {
+        let error = match create_once(gateway, kind, name, spec).await {
             Ok(_) => return Ok(Created::New),
             Err(Error::Conflict { object, .. }) => return Ok(Created::Existing(object)),
             Err(error) => error,
@@ -410,6 +417,40 @@
     }
 }
 
+/// Creates an object. A call without an answer is made a second time beside the first, on a new connection: the
+/// connections to the store may have gone silent. An object is created only once.
+///
+/// # Errors
+/// As [`Client::create`](tamaracksail_adapter::store::Client::create); of unknown outcome if that of one of the
+/// calls is.
+async fn create_once<T: serde::Serialize>(
+    gateway: &Gateway,
+    kind: &str,
+    name: &str,
+    spec: &T,
+) -> Result<Object, Error> {
+    let mut first = pin!(gateway.store.create(kind, name, spec));
+    tokio::select! {
+        outcome = &mut first => return outcome,
+        () = tokio::time::sleep(ANSWER_TIME) => {}
+    }
+    log::info!(kind, name, waited_ms = ANSWER_TIME.as_millis(); "store silent, object created on a new connection");
+    gateway.store.close_idle();
+    let second = pin!(gateway.store.create(kind, name, spec));
+    let (outcome, other) = select(first, second).await.factor_first();
+    let is_certain =
+        |outcome: &Result<Object, Error>| matches!(outcome, Ok(_) | Err(Error::Conflict { .. }));
+    if is_certain(&outcome) {
+        return outcome;
+    }
+    let last = other.await;
+    let is_unknown = matches!(outcome, Err(Error::Unknown { .. }));
+    if is_unknown && !is_certain(&last) {
+        return outcome;
+    }
+    last
+}
+
 /// Splits a text into parts of at most `max_bytes` bytes.
 fn split(text: &str, max_bytes: usize) -> Vec<&str> {
     let mut parts = Vec::new();
--- a/crates/gateway/src/batches/mod.rs
+++ b/crates/gateway/src/batches/mod.rs
@@ -2,6 +2,7 @@
 //! gateway that holds the scheduling lease, and readable at any gateway.
 
 mod accept;
+mod announcement;
 mod coordinator;
 mod item_run;
 mod lease_loop;
@@ -20,6 +21,7 @@
 mod takeover;
 
 pub use accept::{Submission, accept, is_repeated, store_for_peer};
+pub use announcement::receive as receive_announcement;
 pub use coordinator::{Coordinator, Tenure};
 pub use lease_loop::{find_holder, known_holder, request_lease};
 pub use lease_query::{answer_lease_query, has_spare_cpu, yield_lease};
--- a/crates/gateway/src/batches/takeover.rs
+++ b/crates/gateway/src/batches/takeover.rs
@@ -128,6 +128,11 @@
     .await;
 }
 
+/// Loads a batch of which another gateway has told. A holder before this process may have had it.
+pub fn apply_announced(gateway: &Rc<Gateway>, object: &Object) {
+    apply_manifest(gateway, object, EarlierScheduler::Possible);
+}
+
 /// Whether another process may have scheduled a batch before.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum EarlierScheduler {
--- a/crates/gateway/src/peer/server.rs
+++ b/crates/gateway/src/peer/server.rs
@@ -142,6 +142,7 @@
             };
             batches::store_for_peer(gateway, &submission, Duration::from_millis(limit_ms)).await
         }
+        PeerRequest::Accepted { batch } => batches::receive_announcement(gateway, batch),
         PeerRequest::End { caller, batch } => batches::end_for_peer(gateway, &caller, &batch).await,
         PeerRequest::Results {
             caller,
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -124,6 +124,11 @@
             #[serde(default)]
             routes_version: u64,
         },
+        /// Tells the peer, which schedules, that a batch was accepted.
+        Accepted {
+            /// The batch's id.
+            batch: String,
+        },
         /// Asks the peer to end a batch, from a gateway that cannot reach the store.
         End {
             /// The client.
