Tell refused clients a time that a response can state

Cause, by reading: the time left of a refusal was passed on as it was, and one below half a millisecond is stated as zero; only the answer of the gateway that grants permits had a lower bound. It was not reproduced on purpose.

Change: `limit::retry_after` gives each refusal at least 20 ms. The test of it is new; there was no such function before.

--- a/crates/gateway/src/limits/acquisition.rs
+++ b/crates/gateway/src/limits/acquisition.rs
@@ -5,7 +5,7 @@
 
 use tamaracksail_model::time::Instant;
 use tamaracksail_policy::fleet::{Query, ServerKey};
-use tamaracksail_policy::limit::{Authority, Grant, Observation};
+use tamaracksail_policy::limit::{self, Authority, Grant, MIN_REFUSAL, Observation};
 use tamaracksail_wire::peer::{
     Permits, Request as PeerRequest, Response as PeerResponse, ServerLimit,
 };
@@ -31,9 +31,6 @@
 /// The number of servers that a request for permits names.
 const MAX_SERVERS_ASKED: usize = 16;
 
-/// The shortest time until permits are asked for again after a refusal.
-const MIN_REFUSAL: Duration = Duration::from_millis(20);
-
 /// The age that is stated of the limit of a server which was not observed: everything else is newer.
 const UNOBSERVED_AGE: Duration = Duration::from_hours(24);
 
@@ -171,13 +168,13 @@
                     tokio::time::sleep(delay).await;
                     Ok(key)
                 }
-                Grant::Refused(retry_after) => Err(retry_after),
+                Grant::Refused(wait) => Err(limit::retry_after(wait)),
             }
         }
         Authority::Peer => {
             let refused_for = gateway.limits.refused_until(service).since(now());
             if !refused_for.is_zero() {
-                return Err(refused_for);
+                return Err(limit::retry_after(refused_for));
             }
             ask(gateway, service, servers, max_wait, timeout).await
         }
@@ -220,7 +217,7 @@
             tokio::time::sleep(delay).await;
             return Ok(key);
         }
-        let retry_after = Duration::from_millis(retry_after_ms).max(MIN_REFUSAL);
+        let retry_after = limit::retry_after(Duration::from_millis(retry_after_ms));
         gateway
             .limits
             .record_refusal(service, now().after(retry_after));
--- a/crates/policy/src/limit/mod.rs
+++ b/crates/policy/src/limit/mod.rs
@@ -19,6 +19,18 @@
 mod permits;
 mod share;
 
+use std::time::Duration;
+
 pub use authority::Authority;
 pub use limiter::{Grant, Limiter, PERMIT_VALIDITY};
 pub use observation::Observation;
+
+/// The shortest time for which a client that is refused is sent away: some round trips. Responses state it
+/// in milliseconds, so one that is below half of one would say that there is none.
+pub const MIN_REFUSAL: Duration = Duration::from_millis(20);
+
+/// Returns when a client should come back that a permit is refused for `wait`.
+#[must_use]
+pub fn retry_after(wait: Duration) -> Duration {
+    wait.max(MIN_REFUSAL)
+}
--- a/crates/policy/tests/limits.rs
+++ b/crates/policy/tests/limits.rs
@@ -9,7 +9,9 @@
 use tamaracksail_model::rate::Rate;
 use tamaracksail_model::time::Instant;
 use tamaracksail_policy::fleet::{Fleet, Query, ServerKey};
-use tamaracksail_policy::limit::{Authority, Grant, Limiter, Observation, PERMIT_VALIDITY};
+use tamaracksail_policy::limit::{
+    Authority, Grant, Limiter, MIN_REFUSAL, Observation, PERMIT_VALIDITY, retry_after,
+};
 
 /// The time over which the platform counts requests.
 const WINDOW: Duration = Duration::from_secs(4);
@@ -274,3 +276,15 @@
         prop_assert!(peak(sent) <= allowed(per_second));
     }
 }
+
+// Guards against: a client that is refused is told to come back at once, since the next permit is less than
+// half a millisecond away.
+#[test]
+fn a_refusal_names_a_time_that_a_response_can_state() {
+    for micros in [0, 1, 400, 499, 19_000] {
+        let after = retry_after(Duration::from_micros(micros));
+        assert_eq!(after, MIN_REFUSAL, "{micros}");
+    }
+    let long = Duration::from_millis(700);
+    assert_eq!(retry_after(long), long);
+}
