Count all groups of a step that its trainer does not end

Cause: whether a step has all that its trainer waits for depends on what the memory of an earlier holder had, and waiting items of a satisfied step do not start.

Change: a step that is not ended 2 s after these results are durable is not satisfied, and all of its groups count. Why it works: the trainer ends a step as soon as it has what it waits for, so one that does not waits for more.

--- a/crates/gateway/src/batches/result_writer.rs
+++ b/crates/gateway/src/batches/result_writer.rs
@@ -128,6 +128,9 @@
         result_log.is_writing = false;
         result_log.changed.notify_waiters();
     }
-    coordinator.scheduler.borrow_mut().results_written(batch);
+    coordinator
+        .scheduler
+        .borrow_mut()
+        .results_written(now(), batch);
     coordinator.wake_scheduler();
 }
--- a/crates/policy/src/batch/open_batch.rs
+++ b/crates/policy/src/batch/open_batch.rs
@@ -12,6 +12,10 @@
 /// step lasts seconds, and the results that complete a step are written without delay.
 pub(crate) const RESULT_COALESCE_DELAY: Duration = Duration::from_millis(400);
 
+/// How long a trainer takes at most to end a batch once it can read what it waits for. Trainers read about
+/// twice a second; an item may be at no engine for five seconds.
+const MAX_END_DELAY: Duration = Duration::from_secs(2);
+
 /// A group of items that share a prompt.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Group {
@@ -57,6 +61,8 @@
     pub(crate) items_being_written: BTreeSet<String>,
     /// Whether the results that the trainer waits for were handed out for writing.
     pub(crate) is_satisfied: bool,
+    /// Since when these results are durable, so that the trainer can read them and end the batch.
+    pub(crate) satisfied_since: Option<Instant>,
     /// When its client ended the batch.
     pub(crate) ended_at: Option<Instant>,
 }
@@ -74,6 +80,27 @@
         complete_groups >= self.target_groups && !self.groups.iter().any(is_awaited)
     }
 
+    /// Records that all results handed out for writing are durable.
+    pub(crate) fn record_written(&mut self, now: Instant) {
+        self.is_writing = false;
+        self.items_being_written.clear();
+        if self.is_satisfied && self.satisfied_since.is_none() {
+            self.satisfied_since = Some(now);
+        }
+    }
+
+    /// Waits for all groups if the trainer has not ended the batch in time: it waits for others than those that
+    /// are complete. Which groups an earlier batch left unfinished may not be known here, if another process
+    /// scheduled that batch or it is long ago.
+    pub(crate) fn review_satisfaction(&mut self, now: Instant) {
+        let is_late = |since: Instant| now.since(since) >= MAX_END_DELAY;
+        if self.ended_at.is_none() && self.satisfied_since.is_some_and(is_late) {
+            self.target_groups = self.groups.len();
+            self.is_satisfied = false;
+            self.satisfied_since = None;
+        }
+    }
+
     /// Adds the result of an item of `group`.
     pub(crate) fn add_result(&mut self, now: Instant, group: usize, result: ItemResult) {
         if self.results.is_empty() {
--- a/crates/policy/src/batch/scheduler.rs
+++ b/crates/policy/src/batch/scheduler.rs
@@ -216,10 +216,9 @@
     }
 
     /// Records that the results in the last [`Action::WriteResults`] of a batch are durable.
-    pub fn results_written(&mut self, key: BatchKey) {
+    pub fn results_written(&mut self, now: Instant, key: BatchKey) {
         if let Some(batch) = self.batches.get_mut(key) {
-            batch.is_writing = false;
-            batch.items_being_written.clear();
+            batch.record_written(now);
         }
     }
 
@@ -305,6 +304,9 @@
             .retain(|_, since| now.since(*since) < TEXT_RETENTION);
         ending::end_detached(self, now);
         ending::expire_tasks(self, now);
+        for batch in self.batches.values_mut() {
+            batch.review_satisfaction(now);
+        }
         stragglers::move_stuck(self, now);
         affinity::update(self);
         if may_command {
--- a/crates/policy/src/batch/submission.rs
+++ b/crates/policy/src/batch/submission.rs
@@ -107,6 +107,7 @@
         is_writing: false,
         items_being_written: BTreeSet::new(),
         is_satisfied: false,
+        satisfied_since: None,
         ended_at: None,
     });
     let mut order: Vec<(Item, usize)> = submission.items.into_iter().zip(group_of).collect();
--- a/crates/policy/tests/common/engines.rs
+++ b/crates/policy/tests/common/engines.rs
@@ -359,7 +359,7 @@
                 }
                 self.results.entry(id.clone()).or_default().extend(results);
             }
-            self.scheduler.results_written(batch);
+            self.scheduler.results_written(self.now, batch);
         }
         for action in self.scheduler.poll(self.now, self.may_command) {
             self.perform(action);
--- a/crates/policy/tests/scheduling.rs
+++ b/crates/policy/tests/scheduling.rs
@@ -332,6 +332,35 @@
     assert!(took < Duration::from_secs(4), "{took:?}");
 }
 
+// Guards against: an item that its trainer waits for is not started again, since the scheduler does not know that
+// an earlier batch left its group unfinished.
+#[test]
+fn an_item_runs_again_after_the_target_is_met_if_its_trainer_does_not_end_the_batch() {
+    for is_forgotten in [false, true] {
+        let mut simulation = Simulation::new(2, 4, EVENT_INTERVAL);
+        simulation.submit("s", 1, 1, &[("g0", &[100]), ("g1", &[5])]);
+        simulation.run_until_complete("s", 1);
+        simulation.end("s");
+        if is_forgotten {
+            // Longer than groups are retained.
+            simulation.run_for(Duration::from_secs(40));
+        } else {
+            // No checkpoint has been written, so the next scheduler knows no groups.
+            simulation.take_over(1);
+        }
+        // The item is longer than its client has estimated, so that it is not expected to end last.
+        simulation.submit("t", 1, 2, &[("g0", &[10]), ("h0", &[5]), ("h1", &[60])]);
+        simulation.event_counts.insert("g0.0".to_owned(), 200);
+        simulation.run_until_complete("t", 2);
+        for name in ["e00", "e01"] {
+            simulation.crash(name);
+        }
+        let took = simulation.run_until_complete("t", 3);
+        // Its events take eight seconds, and the platform allows an item five at no server.
+        assert!(took < Duration::from_secs(13), "{is_forgotten}: {took:?}");
+    }
+}
+
 #[test]
 fn engines_stay_in_use_while_commands_may_not_be_sent() {
     let mut simulation = Simulation::new(4, 4, EVENT_INTERVAL);
