Keep a search that outlives its server, and refuse what cannot be checked

A stream whose server broke off beside a silent successor began a second search while the first went on. A repeated submission whose calls have lost their route was passed to peers, which do not check routes, while the store could not be read; it is refused as not run now.

--- a/crates/gateway/src/batches/accept.rs
+++ b/crates/gateway/src/batches/accept.rs
@@ -100,6 +100,8 @@
                 Outcome::NotStored
             }
         },
+        // It is not known whether it was accepted before, and peers do not check its calls.
+        Err(Outcome::NotStored) => return retry_later(RETRY_AFTER),
         Err(outcome) => outcome,
     };
     if matches!(outcome, Outcome::NotStored | Outcome::Unknown) {
@@ -163,8 +165,8 @@
 /// items.
 ///
 /// # Errors
-/// [`Outcome::Malformed`]. If only routes are missing and the batch was accepted before,
-/// [`Outcome::Stored`].
+/// [`Outcome::Malformed`]. If only routes are missing, [`Outcome::Stored`] if the batch was accepted before,
+/// and [`Outcome::NotStored`] if that cannot be read.
 async fn check(
     gateway: &Gateway,
     caller: &Caller,
--- a/crates/gateway/src/request/streaming.rs
+++ b/crates/gateway/src/request/streaming.rs
@@ -172,6 +172,9 @@
             };
             servers = next;
             standby.record_event(now());
+            if servers.search.is_some() {
+                standby.begin_search();
+            }
         }
     }
 
