--- a/crates/gateway/tests/batch_routes.rs
+++ b/crates/gateway/tests/batch_routes.rs
@@ -25,18 +25,6 @@
     response.await.expect("a response").status
 }
 
-/// Returns `routes` with a further one.
-fn with_route(mut routes: Value, prefix: &str, kind: &str, service: &str) -> Value {
-    let list = routes["routes"].as_array_mut().expect("a list of routes");
-    let mut route = list[2].clone();
-    route["name"] = format!("r-new{prefix}").into();
-    route["path-prefix"] = prefix.into();
-    route["kind"] = kind.into();
-    route["service"] = service.into();
-    list.push(route);
-    routes
-}
-
 async fn put_routes(world: &World, gateways: &[Gateway], routes: Value) {
     let version = routes["version"].as_u64().expect("a version");
     world.store.put_routes(routes);
@@ -95,7 +83,7 @@
             let client = gateways[0].client();
             assert_eq!(submit(&client, "b1", "/batch/3/").await, 202);
             wait_until("items run", async || world.arrival_count("i00") > 0).await;
-            let routes = with_route(settings::routes(2), "/batch/3/", kind, "app");
+            let routes = settings::with_route(settings::routes(2), "/batch/3/", kind, "app");
             put_routes(&world, &gateways, routes).await;
             assert_complete_at_pool(&world, &client, "b1").await;
         }
@@ -113,8 +101,9 @@
             assert_eq!(submit(&client, "b1", "/batch/3/").await, 202);
             wait_until("items run", async || world.arrival_count("i00") > 0).await;
             // The first begins the paths of the items, the second that of the submission.
-            let routes = with_route(settings::routes(2), "/batch/3/", "idempotent", "app");
-            let mut routes = with_route(routes, "/batch/new/", "idempotent", "app");
+            let routes =
+                settings::with_route(settings::routes(2), "/batch/3/", "idempotent", "app");
+            let mut routes = settings::with_route(routes, "/batch/new/", "idempotent", "app");
             let route = &mut routes["routes"][2];
             route["name"] = "r-renamed".into();
             put_routes(&world, &gateways, routes).await;
@@ -189,7 +178,7 @@
         assert_eq!(submit(&gateways[0].client()).await, 202);
         for kind in ["idempotent", "rollout"] {
             let version = if kind == "rollout" { 3 } else { 2 };
-            let routes = with_route(settings::routes(version), "/batch/3/", kind, "app");
+            let routes = settings::with_route(settings::routes(version), "/batch/3/", kind, "app");
             put_routes(&world, &gateways, routes).await;
             for gateway in &gateways {
                 let client = gateway.client();
@@ -213,7 +202,7 @@
 fn a_request_below_a_route_of_batches_is_forwarded_unless_it_repeats_a_submission() {
     run(async {
         let (world, gateways) = start(1, 5, EVENT_INTERVAL).await;
-        let routes = with_route(settings::routes(2), "/batch/3/", "idempotent", "app");
+        let routes = settings::with_route(settings::routes(2), "/batch/3/", "idempotent", "app");
         put_routes(&world, &gateways, routes).await;
         let client = gateways[0].client();
         let response = client.request("r1", "/batch/3/x", "text").await;
--- a/crates/gateway/tests/odd_statuses.rs
+++ b/crates/gateway/tests/odd_statuses.rs
@@ -7,6 +7,7 @@
 
 use common::{Gateway, World, assert_complete, read_results, run, wait_until};
 use futures_util::future::join_all;
+use tamaracksail_adapter::names;
 use tamaracksail_adapter_standins::Endless;
 use tamaracksail_adapter_standins::endless::Kind;
 use tamaracksail_adapter_standins::loopback::address;
@@ -39,8 +40,9 @@
 /// Sends a request, and returns the status of the response as it was received.
 async fn status(gateway: SocketAddr, id: &str, path: &str) -> u16 {
     let mut stream = TcpStream::connect(gateway).await.expect("a connection");
+    let header = names::REQUEST_ID;
     let head = format!(
-        "POST {path} HTTP/1.1\r\nhost: app.example\r\nx-tamaracksail-request-id: {id}\r\n\
+        "POST {path} HTTP/1.1\r\nhost: app.example\r\n{header}: {id}\r\n\
          content-length: 0\r\nx-item: 1\r\nconnection: close\r\n\r\n"
     );
     stream.write_all(head.as_bytes()).await.expect("a request");
--- a/crates/gateway/tests/rewards.rs
+++ b/crates/gateway/tests/rewards.rs
@@ -352,10 +352,10 @@
         };
         assert_eq!(submit().await, 202);
         let routes = settings::with_batch_route(settings::routes(2), "/plain/score/");
-        let mut routes = settings::with_batch_route(routes, "/plain/s/");
-        routes["routes"][5]["path-prefix"] = "/plain/".into();
-        routes["routes"][0]["path-prefix"] = "/".into();
-        world.store.put_routes(routes);
+        let routes = settings::with_batch_route(routes, "/plain/");
+        world
+            .store
+            .put_routes(settings::with_prefix(routes, 0, "/"));
         wait_until("the routes are in force", async || {
             gateways[0].metric("routes_version").await == 2
         })
