Derive whether a search is in progress

Standby kept a stage beside the search that Servers holds, and had to be told of both; a server that broke off beside a search needed a case of its own. It gets the fact as an argument now. Behaviour and assertions are unchanged.

--- a/crates/gateway/src/request/streaming.rs
+++ b/crates/gateway/src/request/streaming.rs
@@ -109,7 +109,8 @@
         let mut last = None;
         let mut servers = Servers::of(first);
         loop {
-            let next_search = standby.next_search(self.attempts.borrow().left);
+            let attempts_left = self.attempts.borrow().left;
+            let next_search = standby.next_search(attempts_left, servers.search.is_some());
             let received = match servers.next(last, next_search).await {
                 Occurrence::Current(received) => received,
                 Occurrence::Successor(position, Ok(event)) => {
@@ -139,7 +140,6 @@
                     continue;
                 }
                 Occurrence::Due => {
-                    standby.begin_search();
                     let search = self.search(servers.newest(), last, standby.silence(now()));
                     servers.search = Some(Box::pin(search));
                     continue;
@@ -172,9 +172,6 @@
             };
             servers = next;
             standby.record_event(now());
-            if servers.search.is_some() {
-                standby.begin_search();
-            }
         }
     }
 
--- a/crates/policy/src/request/standby.rs
+++ b/crates/policy/src/request/standby.rs
@@ -18,21 +18,13 @@
 /// The longest time between two searches.
 const MAX_SEARCH_INTERVAL: Duration = Duration::from_secs(1);
 
-/// The search for another server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Stage {
-    /// A search begins at this time, unless an event arrives before.
-    Idle { until: Instant },
-    /// Another server is being sought.
-    Searching,
-}
-
 /// Decides for one stream.
 #[derive(Clone, Copy, Debug)]
 pub struct Standby {
     last_progress: Instant,
     search_interval: Duration,
-    stage: Stage,
+    /// When a search begins, unless an event arrives before.
+    next_search: Instant,
 }
 
 impl Standby {
@@ -42,9 +34,7 @@
         Self {
             last_progress: now,
             search_interval: SEARCH_INTERVAL,
-            stage: Stage::Idle {
-                until: now.after(IDLE_TIMEOUT),
-            },
+            next_search: now.after(IDLE_TIMEOUT),
         }
     }
 
@@ -53,24 +43,15 @@
         *self = Self::new(now);
     }
 
-    /// Records that a search has begun.
-    pub fn begin_search(&mut self) {
-        self.stage = Stage::Searching;
-    }
-
     /// Records that a search found no server, or one that broke off.
     pub fn record_failure(&mut self, now: Instant) {
-        self.stage = Stage::Idle {
-            until: now.after(self.search_interval),
-        };
+        self.next_search = now.after(self.search_interval);
         self.search_interval = (self.search_interval * 2).min(MAX_SEARCH_INTERVAL);
     }
 
     /// Records that another server has begun its response. If it is silent too, a third is sought.
     pub fn record_taken(&mut self, now: Instant) {
-        self.stage = Stage::Idle {
-            until: now.after(IDLE_TIMEOUT),
-        };
+        self.next_search = now.after(IDLE_TIMEOUT);
     }
 
     /// Returns how long the stream has had no event.
@@ -79,12 +60,10 @@
         now.since(self.last_progress)
     }
 
-    /// Returns when the next search begins. There is none during a search, nor without an attempt left.
+    /// Returns when the next search begins. There is none while one is in progress, nor without an attempt
+    /// left.
     #[must_use]
-    pub fn next_search(&self, attempts_left: usize) -> Option<Instant> {
-        match self.stage {
-            Stage::Idle { until } => (attempts_left > 0).then_some(until),
-            Stage::Searching => None,
-        }
+    pub fn next_search(&self, attempts_left: usize, is_searching: bool) -> Option<Instant> {
+        (attempts_left > 0 && !is_searching).then_some(self.next_search)
     }
 }
--- a/crates/policy/tests/standby.rs
+++ b/crates/policy/tests/standby.rs
@@ -14,15 +14,14 @@
 #[test]
 fn a_further_server_is_sought_after_each_silence_while_attempts_are_left() {
     let mut standby = Standby::new(at(0));
-    assert_eq!(standby.next_search(2), Some(at(900)));
-    assert_eq!(standby.next_search(0), None);
-    standby.begin_search();
-    assert_eq!(standby.next_search(2), None);
+    assert_eq!(standby.next_search(2, false), Some(at(900)));
+    assert_eq!(standby.next_search(0, false), None);
+    assert_eq!(standby.next_search(2, true), None);
     standby.record_taken(at(950));
-    assert_eq!(standby.next_search(1), Some(at(1850)));
+    assert_eq!(standby.next_search(1, false), Some(at(1850)));
     assert_eq!(standby.silence(at(1850)), Duration::from_millis(1850));
     standby.record_event(at(1900));
-    assert_eq!(standby.next_search(1), Some(at(2800)));
+    assert_eq!(standby.next_search(1, false), Some(at(2800)));
 }
 
 // Guards against: full servers get the request of a silent stream again and again.
@@ -32,9 +31,8 @@
     let mut now = at(900);
     let delays: Vec<u128> = (0..5)
         .map(|_| {
-            standby.begin_search();
             standby.record_failure(now);
-            let next = standby.next_search(1).expect("a search");
+            let next = standby.next_search(1, false).expect("a search");
             let delay = next.since(now).as_millis();
             now = next;
             delay
@@ -60,17 +58,18 @@
         let (mut now, mut last_event) = (0, 0);
         for (kind, millis) in steps {
             now += millis;
+            let is_searching = kind == 1;
             match kind {
                 0 => {
                     standby.record_event(at(now));
                     last_event = now;
                 }
-                1 => standby.begin_search(),
+                1 => {}
                 2 => standby.record_failure(at(now)),
                 _ => standby.record_taken(at(now)),
             }
-            prop_assert!(standby.next_search(0).is_none());
-            if let Some(next) = standby.next_search(1) {
+            prop_assert!(standby.next_search(0, is_searching).is_none());
+            if let Some(next) = standby.next_search(1, is_searching) {
                 let is_idle = next.since(at(last_event)) >= IDLE_TIMEOUT;
                 prop_assert!(is_idle || kind == 2, "{next:?} after {last_event}");
             }
