Resolve services of batches in a file of its own, with the request's table

A repeated submission is looked up in the table that routed the request, which was read a second time. Behaviour is unchanged.

--- a/crates/gateway/src/batches/accept.rs
+++ b/crates/gateway/src/batches/accept.rs
@@ -13,6 +13,7 @@
 use tamaracksail_model::account::Caller;
 use tamaracksail_model::batch::Item;
 use tamaracksail_model::route::Route;
+use tamaracksail_model::table::Table;
 use tamaracksail_model::time::Instant;
 use tamaracksail_wire::peer::{Request as PeerRequest, Response as PeerResponse};
 
@@ -204,6 +205,7 @@
 /// If that cannot be read from the store.
 pub async fn is_repeated(
     gateway: &Gateway,
+    table: &Table,
     caller: &Caller,
     head: &Parts,
     id: &str,
@@ -212,9 +214,7 @@
     let (host, path) = (ingress::host(head).unwrap_or_default(), head.uri.path());
     let is_possible = head.method == Method::POST
         && !id.is_empty()
-        && gateway
-            .table()
-            .is_some_and(|table| table.find_batch(host, path).is_some())
+        && table.find_batch(host, path).is_some()
         && batch::parse(body).is_ok();
     Ok(is_possible && is_accepted(gateway, caller, id, (host, path)).await?)
 }
--- a/crates/gateway/src/batches/coordinator.rs
+++ b/crates/gateway/src/batches/coordinator.rs
@@ -8,10 +8,8 @@
 
 use tamaracksail_adapter::settings::Settings;
 use tamaracksail_model::backend::Registration;
-use tamaracksail_model::batch::{PartialText, SubmissionRoute};
+use tamaracksail_model::batch::PartialText;
 use tamaracksail_model::carried::Carried;
-use tamaracksail_model::route::Target;
-use tamaracksail_model::table::{Table, draw_target};
 use tamaracksail_model::time::Instant;
 use tamaracksail_policy::acquire_delay::AcquireDelay;
 use tamaracksail_policy::batch::{Action, BatchKey, Scheduler};
@@ -24,6 +22,7 @@
 use super::reads::Reads;
 use super::result_log::ResultLog;
 use super::schema;
+use super::service::resolve_service;
 use super::{item_run, lease_loop, orders, partial_texts, result_writer, reward_calls};
 use crate::gateway::{Gateway, now, peer_address};
 use crate::limits;
@@ -366,21 +365,6 @@
     }
 }
 
-/// Returns a service of the route of a batch: `preferred` if the route names it, or else one that is drawn
-/// at random by weight.
-pub(super) fn resolve_service(
-    table: &Table,
-    submission: &SubmissionRoute,
-    preferred: Option<&str>,
-) -> Option<String> {
-    let targets = &table.find_submission(submission)?.targets;
-    let is_preferred =
-        |target: &&Target| target.weight > 0 && preferred == Some(target.service.as_str());
-    let target = targets.iter().find(is_preferred);
-    let target = target.or_else(|| draw_target(targets, rand::random()))?;
-    Some(target.service.clone())
-}
-
 /// Runs the scheduling loop: polls the scheduler and carries out its actions. Never returns.
 pub async fn run_scheduler(gateway: Rc<Gateway>) {
     let coordinator = &gateway.coordinator;
--- a/crates/gateway/src/batches/mod.rs
+++ b/crates/gateway/src/batches/mod.rs
@@ -18,6 +18,7 @@
 mod retention;
 mod reward_calls;
 mod schema;
+mod service;
 mod takeover;
 
 pub use accept::{Submission, accept, is_repeated, store_for_peer};
--- a/crates/gateway/src/batches/takeover.rs
+++ b/crates/gateway/src/batches/takeover.rs
@@ -14,9 +14,9 @@
 use tamaracksail_policy::freshness::Fact;
 use tokio::sync::Notify;
 
-use super::coordinator::resolve_service;
 use super::result_log::ResultLog;
 use super::schema::{self, BatchStatus, Chunk, Manifest, Part};
+use super::service::resolve_service;
 use super::{partial_texts, retention};
 use crate::gateway::{Gateway, now};
 use crate::store::{self, Event, Watched};
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -216,7 +216,7 @@
         progress.begin();
         return batches::accept(gateway, route, &caller, &head, &id, body, deadline).await;
     }
-    match batches::is_repeated(gateway, &caller, &head, &id, &body).await {
+    match batches::is_repeated(gateway, &table, &caller, &head, &id, &body).await {
         Ok(false) => {}
         Ok(true) => {
             log::info!(
