--- a/crates/gateway/tests/batch_routes.rs
+++ b/crates/gateway/tests/batch_routes.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use common::{Gateway, World, assert_complete, read_results, run, start, start_server, wait_until};
+use common::{World, assert_complete, read_results, run, start, start_server, wait_until};
 use serde_json::{Value, json};
 use tamaracksail_adapter_standins::{Client, Engine, settings};
 use tamaracksail_model::batch::Ending;
@@ -25,17 +25,6 @@
     response.await.expect("a response").status
 }
 
-async fn put_routes(world: &World, gateways: &[Gateway], routes: Value) {
-    let version = routes["version"].as_u64().expect("a version");
-    world.store.put_routes(routes);
-    for gateway in gateways {
-        wait_until("the routes are in force", async || {
-            gateway.metric("routes_version").await >= version
-        })
-        .await;
-    }
-}
-
 fn items_at(server: &Engine) -> usize {
     let arrivals = server.arrivals();
     arrivals
@@ -84,7 +73,7 @@
             assert_eq!(submit(&client, "b1", "/batch/3/").await, 202);
             wait_until("items run", async || world.arrival_count("i00") > 0).await;
             let routes = settings::with_route(settings::routes(2), "/batch/3/", kind, "app");
-            put_routes(&world, &gateways, routes).await;
+            world.put_routes(&gateways, routes).await;
             assert_complete_at_pool(&world, &client, "b1").await;
         }
     });
@@ -106,7 +95,7 @@
             let mut routes = settings::with_route(routes, "/batch/new/", "idempotent", "app");
             let route = &mut routes["routes"][2];
             route["name"] = "r-renamed".into();
-            put_routes(&world, &gateways, routes).await;
+            world.put_routes(&gateways, routes).await;
             if is_restarted {
                 for gateway in &mut gateways {
                     gateway.kill();
@@ -139,7 +128,7 @@
             .as_array_mut()
             .expect("a list of services");
         services.push(service);
-        put_routes(&world, &gateways, routes).await;
+        world.put_routes(&gateways, routes).await;
         assert_complete_at_pool(&world, &client, "b1").await;
         assert!(items_at(&other) > 0, "no item ran at the new service");
     });
@@ -156,7 +145,7 @@
         let mut routes = settings::routes(2);
         let list = routes["routes"].as_array_mut().expect("a list of routes");
         list.remove(2);
-        put_routes(&world, &gateways, routes).await;
+        world.put_routes(&gateways, routes).await;
         let results = read_results(&client, "b1", ITEMS.len()).await;
         let aborted = results
             .iter()
@@ -179,7 +168,7 @@
         for kind in ["idempotent", "rollout"] {
             let version = if kind == "rollout" { 3 } else { 2 };
             let routes = settings::with_route(settings::routes(version), "/batch/3/", kind, "app");
-            put_routes(&world, &gateways, routes).await;
+            world.put_routes(&gateways, routes).await;
             for gateway in &gateways {
                 let client = gateway.client();
                 assert_eq!(submit(&client).await, 202, "{kind}");
@@ -203,7 +192,7 @@
     run(async {
         let (world, gateways) = start(1, 5, EVENT_INTERVAL).await;
         let routes = settings::with_route(settings::routes(2), "/batch/3/", "idempotent", "app");
-        put_routes(&world, &gateways, routes).await;
+        world.put_routes(&gateways, routes).await;
         let client = gateways[0].client();
         let response = client.request("r1", "/batch/3/x", "text").await;
         assert_eq!(response.expect("a response").status, 200);
--- a/crates/gateway/tests/broken_streams.rs
+++ b/crates/gateway/tests/broken_streams.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use common::{World, assert_complete, read_results, run, start, wait_until};
+use common::{World, assert_complete, read_results, run, start};
 use tamaracksail_adapter_standins::engine::Fault;
 use tamaracksail_adapter_standins::settings;
 
@@ -33,12 +33,6 @@
     }
 }
 
-fn end_faults(world: &World) {
-    for engine in &world.engines {
-        engine.clear_faults();
-    }
-}
-
 // Guards against: the text or the head of an error in the middle of a stream, or a stream that ends as if it
 // were complete before its last event.
 #[test]
@@ -48,11 +42,7 @@
         let client = gateways[0].client();
         let mut routes = settings::routes(2);
         routes["routes"][3]["max-attempts"] = 6.into();
-        world.store.put_routes(routes);
-        wait_until("a stream may have six attempts", async || {
-            gateways[0].metric("routes_version").await == 2
-        })
-        .await;
+        world.put_routes(&gateways, routes).await;
         for error in ERRORS {
             // With three errors at each of two engines, no attempt is left.
             for count in [1, 3] {
@@ -69,7 +59,7 @@
                     assert!(whole.starts_with(&part.text), "{error:?} {count}: {part:?}");
                 }
                 assert_eq!(part.is_complete, count == 1, "{error:?} {count}: {part:?}");
-                end_faults(&world);
+                world.clear_faults();
             }
         }
     });
@@ -93,7 +83,7 @@
                 .expect("a response");
             let results = read_results(&client, &batch, 1).await;
             assert_complete(&world, &results, &[&item]);
-            end_faults(&world);
+            world.clear_faults();
         }
     });
 }
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -322,6 +322,25 @@
         }
     }
 
+    /// Removes the faults of engines that no request has had.
+    pub fn clear_faults(&self) {
+        for engine in &self.engines {
+            engine.clear_faults();
+        }
+    }
+
+    /// Puts routes into the store, and waits until they are in force at `gateways`.
+    pub async fn put_routes(&self, gateways: &[Gateway], routes: Value) {
+        let version = routes["version"].as_u64().expect("a version");
+        self.store.put_routes(routes);
+        for gateway in gateways {
+            wait_until("the routes are in force", async || {
+                gateway.metric("routes_version").await >= version
+            })
+            .await;
+        }
+    }
+
     /// Returns how often an item arrived at any engine.
     pub fn arrival_count(&self, item: &str) -> usize {
         let count = |engine: &Engine| {
--- a/crates/gateway/tests/paused_streams.rs
+++ b/crates/gateway/tests/paused_streams.rs
@@ -47,9 +47,7 @@
             let id = format!("s-{pause_after}");
             let part = read(gateways[0].client(), id.clone()).await;
             assert_whole(&world, &id, &part);
-            for engine in &world.engines {
-                engine.clear_faults();
-            }
+            world.clear_faults();
         }
     });
 }
--- a/crates/gateway/tests/rewards.rs
+++ b/crates/gateway/tests/rewards.rs
@@ -377,12 +377,8 @@
         assert_eq!(response.expect("a response").status, 202);
         let mut routes = settings::routes(2);
         routes["routes"].as_array_mut().expect("a list").remove(0);
-        world.store.put_routes(routes);
+        world.put_routes(&gateways, routes).await;
         for gateway in &gateways {
-            wait_until("the routes are in force", async || {
-                gateway.metric("routes_version").await == 2
-            })
-            .await;
             let client = gateway.client();
             let again = client.submit_scored("b1", &ITEMS, 1).await;
             assert_eq!(again.expect("a response").status, 202);
--- a/crates/http/tests/cut_responses.rs
+++ b/crates/http/tests/cut_responses.rs
@@ -1,10 +1,13 @@
 //! Responses that are cut at each of their bytes, on new and on kept connections.
 
-use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+mod common;
+
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener};
 use std::time::Duration;
 
 use bytes::Bytes;
+use common::read_request;
 use http_body_util::Full;
 use hyper::Request;
 use tamaracksail_http::{Client, Error, Stage};
@@ -37,19 +40,6 @@
     }
 }
 
-/// Reads a request without a body.
-fn read_request(stream: &mut TcpStream) -> bool {
-    let mut bytes = Vec::new();
-    let mut buffer = [0; 1024];
-    while !bytes.ends_with(b"\r\n\r\n") {
-        match stream.read(&mut buffer) {
-            Ok(length) if length > 0 => bytes.extend(&buffer[..length]),
-            _ => return false,
-        }
-    }
-    true
-}
-
 /// Serves one connection: `kept` whole responses, then one that is cut after `end` bytes.
 fn serve(listener: &TcpListener, kept: usize, framing: Framing, end: usize, ending: Ending) {
     let (mut stream, _) = listener.accept().expect("a connection");
--- a/crates/http/tests/odd_responses.rs
+++ b/crates/http/tests/odd_responses.rs
@@ -1,12 +1,15 @@
 //! Responses without a final status, and bytes without end.
 
-use std::io::{Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+mod common;
+
+use std::io::Write;
+use std::net::{Shutdown, SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use common::read_request;
 use http_body_util::Full;
 use hyper::Request;
 use tamaracksail_http::{Client, Error, IncomingResponse, Stage};
@@ -30,18 +33,6 @@
     tokio::task::LocalSet::new().block_on(&runtime, future)
 }
 
-fn read_request(stream: &mut TcpStream) -> bool {
-    let mut bytes = Vec::new();
-    let mut buffer = [0; 1024];
-    while !bytes.ends_with(b"\r\n\r\n") {
-        match stream.read(&mut buffer) {
-            Ok(length) if length > 0 => bytes.extend(&buffer[..length]),
-            _ => return false,
-        }
-    }
-    true
-}
-
 /// Starts a peer that sends `response` to each request, then `repeated` until the connection is closed, if
 /// it is not empty. Returns its address and the number of bytes that it has sent after a response.
 fn start(response: String, repeated: &str) -> (SocketAddr, Arc<AtomicUsize>) {
