Count what an agent holds in one way for events and for bytes

Two sets of limits differed only in a limit that one did not have. Bytes that are passed on are held no more, in both ways of forwarding; chunks have at most 64 KiB, so the limit of 256 KiB meets events alone, as before.

--- a/crates/agent/src/body_counter.rs
+++ b/crates/agent/src/body_counter.rs
@@ -2,67 +2,39 @@
 
 use std::cell::Cell;
 
-/// The limits on a body, in bytes.
-#[derive(Clone, Copy, Debug)]
-pub struct BodyLimits {
-    /// The whole body. An entry holds the response until its client has read it.
-    whole: usize,
-    /// The part in which no event ends, which is held until the rest arrives.
-    event: usize,
-}
-
-impl BodyLimits {
-    /// The limits on a stream of events, which hold a few tokens each.
-    pub const EVENTS: Self = Self {
-        whole: 16 << 20,
-        event: 256 << 10,
-    };
+/// The limit on a whole body, in bytes. An entry holds the response until its client has read it.
+const MAX_BODY_BYTES: usize = 16 << 20;
 
-    /// The limits on any other body.
-    pub const BYTES: Self = Self {
-        whole: 16 << 20,
-        event: usize::MAX,
-    };
-}
+/// The limit on the bytes that are held until more arrive, as those of an event that has not ended. Events hold
+/// a few tokens each.
+const MAX_HELD_BYTES: usize = 256 << 10;
 
 /// Counts the bytes of one body.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct BodyCounter {
-    limits: BodyLimits,
     whole: Cell<usize>,
-    since_event: Cell<usize>,
+    held: Cell<usize>,
 }
 
 impl BodyCounter {
-    /// Returns the counter of a body of which nothing has been read.
-    pub fn new(limits: BodyLimits) -> Self {
-        Self {
-            limits,
-            whole: Cell::new(0),
-            since_event: Cell::new(0),
-        }
-    }
-
     /// Counts bytes that have arrived.
     ///
     /// # Errors
     /// Which limit the body exceeds.
     pub fn record_chunk(&self, bytes: usize) -> Result<(), String> {
         self.whole.set(self.whole.get().saturating_add(bytes));
-        self.since_event
-            .set(self.since_event.get().saturating_add(bytes));
-        let BodyLimits { whole, event } = self.limits;
-        if self.whole.get() > whole {
-            return Err(format!("longer than {whole} bytes"));
+        self.held.set(self.held.get().saturating_add(bytes));
+        if self.whole.get() > MAX_BODY_BYTES {
+            return Err(format!("longer than {MAX_BODY_BYTES} bytes"));
         }
-        if self.since_event.get() > event {
-            return Err(format!("an event is longer than {event} bytes"));
+        if self.held.get() > MAX_HELD_BYTES {
+            return Err(format!("an event is longer than {MAX_HELD_BYTES} bytes"));
         }
         Ok(())
     }
 
-    /// Records that an event is complete.
-    pub fn record_event(&self) {
-        self.since_event.set(0);
+    /// Records that bytes have been passed on.
+    pub fn record_passed_on(&self) {
+        self.held.set(0);
     }
 }
--- a/crates/agent/src/server.rs
+++ b/crates/agent/src/server.rs
@@ -20,7 +20,7 @@
 use tamaracksail_wire::{Content, LoadCommand, Usage};
 use tokio::sync::mpsc;
 
-use crate::body_counter::{BodyCounter, BodyLimits};
+use crate::body_counter::BodyCounter;
 use crate::control::{Control, Input, ProbeResult};
 use crate::probe;
 
@@ -231,17 +231,12 @@
         headers,
     }));
     let is_stream = server.kind == Kind::Engine && status.is_success();
-    let limits = if is_stream {
-        BodyLimits::EVENTS
-    } else {
-        BodyLimits::BYTES
-    };
-    let counter = BodyCounter::new(limits);
+    let counter = BodyCounter::default();
     let body = std::pin::pin!(body(client, response, &counter));
     let result = if is_stream {
         forward_events(control, attempt, body, &counter).await
     } else {
-        forward_bytes(control, attempt, body).await
+        forward_bytes(control, attempt, body, &counter).await
     };
     let usage = result.map_err(|cause| Error::Body {
         operation: OPERATION,
@@ -291,7 +286,7 @@
     let mut events = response.eventsource();
     while let Some(event) = events.next().await {
         let data = event.map_err(|error| error.to_string())?.data;
-        counter.record_event();
+        counter.record_passed_on();
         if data == "[DONE]" {
             return Ok(usage);
         }
@@ -334,6 +329,7 @@
     control: &Addr<Control>,
     attempt: id::Attempt,
     mut response: S,
+    counter: &BodyCounter,
 ) -> Result<Usage, String>
 where
     S: Stream<Item = Result<Bytes, http::Error>> + Unpin,
@@ -343,6 +339,7 @@
         .await
         .map_err(|error| error.to_string())?
     {
+        counter.record_passed_on();
         control.do_send(Input(Event::Chunk {
             attempt,
             bytes,
--- a/crates/entry/src/api/trainers.rs
+++ b/crates/entry/src/api/trainers.rs
@@ -295,8 +295,9 @@
             Ok(body) => {
                 let code = forwarded.status().as_u16();
                 let status = StatusCode::from_u16(code).ok();
-                let status = status.filter(|_| status::is_final(code));
-                let status = status.unwrap_or(StatusCode::BAD_GATEWAY);
+                let status = status
+                    .filter(|_| status::is_final(code))
+                    .unwrap_or(StatusCode::BAD_GATEWAY);
                 let mut builder = HttpResponse::build(status);
                 for name in ["content-type", "retry-after", "retry-after-ms"] {
                     if let Some(value) = forwarded.headers().get(name) {
