Show items that wait for good after a release to newer software

Cause: a text goes on only at a server with the software that began it and a version that the batch allows, and is discarded only if no ready server has that software. Servers that have the one but not the other hold it for good.

--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,141 +1,131 @@
-"""A server that is full refuses the gateway's health check; a second copy of that refusal arrives late, where the
-response to the next request on the connection is expected. See claim.txt."""
+"""A release replaces half of the model servers by ones with newer software, while a step runs whose items need no more
+than a part of the servers. See claim.txt."""
 
 import asyncio
 import os
-import random
 import sys
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(FOLDER, "..", "standins-3"))
-from standins import ID, Gateway, Store, call, loopback, main, manifest, registration, response, route, seconds, serve
-
-SLOTS, QUEUE, CLIENTS = 6, 4, 20
-# The faults of the one server that is not sound: for how long, and the share of its answers.
-TROUBLE_S, BROKEN_SHARE, EXTRA_SHARE = 5.5, 0.015, 0.015
-LENGTH_S = 12
-# Requests that arrive together, and the time between two such bursts.
-BURST, BURST_S = 40, 0.4
-
-
-class Server:
-    """A plain service: `SLOTS` requests run at a time, `QUEUE` more wait, the rest is refused. A health check takes a
-    slot or is refused like any other request."""
-
-    def __init__(self, name, address, record, runs):
-        self.name, self.address, self.record, self.runs = name, address, record, runs
-        self.slots, self.waiting, self.running = asyncio.Semaphore(SLOTS), 0, 0
-        self.is_garbling = False
-        self.answers = self.broken = self.extras = 0
-
-    async def start(self):
-        self.server = await serve(self.address, self.handle)
-
-    async def handle(self, request, reader, writer, connection):
-        id = request.headers.get(ID)
-        echo = {"X-Tamaracksail-Request-Id": id} if id else {}
-        status, body, more, has_run = await self.work(request, id)
-        load = f"{self.running},{self.waiting},{SLOTS}"
-        whole = response(status, body, **echo, **more, **{"X-Tamaracksail-Server-Load": load})
-        self.answers += 1
-        extra = connection.pop("extra", None)
-        if extra:
-            # The point where the next response is expected.
-            self.record.write(self.name, "sends a second copy of an earlier response before that to", id)
-            writer.write(extra)
-        if self.is_garbling and has_run and self.waiting >= QUEUE and self.broken < BROKEN_SHARE * self.answers:
-            self.broken += 1
-            self.record.write(self.name, "breaks off its response to", id)
-            writer.write(whole[: len(whole) // 2 + 40])
-            return False
-        if self.is_garbling and not id and status == 503 and self.extras < EXTRA_SHARE * self.answers:
-            self.extras += 1
-            self.record.write(self.name, "is full and refuses a health check; a second copy of the refusal will follow")
-            connection["extra"] = whole
-        writer.write(whole)
-        await writer.drain()
-        return True
-
-    async def work(self, request, id):
-        if request.headers.get("x-tamaracksail-expect-instance", self.name) != self.name:
-            return 421, "", {"X-Tamaracksail-Instance-Id": self.name}, False
-        if self.running >= SLOTS and self.waiting >= QUEUE:
-            return 503, "", {"X-Tamaracksail-Not-Executed": "1"}, False
-        self.waiting += 1
-        async with self.slots:
-            self.waiting -= 1
-            self.running += 1
-            if id:
-                self.runs.setdefault(id, []).append(self.name)
-                self.record.write(self.name, "runs", id)
-            await asyncio.sleep(random.uniform(0.03, 0.09) if id else 0.001)
-            self.running -= 1
-        if not id:
-            return 200, "", {"X-Tamaracksail-Instance-Id": self.name}, False
-        return 200, f"{id} " * 8, {"X-Tamaracksail-Server-Stamp": f"stamp-{id}"}, True
+from standins import Engine, Gateway, Store, batch, call, loopback, main, manifest, results, route, seconds, submit
+
+ENGINES = 12
+# The release: the share of the servers, how many at a time, and the time between. They serve for DRAIN_S after they have
+# reported that they leave.
+SHARE, AT_A_TIME, GAP_S, DRAIN_S, EARLY_S = 0.5, 2, 1.0, 2.2, 1.0
+EVERY_S, TRAIN_S, TIME_LIMIT_S = 4, 0.5, 12
+# An item may be at no server for this long in steady state, which begins STABLE_S after the last server has left.
+AWAY_LIMIT_S, STABLE_S = 5, 3
 
 
 async def case(record, is_troubled, gateways):
-    random.seed(int(os.environ.get("SEED", "1")))
-    net, runs, answers = loopback(), {}, {}
+    net = loopback()
     store = Store((f"{net}.2", 8266))
     await store.start()
-    servers = [Server(f"i-{number}", (f"{net}.{10 + number}", 8080), record, runs) for number in range(3)]
-    for server in servers:
-        await server.start()
-        store.write("servers", server.name, registration("app", server.address, SLOTS))
-    store.write("config", "main", manifest(1, [route("/plain/", "idempotent", "app"), route("/once/", "non_idempotent", "app", **{"max-attempts": 1})], ["app"]))
-    gateway = Gateway(record, "front-1", f"{net}.1", store)
-    gateways.append(gateway)
-    gateway.start()
-    await gateway.wait_ready()
-    begin = seconds()
-
-    async def client(number):
-        count = 0
-        while seconds() - begin < LENGTH_S:
-            count += 1
-            kind = "once"
-            id = f"{kind}{number:03d}{count:05d}"
-            record.write("client sends", id)
-            headers = {"X-Tamaracksail-Request-Id": id, "X-Tamaracksail-Deadline-Ms": "2000"}
+    lengths, finished, last_run = {}, set(), {}
+    engines = {}
+
+    def add(number, **more):
+        engine = Engine(record, store, f"i-{number:02d}", (f"{net}.{10 + number}", 8080), "pool", "m", **more)
+        engine.length_of = lambda id: lengths[id]
+        engine.on_finish = lambda engine, id: finished.add(id)
+        engines[engine.name] = engine
+        return engine
+
+    for number in range(ENGINES):
+        await add(number).start()
+    roll = route("/roll/", "rollout", "pool", **{"timeout-ms": 10000, "max-queue-s": 40.0, "run-target-ms": 7500, "single-version": False, "can-resume": True})
+    store.write("config", "main", manifest(1, [roll], ["pool"]))
+    for number in range(2):
+        gateways.append(Gateway(record, f"front-{number}", f"{net}.{200 + number}", store))
+        gateways[-1].start()
+    for gateway in gateways:
+        await gateway.wait_ready()
+
+    def name(version):
+        record.write("the trainer names version", version)
+        store.write("versions", "m", {"model": "m", "version": version})
+
+    async def step(number, length, limit_s):
+        """Runs a step of two groups of four items. Returns the ids of items without a result when its time is up."""
+        groups = {f"g{number}-{group}": [(f"s{number}g{group}i{item}", length) for item in range(4)] for group in range(2)}
+        ids = [id for items in groups.values() for id, _ in items]
+        lengths.update((id, length) for id in ids)
+        id = f"b{number}"
+        assert await submit(record, gateways, id, batch(number, "m", max(number - 1, 1), 2, groups))
+        begin, listed = seconds(), {}
+        while len(listed) < len(ids) and seconds() - begin < limit_s:
             try:
-                status, _, _ = await call(gateway.front, "POST", f"/{kind}/a", headers, b"x" * 600, 3)
+                status, page = await results(gateways[number % 2], id, len(listed))
             except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
-                status = "no answer"
-            answers[id] = status
-            record.write("client gets", status, "to", id)
-            if status == 503:
-                await asyncio.sleep(0.05)
-
-    async def burst(number):
-        while seconds() - begin < LENGTH_S:
-            id = f"plain{number:03d}{int(seconds() * 1000):06d}"
-            headers = {"X-Tamaracksail-Request-Id": id, "X-Tamaracksail-Deadline-Ms": "2000"}
-            try:
-                await call(gateway.front, "POST", "/plain/a", headers, b"x" * 600, 3)
-            except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
-                pass
-            await asyncio.sleep(BURST_S - (seconds() - begin) % BURST_S)
-
-    async def trouble():
-        await asyncio.sleep(2)
-        servers[0].is_garbling = is_troubled
-        await asyncio.sleep(TROUBLE_S)
-        servers[0].is_garbling = False
-
-    await asyncio.gather(trouble(), *(client(number) for number in range(CLIENTS)), *(burst(100 + number) for number in range(BURST)))
-    await asyncio.sleep(1)
-    for server in servers:
-        record.write(server.name, "answers", server.answers, "broken", server.broken, "second copies", server.extras)
-    twice = {id: where for id, where in runs.items() if id.startswith("once") and len(where) > 1}
-    for id, where in twice.items():
-        record.write("TWICE:", id, "ran at", *where, "and the client got", answers.get(id))
-    refused = [id for id in runs if id.startswith("once") and answers.get(id) in (408, 421, 429, 503)]
-    for id in refused:
-        record.write("REFUSED:", id, "ran, and the client got", answers[id])
-    record.write(len(answers), "requests,", len(twice), "ran twice,", len(refused), "ran and were refused")
-    return not refused
+                continue
+            for result in (page or {}).get("results", []):
+                listed[result["id"]] = result
+                record.write("the trainer reads", result["id"], result["state"], "versions", result.get("versions"))
+            await asyncio.sleep(0.3)
+        await call(gateways[0].front, "DELETE", f"/-/lots/{id}")
+        record.write("step", number, "ends after", f"{seconds() - begin:.1f} s with", len(listed), "of", len(ids), "results")
+        return [id for id in ids if id not in listed]
+
+    # A step each EVERY_S. Once it is complete, training takes TRAIN_S, then the next version is named.
+    start = seconds()
+    for number in (1, 2):
+        assert not await step(number, 20, TIME_LIMIT_S)
+        await asyncio.sleep(TRAIN_S)
+        name(number + 1)
+        if number == 1:
+            await asyncio.sleep(max(0, start + EVERY_S - seconds()))
+
+    left_at = []
+
+    async def release():
+        if not is_troubled:
+            return
+        for first in range(0, int(ENGINES * SHARE), AT_A_TIME):
+            for number in range(first, first + AT_A_TIME):
+                await add(100 + number, software="v2", version=3).start()
+                engines[f"i-{number:02d}"].drain()
+
+                async def leave(old):
+                    await asyncio.sleep(DRAIN_S)
+                    old.exit()
+                    left_at.append(seconds())
+
+                asyncio.create_task(leave(engines[f"i-{number:02d}"]))
+            await asyncio.sleep(GAP_S)
+
+    at_server, away_since = {}, {}
+
+    async def watch():
+        """Notes since when an unfinished item of the step has been at no server, and how full the servers are."""
+        while True:
+            alive = [engine for engine in engines.values() if engine.name in {n for k, n in store.objects if k == "servers"}]
+            running = set().union(*(engine.running_ids for engine in alive)) if alive else set()
+            for id in lengths:
+                if id.startswith("s3") and id not in finished:
+                    if id in running:
+                        away_since.pop(id, None)
+                    else:
+                        away_since.setdefault(id, seconds())
+            at_server["fill"] = sum(engine.runs for engine in alive) / max(1, sum(engine.slots for engine in alive))
+            await asyncio.sleep(0.05)
+
+    watcher = asyncio.create_task(watch())
+    # The release begins EARLY_S before the third step.
+    await asyncio.sleep(max(0, start + 2 * EVERY_S - EARLY_S - seconds()))
+    released = asyncio.create_task(release())
+    await asyncio.sleep(max(0, start + 2 * EVERY_S - seconds()))
+    begin = seconds()
+    await step(3, 160, TIME_LIMIT_S)
+    at = begin + TIME_LIMIT_S
+    watcher.cancel()
+    await released
+    steady_from = max(left_at, default=0) + STABLE_S
+    away = {id: at - max(since, steady_from) for id, since in away_since.items()}
+    lost = {id: time for id, time in away.items() if time >= AWAY_LIMIT_S}
+    for id, time in sorted(lost.items()):
+        record.write("LOST:", id, f"was at no server for {time:.1f} s of steady state when the time of its step ran out;", f"{100 * at_server['fill']:.0f}% of the slots were in use")
+    return not (lost and at_server["fill"] < 0.5)
 
 
 main(FOLDER, case)
--- a/review/standins-3/standins.py
+++ b/review/standins-3/standins.py
@@ -315,6 +315,151 @@
     return await asyncio.wait_for(exchange(), limit)
 
 
+class Engine:
+    """A model server. It streams the events of items, one each `interval` seconds, and takes load orders, which take
+    `load_s` once its runs have finished (mode "wait")."""
+
+    def __init__(self, record, store, name, address, service, model, version=1, software="v1", slots=12, interval=0.05, load_s=0.9):
+        self.record, self.store, self.name, self.address, self.service = record, store, name, address, service
+        self.model, self.version, self.software, self.slots = model, version, software, slots
+        self.interval, self.load_s = interval, load_s
+        self.length_of = lambda id: 25
+        self.runs, self.seq, self.is_busy, self.state = 0, 0, False, "ready"
+        self.running_ids = set()
+        self.born = int(time.time() * 1000)
+        self.connections = set()
+        self.orders = []
+        self.on_run = lambda engine, id, after: None
+        self.on_finish = lambda engine, id: None
+
+    async def start(self):
+        self.server = await serve(self.address, self.handle)
+        self.register()
+
+    def register(self):
+        item = registration(self.service, self.address, self.slots, models=[{"name": self.model, "version": self.version, "adapters": []}], version=self.software)
+        item.update(state=self.state, seq=self.seq, born=self.born)
+        self.store.write("servers", self.name, item)
+
+    def drain(self):
+        self.state = "draining"
+        self.record.write(self.name, "is draining")
+        self.register()
+
+    def exit(self):
+        """Ends the process: closes the port and all connections, and removes the entry."""
+        self.record.write(self.name, "exits")
+        self.server.close()
+        for writer in list(self.connections):
+            writer.transport.abort()
+        self.store.remove("servers", self.name)
+
+    async def handle(self, request, reader, writer, connection):
+        self.connections.add(writer)
+        if request.headers.get("x-tamaracksail-expect-instance", self.name) != self.name:
+            writer.write(response(421, X_Tamaracksail_Instance_Id=self.name))
+            return True
+        more = {"Server-Leaving": "1"} if self.state == "draining" else {}
+        if request.path == "/-/report":
+            writer.write(response(200, json.dumps({
+                "stage": "unified", "models": [{"name": self.model, "version": self.version, "adapters": []}],
+                "busy": self.is_busy, "seq": self.seq, "num-waiting": 0, "num-running": self.runs, "kv-used": 0,
+                "kv-total": 40000, "handles": 0, "born": self.born,
+            }), Content_Type="application/json", **more))
+            return True
+        if request.path == "/-/order":
+            writer.write(response(self.take_order(json.loads(request.body)), **more))
+            return True
+        return await self.run_item(request, writer, more)
+
+    def take_order(self, order):
+        self.orders.append((seconds(), order))
+        self.record.write(self.name, "gets an order of", order["holder"], "fence", order["fence"], "version", order["version"], "expected", order.get("expected"))
+        if self.version == order["version"]:
+            return 200
+        if self.is_busy or order.get("expected", self.seq) != self.seq:
+            return 409
+        self.seq += 1
+        self.is_busy = True
+        asyncio.create_task(self.load(order["version"]))
+        return 202
+
+    async def load(self, version):
+        while self.runs:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(self.load_s)
+        self.version, self.is_busy = version, False
+        self.record.write(self.name, "has version", version)
+        self.register()
+
+    async def run_item(self, request, writer, more):
+        id = request.headers[ID]
+        after = int(request.headers.get("last-event-id", 0))
+        if self.is_busy or self.runs >= self.slots or int(request.headers.get("x-tamaracksail-expect-version", self.version)) != self.version:
+            writer.write(response(503, X_Tamaracksail_Not_Executed="1", X_Tamaracksail_Request_Id=id, **more))
+            return True
+        self.runs += 1
+        self.running_ids.add(id)
+        self.record.write(self.name, "runs", id, "after event", after, "version", self.version)
+        self.on_run(self, id, after)
+        try:
+            head = f"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Tamaracksail-Request-Id: {id}\r\n"
+            head += f"X-Tamaracksail-Server-Stamp: stamp-{id}\r\nX-Tamaracksail-Weight-Versions: {self.version}\r\n"
+            head += "".join(f"{name}: {value}\r\n" for name, value in more.items())
+            writer.write(head.encode() + b"Transfer-Encoding: chunked\r\n\r\n")
+            for number in range(after + 1, self.length_of(id) + 1):
+                await asyncio.sleep(self.interval)
+                if writer.transport.is_closing():
+                    return False
+                event = f"id: {number}\ndata: {id}.{number}\n\n".encode()
+                writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+                await writer.drain()
+            writer.write(b"0\r\n\r\n")
+            self.record.write(self.name, "finishes", id)
+            self.on_finish(self, id)
+            return True
+        finally:
+            self.runs -= 1
+            self.running_ids.discard(id)
+
+
+def batch(step, model, min_version, target, groups):
+    """Returns the body of a batch submission. `groups` has the ids of the items of each group."""
+    items = [
+        {
+            "id": id, "path": "/roll/item", "body": "q83vEjRWeJA=", "tokens": 60 + length, "group": name,
+            "headers": {"X-Tamaracksail-Model": model, "X-Tamaracksail-Token-Count": f"60,{length}", "X-Tamaracksail-Prompt-Prefix": "9c2e41:60"},
+        }
+        for name, ids in groups.items()
+        for id, length in ids
+    ]
+    body = {"step": step, "model": model, "min-version": min_version, "target-groups": target, "items": items}
+    return json.dumps(body).encode()
+
+
+async def submit(record, gateways, id, body, deadline_ms=12000):
+    """Submits a batch, at another gateway after each failure. Returns whether it was accepted."""
+    for attempt in range(6):
+        gateway = gateways[attempt % len(gateways)]
+        headers = {"X-Tamaracksail-Request-Id": id, "X-Tamaracksail-Deadline-Ms": str(deadline_ms), "Content-Type": "application/json"}
+        try:
+            status = (await call(gateway.front, "POST", f"/roll/{id}", headers, body, deadline_ms / 1000))[0]
+        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+            status = "no answer"
+        record.write("batch", id, "submitted at", gateway.name, "answer", status)
+        if status == 202:
+            return True
+        await asyncio.sleep(0.5)
+    return False
+
+
+async def results(gateway, id, after=0, wait_ms=1000):
+    """Returns the status and the page of a read of results."""
+    headers = {"X-Tamaracksail-Wait-Ms": str(wait_ms)}
+    status, _, body = await call(gateway.front, "GET", f"/-/lots/{id}?after={after}", headers, b"", wait_ms / 1000 + 1.5)
+    return status, json.loads(body) if status == 200 else None
+
+
 def manifest(version, routes, services, max_body=33554432):
     return {
         "version": version, "routes": routes,
