--- a/review/standins-3/standins.py
+++ b/review/standins-3/standins.py
@@ -224,7 +224,8 @@
 
 def loopback():
     """Returns the first three numbers of a block of loopback addresses that no other run is likely to use."""
-    return f"127.{random.randint(50, 250)}.{random.randint(1, 250)}"
+    number = random.SystemRandom().randint
+    return f"127.{number(50, 250)}.{number(1, 250)}"
 
 
 class Gateway:
