--- a/review/standins-3/standins.py
+++ b/review/standins-3/standins.py
@@ -117,6 +117,7 @@
         self.history = []
         self.changed = asyncio.Event()
         self.fault = lambda request, connection: None
+        self.connections = []
         self.on_change = lambda kind, name, item, is_removed: None
 
     async def start(self):
@@ -150,6 +151,9 @@
         return item
 
     async def handle(self, request, reader, writer, connection):
+        if "number" not in connection:
+            connection["number"] = len(self.connections)
+            self.connections.append(connection)
         fault = self.fault(request, connection)
         if connection.get("is_silent"):
             fault = "silent"
@@ -163,6 +167,8 @@
             writer.write(response(503))
             return True
         status, body = await self.call(request)
+        if connection.get("is_silent"):
+            return True
         if fault == "lost":
             connection["is_silent"] = True
             return True
