--- a/review/14/case.py
+++ b/review/14/case.py
@@ -12,9 +12,9 @@
 from standins import Engine, Gateway, Store, batch, call, loopback, main, manifest, results, route, seconds, submit
 
 ENGINES, SLOTS, EVENTS = 2, 4, 30
-ITEMS, ITEM_BYTES = int(os.environ.get("ITEMS", "30")), 384 << 10
+ITEMS, ITEM_BYTES = int(os.environ.get("ITEMS", "44")), 384 << 10
 # After the acceptance: when the trainer ends the batch, and when another client reads it.
-END_S, READ_S = 0.25, 0.3
+END_S, READ_S = 0.18, 0.2
 CANCEL_S, STABLE_S, LENGTH_S = 3, 3, 16
 
 
