Ask for all requirements of an item together before its text is kept

Cause: a text was discarded if no ready engine had its software, or, on single-version routes, its version, each asked by itself. The old engines had the software and too old a version, the new ones the version and other software, so the text was kept and no engine could continue it.

Change: batch/coverage.rs answers what it takes for an item to run, with all requirements together; the choice of an engine and the discarding of texts ask it. A text is discarded only when an engine with a free slot starts the item over. New log lines 'items wait' (requirements, engines, what is needed; once a second) and 'text discarded', with counters: before, the log did not tell what an item waited for.

Why it works: whatever excludes an engine is asked in one place, so parts of it cannot be met by different engines.

--- a/crates/gateway/src/batches/coordinator.rs
+++ b/crates/gateway/src/batches/coordinator.rs
@@ -23,7 +23,7 @@
 use super::result_log::ResultLog;
 use super::schema;
 use super::service::resolve_service;
-use super::{item_run, lease_loop, orders, partial_texts, result_writer, reward_calls};
+use super::{item_run, lease_loop, orders, partial_texts, result_writer, reward_calls, waits};
 use crate::gateway::{Gateway, now, peer_address};
 use crate::limits;
 
@@ -469,6 +469,12 @@
                 .borrow_mut()
                 .insert(run, task.abort_handle());
         }
+        Action::Discard {
+            item,
+            requirement,
+            events,
+        } => waits::log_discard(&gateway.metrics, &item, &requirement, events),
+        Action::Wait(wait) => waits::log_wait(&gateway.metrics, now(), &wait),
         Action::Stop { run, reason } => {
             if let Some(handle) = coordinator.abort_handles.borrow_mut().remove(&run) {
                 handle.abort();
--- a/crates/gateway/src/batches/mod.rs
+++ b/crates/gateway/src/batches/mod.rs
@@ -20,6 +20,7 @@
 mod schema;
 mod service;
 mod takeover;
+mod waits;
 
 pub use accept::{Submission, accept, is_repeated, store_for_peer};
 pub use announcement::receive as receive_announcement;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -55,6 +55,10 @@
     pub batches: IntCounterVec,
     /// Durable results, by how their item ended.
     pub results: IntCounterVec,
+    /// Findings that items with the same requirements wait for an engine, by what they need.
+    pub item_waits: IntCounterVec,
+    /// Texts of items that were discarded since no engine could continue them.
+    pub texts_discarded: IntCounter,
     /// Load commands to engines, by outcome.
     pub load_commands: IntCounterVec,
     /// Sends of usage reports, by outcome.
@@ -142,6 +146,8 @@
             ),
             batches: metrics.counters("batches", "Batches.", &["event"]),
             results: metrics.counters("results", "Durable results of batch items.", &["ending"]),
+            item_waits: metrics.counters("item_waits", "Findings that items wait.", &["needs"]),
+            texts_discarded: metrics.counter("texts_discarded", "Texts of items given up."),
             load_commands: metrics.counters("orders", "Load commands to engines.", &["outcome"]),
             usage_reports: metrics.counters(
                 "usage_reports",
--- a/crates/policy/src/batch/action.rs
+++ b/crates/policy/src/batch/action.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use tamaracksail_model::batch::{Item, ItemResult};
+use tamaracksail_model::time::Instant;
 
 use super::engine::EngineKey;
 use super::scheduler::BatchKey;
@@ -28,6 +29,17 @@
         /// The only version that may generate, if the whole text must come from one version.
         version: Option<u64>,
     },
+    /// Log that the text of an item is discarded, since engines can run the item only from its start.
+    Discard {
+        /// The item.
+        item: Rc<Item>,
+        /// What no engine meets.
+        requirement: Requirement,
+        /// The number of events of the text.
+        events: u64,
+    },
+    /// Log that items wait for an engine.
+    Wait(Wait),
     /// Close the connection of a run.
     Stop {
         /// The run.
@@ -54,6 +66,42 @@
     },
 }
 
+/// What an item requires of an engine.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Requirement {
+    /// The service.
+    pub service: String,
+    /// The model, for training steps.
+    pub model: Option<String>,
+    /// The oldest version of the weights that may generate.
+    pub min_version: Option<u64>,
+    /// The only version of the weights that may generate, if there is one.
+    pub version: Option<u64>,
+    /// The only version of the software that may generate, if there is one.
+    pub software: Option<String>,
+}
+
+/// Items with the same requirement that wait, and what they wait for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Wait {
+    /// Their requirement.
+    pub requirement: Requirement,
+    /// Their number.
+    pub items: usize,
+    /// Since when the first of them waits.
+    pub since: Instant,
+    /// The newest version of the model that is announced.
+    pub announced: Option<u64>,
+    /// The number of engines that meet the requirement, or will after the load in progress.
+    pub engines: usize,
+    /// The number of engines that would meet it if they loaded the announced version.
+    pub outdated: usize,
+    /// The number of items that these engines can run at once besides those that they run.
+    pub free_slots: u32,
+    /// What has to happen before they run.
+    pub needs: &'static str,
+}
+
 /// Why a run ended before its text was complete.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Failure {
--- a/crates/policy/src/batch/dispatch.rs
+++ b/crates/policy/src/batch/dispatch.rs
@@ -5,9 +5,10 @@
 use tamaracksail_model::time::Instant;
 
 use super::action::Action;
+use super::coverage::{self, Prospect};
 use super::ending;
 use super::engine::{Engine, EngineKey};
-use super::placement;
+use super::placement::{self, Preference};
 use super::pool::Requirements;
 use super::run::Run;
 use super::scheduler::Scheduler;
@@ -43,21 +44,10 @@
         {
             continue;
         }
-        let required = requirements(scheduler, key);
-        let newest = required
-            .model
-            .and_then(|model| scheduler.announced_versions.get(model));
-        if scheduler.pool.has_lost_version(&required, newest.copied())
-            || scheduler.pool.has_lost_software(&required)
-            || scheduler.tasks[key].text.is_of_unknown_software()
-        {
+        if scheduler.tasks[key].text.is_of_unknown_software() {
             scheduler.tasks[key].discard_text();
         }
-        if let Some(engine) =
-            scheduler
-                .pool
-                .choose(now, &requirements(scheduler, key), median_ms, None)
-        {
+        if let Some(engine) = choose(scheduler, now, key, median_ms) {
             scheduler.queue.remove(&(rank, key));
             start_run(scheduler, now, key, engine);
             order.record_start();
@@ -66,15 +56,40 @@
     }
 }
 
+/// Chooses an engine with a free slot for a waiting item. Discards its text if engines can run the item
+/// only from its start, and one of them has a free slot.
+fn choose(
+    scheduler: &mut Scheduler,
+    now: Instant,
+    key: TaskKey,
+    median_ms: Option<f64>,
+) -> Option<EngineKey> {
+    let required = requirements(scheduler, key);
+    let pool = &scheduler.pool;
+    let chosen = pool.choose(now, &required, median_ms, None);
+    if chosen.is_some() || !required.depend_on_text() {
+        return chosen;
+    }
+    let announced = &scheduler.announced_versions;
+    if coverage::prospect(pool, &required, announced) != Prospect::Restart {
+        return None;
+    }
+    let chosen = pool.choose(now, &required.without_text(), median_ms, None)?;
+    let requirement = required.to_owned();
+    let task = &mut scheduler.tasks[key];
+    scheduler.actions.push(Action::Discard {
+        item: Rc::clone(&task.item),
+        requirement,
+        events: task.text.last.unwrap_or(0),
+    });
+    task.discard_text();
+    Some(chosen)
+}
+
 /// Returns what an item requires of an engine, given the text that it has so far.
 pub(super) fn requirements(scheduler: &Scheduler, key: TaskKey) -> Requirements<'_> {
     let task = &scheduler.tasks[key];
     let batch = &scheduler.batches[task.batch];
-    let version = if batch.is_single_version {
-        task.text.versions.first().copied()
-    } else {
-        None
-    };
     // An optional item usually ends in the next step, which still accepts text of the newest
     // version, but may refuse older text.
     let newest = batch
@@ -85,13 +100,29 @@
         (true, Some(newest)) => batch.min_version.max(Some(*newest)),
         _ => batch.min_version,
     };
+    Requirements {
+        min_version,
+        preference: placement::preference(task, batch.longest),
+        ..least_requirements(scheduler, key)
+    }
+}
+
+/// Returns what every engine that runs an item has to meet, without what is only preferred.
+pub(super) fn least_requirements(scheduler: &Scheduler, key: TaskKey) -> Requirements<'_> {
+    let task = &scheduler.tasks[key];
+    let batch = &scheduler.batches[task.batch];
+    let version = if batch.is_single_version {
+        task.text.versions.first().copied()
+    } else {
+        None
+    };
     Requirements {
         service: &task.service,
         model: batch.model.as_deref(),
-        min_version,
+        min_version: batch.min_version,
         version,
         software: task.text.software.as_deref(),
-        preference: placement::preference(task, batch.longest),
+        preference: Preference::Any,
     }
 }
 
@@ -146,7 +177,7 @@
         scheduler.detached.remove(&id);
         ending::remove_task(scheduler, now, run.task);
     } else {
-        requeue(scheduler, run.task);
+        requeue(scheduler, now, run.task);
     }
 }
 
@@ -203,9 +234,10 @@
 }
 
 /// Puts an item back into the queue at its rank, and discards text that its batch may not use.
-pub(super) fn requeue(scheduler: &mut Scheduler, key: TaskKey) {
+pub(super) fn requeue(scheduler: &mut Scheduler, now: Instant, key: TaskKey) {
     let task = &mut scheduler.tasks[key];
     task.stage = Stage::Waiting;
+    task.waiting_since = now;
     let batch = &scheduler.batches[task.batch];
     if !task
         .text
--- a/crates/policy/src/batch/engine.rs
+++ b/crates/policy/src/batch/engine.rs
@@ -43,6 +43,8 @@
 pub(crate) struct Loading {
     /// The model whose weights are loaded.
     pub(crate) model: String,
+    /// The version that is loaded.
+    pub(crate) version: u64,
 }
 
 /// One engine.
--- a/crates/policy/src/batch/mod.rs
+++ b/crates/policy/src/batch/mod.rs
@@ -10,6 +10,7 @@
 mod action;
 mod affinity;
 mod checkpointing;
+mod coverage;
 mod dispatch;
 mod ending;
 mod engine;
@@ -28,7 +29,7 @@
 mod task;
 mod weights;
 
-pub use action::{Action, Failure};
+pub use action::{Action, Failure, Requirement, Wait};
 pub use checkpointing::{CHECKPOINT_SLOTS, join_segments};
 pub use engine::{Engine, EngineKey};
 pub use retention::{Retention, Stored, item_expiry};
--- a/crates/policy/src/batch/pool.rs
+++ b/crates/policy/src/batch/pool.rs
@@ -6,6 +6,8 @@
 use tamaracksail_model::backend::{Registration, State};
 use tamaracksail_model::time::Instant;
 
+use super::action::Requirement;
+use super::coverage;
 use super::engine::{Engine, EngineKey};
 use super::placement::{self, Preference};
 
@@ -14,7 +16,7 @@
 const SLOW_FACTOR: f64 = 1.8;
 
 /// What an item requires of an engine.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Requirements<'a> {
     pub(crate) service: &'a str,
     pub(crate) model: Option<&'a str>,
@@ -27,6 +29,42 @@
     pub(crate) preference: Preference,
 }
 
+impl Requirements<'_> {
+    /// Whether a version of the weights is allowed, `None` being that of an engine without the model.
+    pub(crate) fn allow(&self, version: Option<u64>) -> bool {
+        let is_new_enough = self
+            .min_version
+            .is_none_or(|min| version.is_some_and(|version| version >= min));
+        let is_exact = self.version.is_none_or(|only| version == Some(only));
+        is_new_enough && is_exact
+    }
+
+    /// Returns what remains if the text of the item is discarded.
+    pub(crate) fn without_text(self) -> Self {
+        Self {
+            version: None,
+            software: None,
+            ..self
+        }
+    }
+
+    /// Returns the requirements in the form in which they are logged.
+    pub(crate) fn to_owned(self) -> Requirement {
+        Requirement {
+            service: self.service.to_owned(),
+            model: self.model.map(str::to_owned),
+            min_version: self.min_version,
+            version: self.version,
+            software: self.software.map(str::to_owned),
+        }
+    }
+
+    /// Whether the text of the item excludes engines.
+    pub(crate) fn depend_on_text(&self) -> bool {
+        self.version.is_some() || self.software.is_some()
+    }
+}
+
 /// All engines.
 #[derive(Debug, Default)]
 pub(crate) struct Pool {
@@ -155,38 +193,6 @@
         exceeds(interval, median_ms)
     }
 
-    /// Whether only a version is allowed that no engine of the service holds or will load. `newest` is
-    /// the newest version that a trainer has announced: engines load no other, and none goes back.
-    pub(crate) fn has_lost_version(
-        &self,
-        requirements: &Requirements,
-        newest: Option<u64>,
-    ) -> bool {
-        let (Some(model), Some(version)) = (requirements.model, requirements.version) else {
-            return false;
-        };
-        let versions = || {
-            self.engines
-                .values()
-                .filter(|engine| engine.registration.service == requirements.service)
-                .filter_map(|engine| engine.version(model))
-        };
-        let is_superseded = newest > Some(version) || versions().all(|loaded| loaded > version);
-        is_superseded && versions().next().is_some() && versions().all(|loaded| loaded != version)
-    }
-
-    /// Whether only a version of the software is allowed with which no engine of the service is ready.
-    pub(crate) fn has_lost_software(&self, requirements: &Requirements) -> bool {
-        requirements.software.is_some_and(|software| {
-            !self.engines.values().any(|engine| {
-                let registration = &engine.registration;
-                registration.service == requirements.service
-                    && registration.software == software
-                    && registration.state == State::Ready
-            })
-        })
-    }
-
     /// Chooses an engine with a free slot for an item. Engines that are not slow come first, then
     /// those assigned to the item's model, then those of the pace that the item prefers, then those in the
     /// preferred failure domain, then those
@@ -204,7 +210,8 @@
             .filter(|(key, engine)| {
                 Some(*key) != excluded
                     && engine.free_slots() > 0
-                    && can_run(now, engine, requirements)
+                    && engine.accepts_work(now)
+                    && coverage::can_run(engine, requirements)
             })
             .min_by_key(|(key, engine)| {
                 let is_assigned_elsewhere = requirements.model.is_some()
@@ -225,21 +232,3 @@
 fn exceeds(interval_ms: Option<f64>, median_ms: Option<f64>) -> bool {
     matches!((interval_ms, median_ms), (Some(ms), Some(median)) if ms > median * SLOW_FACTOR)
 }
-
-/// Whether an engine accepts work and meets the requirements of an item.
-fn can_run(now: Instant, engine: &Engine, requirements: &Requirements) -> bool {
-    if engine.registration.service != requirements.service || !engine.accepts_work(now) {
-        return false;
-    }
-    let loaded = requirements.model.and_then(|model| engine.version(model));
-    let is_new_enough = requirements
-        .min_version
-        .is_none_or(|min| loaded.is_some_and(|loaded| loaded >= min));
-    let is_exact = requirements
-        .version
-        .is_none_or(|version| loaded == Some(version));
-    let is_compatible = requirements
-        .software
-        .is_none_or(|software| engine.registration.software == software);
-    is_new_enough && is_exact && is_compatible
-}
--- a/crates/policy/src/batch/reports.rs
+++ b/crates/policy/src/batch/reports.rs
@@ -99,13 +99,13 @@
         return;
     }
     if task.text.last.is_none() {
-        dispatch::requeue(scheduler, run.task);
+        dispatch::requeue(scheduler, now, run.task);
         return;
     }
     let is_mixed = scheduler.batches[task.batch].is_single_version && task.text.versions.len() > 1;
     if is_mixed {
         task.discard_text();
-        dispatch::requeue(scheduler, run.task);
+        dispatch::requeue(scheduler, now, run.task);
     } else {
         task.text.is_whole = true;
         dispatch::complete(scheduler, now, run.task);
@@ -141,5 +141,5 @@
         Failure::Refused | Failure::Broken => {}
     }
     scheduler.retry_at.insert(run.task, now.after(RETRY_DELAY));
-    dispatch::requeue(scheduler, run.task);
+    dispatch::requeue(scheduler, now, run.task);
 }
--- a/crates/policy/src/batch/scheduler.rs
+++ b/crates/policy/src/batch/scheduler.rs
@@ -21,7 +21,8 @@
 use super::submission::{self, Submission};
 use super::task::{Task, TaskKey};
 use super::{
-    affinity, checkpointing, dispatch, ending, placement, reports, scoring, stragglers, weights,
+    affinity, checkpointing, coverage, dispatch, ending, placement, reports, scoring, stragglers,
+    weights,
 };
 use crate::fleet::Fleet;
 use crate::reward::{self, CallKey};
@@ -63,6 +64,8 @@
     /// Tasks of ended batches that still run, by item.
     pub(super) detached: BTreeMap<Carried, TaskKey>,
     pub(super) actions: Vec<Action>,
+    /// When it was last logged which items wait.
+    pub(super) waits_reported_at: Instant,
     /// The limit on the text of the results in one write, in bytes; `None` if there is none.
     max_write_bytes: Option<usize>,
     /// The limit on the text of an item, in bytes; `None` if there is none.
@@ -315,6 +318,7 @@
         dispatch::dispatch(self, now);
         stragglers::move_slow(self, now);
         placement::move_to_faster(self, now);
+        coverage::report(self, now);
         for (key, batch) in &mut self.batches {
             let max_bytes = self.max_write_bytes.unwrap_or(usize::MAX);
             if let Some(results) = batch.take_results(now, max_bytes) {
--- a/crates/policy/src/batch/submission.rs
+++ b/crates/policy/src/batch/submission.rs
@@ -211,6 +211,7 @@
         text,
         saved: None,
         stage: Stage::Waiting,
+        waiting_since: now,
         failures: 0,
         service: service.unwrap_or_default(),
         is_optional,
--- a/crates/policy/src/batch/task.rs
+++ b/crates/policy/src/batch/task.rs
@@ -4,6 +4,7 @@
 
 use tamaracksail_model::batch::{Ending, Item, ItemResult, PartialText};
 use tamaracksail_model::carried::Carried;
+use tamaracksail_model::time::Instant;
 
 use super::checkpointing::SavedText;
 use super::scheduler::BatchKey;
@@ -40,6 +41,8 @@
     /// The part of the text that is in checkpoints.
     pub(crate) saved: Option<SavedText>,
     pub(crate) stage: Stage,
+    /// Since when it waits for an engine, if it does.
+    pub(crate) waiting_since: Instant,
     /// The number of failed responses, which count as attempts.
     pub(crate) failures: u32,
     /// The service whose engines run it.
--- a/crates/policy/src/batch/weights.rs
+++ b/crates/policy/src/batch/weights.rs
@@ -77,6 +77,7 @@
         let engine = &mut scheduler.pool.engines[key];
         engine.loading = Some(Loading {
             model: model.clone(),
+            version,
         });
         if let Some(items) = waiting.get_mut(&model) {
             *items = items.saturating_sub(engine.registration.slots as usize);
--- a/crates/policy/tests/common/engines.rs
+++ b/crates/policy/tests/common/engines.rs
@@ -497,6 +497,7 @@
                 };
                 self.runs.insert(run, started);
             }
+            Action::Discard { .. } | Action::Wait(_) => {}
             Action::Stop { run, reason } => {
                 self.runs.remove(&run);
                 *self.stops.entry(reason).or_default() += 1;
--- /dev/null
+++ b/crates/policy/tests/coverage.rs
@@ -0,0 +1,80 @@
+//! Items that some engine of their service could run get to one.
+
+#[path = "common/fleets.rs"]
+#[allow(dead_code, reason = "each test uses a part")]
+mod fleets;
+
+use std::time::Duration;
+
+use fleets::{Fleet, Step};
+
+/// The longest time for which an item may be at no engine although one could run it.
+const WAIT_LIMIT: Duration = Duration::from_secs(5);
+
+fn step(id: &str, min_version: u64, count: usize, length: u64) -> Step<'_> {
+    Step {
+        id,
+        path: "/roll/",
+        model: "m",
+        min_version,
+        count,
+        length,
+        optional_groups: 0,
+        is_single_version: false,
+    }
+}
+
+// Guards against: items that wait for their software at an allowed version, which no engine has, since
+// some engine has the software and another one the version.
+#[test]
+fn items_whose_software_is_left_only_at_outdated_engines_run_after_a_release() {
+    let mut fleet = Fleet::default();
+    fleet.route("/roll/", &["pool"]);
+    fleet.add("old-0", "pool", "v1", 12, &[("m", 3)]);
+    fleet.add("old-1", "pool", "v1", 12, &[("m", 1)]);
+    fleet.announce("m");
+    fleet.announce("m");
+    // As many engines have the newest version as the steps can use, so no other is commanded to load it.
+    fleet.may_command = false;
+    fleet.submit(&step("s", 2, 8, 100));
+    fleet.run_for(Duration::from_secs(1));
+    for number in 0..3 {
+        fleet.add(&format!("new-{number}"), "pool", "v2", 12, &[("m", 3)]);
+    }
+    fleet.end_engine("old-0");
+    fleet.may_command = true;
+    assert!(fleet.run_step("s"), "{:?}", fleet.longest_wait);
+    assert!(
+        fleet.longest_wait.0 < WAIT_LIMIT,
+        "{:?}",
+        fleet.longest_wait
+    );
+}
+
+// Guards against: items of a single-version route that wait for their version at engines with their
+// software, since other engines have the version.
+#[test]
+fn items_whose_version_is_left_only_at_engines_with_other_software_run_after_a_release() {
+    let mut fleet = Fleet::default();
+    fleet.route("/roll/", &["pool"]);
+    fleet.add("old-0", "pool", "v1", 12, &[("m", 2)]);
+    fleet.add("old-1", "pool", "v1", 12, &[("m", 3)]);
+    fleet.announce("m");
+    let single = Step {
+        is_single_version: true,
+        ..step("s", 2, 8, 100)
+    };
+    fleet.end_engine("old-1");
+    fleet.submit(&single);
+    fleet.run_for(Duration::from_secs(1));
+    fleet.add("old-1", "pool", "v1", 12, &[("m", 3)]);
+    fleet.add("new", "pool", "v2", 12, &[("m", 2)]);
+    fleet.announce("m");
+    fleet.end_engine("old-0");
+    assert!(fleet.run_step("s"), "{:?}", fleet.longest_wait);
+    assert!(
+        fleet.longest_wait.0 < WAIT_LIMIT,
+        "{:?}",
+        fleet.longest_wait
+    );
+}
