Decide in one place whether a batch may run, so that its end holds

Cause: the scheduler's key of a batch was found only through its result log. The read of an ended batch replaced the log of the batch that was being loaded, told nobody of the end that it had read, and no later end found the batch. Without the read, too, a batch was added by a manifest that was read before the end, while the watch was silent.

Change: policy: batch::Register holds what is in memory of each batch and whether it has ended. Acceptance, watch, announcements, loads, reads, ends, writes, eviction, removal and the end of the term go through it. A read of an ended batch ends it first. After a load of 250 ms or more the manifest is read again. Beside it: a write of an earlier term no longer removes the log of a later one, a chunk is not added twice to a log that was evicted and read again, and removed batches leave no ids behind.

Why it works: an end is recorded before anything that follows from it, where every path asks.

--- a/crates/gateway/src/batches/announcement.rs
+++ b/crates/gateway/src/batches/announcement.rs
@@ -52,8 +52,7 @@
     actix_rt::spawn(async move {
         tokio::time::sleep(WATCH_TIME).await;
         let coordinator = &gateway.coordinator;
-        let is_known = coordinator.result_logs.borrow().contains_key(&id)
-            || coordinator.ended_batches.borrow().contains(&id);
+        let is_known = !coordinator.batches.borrow().may_open(&id);
         if is_known || coordinator.term().is_none() || !coordinator.partial_texts.is_ready() {
             return;
         }
--- a/crates/gateway/src/batches/coordinator.rs
+++ b/crates/gateway/src/batches/coordinator.rs
@@ -1,7 +1,7 @@
 //! Process-wide state of batch scheduling, and the loop that carries out the scheduler's actions.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -12,7 +12,7 @@
 use tamaracksail_model::carried::Carried;
 use tamaracksail_model::time::Instant;
 use tamaracksail_policy::acquire_delay::AcquireDelay;
-use tamaracksail_policy::batch::{Action, BatchKey, Scheduler};
+use tamaracksail_policy::batch::{Action, BatchKey, Register, Scheduler};
 use tamaracksail_policy::lease::{Candidate, Lease};
 use tokio::sync::{Mutex, Notify};
 use tokio::task::AbortHandle;
@@ -75,20 +75,15 @@
     pub(super) reads: Reads,
     /// When this process last stopped scheduling.
     stopped_at: Cell<Instant>,
-    /// Batches in memory, by id.
-    pub(super) result_logs: RefCell<BTreeMap<String, ResultLog>>,
+    /// The batches in memory. Only while this process schedules.
+    pub(super) batches: RefCell<Register<BatchKey, ResultLog>>,
     /// The tasks of the present term: those of runs under the run's number, others under numbers
     /// counted down from the largest.
     pub(super) abort_handles: RefCell<BTreeMap<u64, AbortHandle>>,
     /// The tasks of sends of reward calls, by the number of the send.
     pub(super) reward_handles: RefCell<BTreeMap<u64, AbortHandle>>,
-    /// The ids of the batches in the scheduler.
-    pub(super) batch_ids: RefCell<BTreeMap<BatchKey, String>>,
     /// The sequence number of the next result log.
     next_sequence: Cell<u64>,
-    /// Batches that have ended during the present term. One that is still being read from the store
-    /// is not added to the scheduler.
-    pub(super) ended_batches: RefCell<BTreeSet<String>>,
     /// The accounts of batches that clients used at this process.
     pub(super) owners: RefCell<Owners>,
     /// Locks that are held while an ended batch is reloaded into memory, so that concurrent readers
@@ -134,12 +129,10 @@
             partial_texts: Readiness::default(),
             reads: Reads::default(),
             stopped_at: Cell::new(Instant(0)),
-            result_logs: RefCell::default(),
+            batches: RefCell::default(),
             abort_handles: RefCell::default(),
             reward_handles: RefCell::default(),
-            batch_ids: RefCell::default(),
             next_sequence: Cell::new(0),
-            ended_batches: RefCell::default(),
             owners: RefCell::default(),
             reloads: RefCell::default(),
             lease_write: Mutex::new(()),
@@ -329,39 +322,52 @@
         }
         self.stopped_at.set(now());
         self.partial_texts.set_ready(false);
-        log::info!(reason, batches = self.result_logs.borrow().len(); "scheduling stopped");
+        log::info!(reason, batches = self.batches.borrow().len(); "scheduling stopped");
         for handles in [&self.abort_handles, &self.reward_handles] {
             for (_, handle) in std::mem::take(&mut *handles.borrow_mut()) {
                 handle.abort();
             }
         }
-        for result_log in std::mem::take(&mut *self.result_logs.borrow_mut()).into_values() {
+        for result_log in self.batches.borrow_mut().clear() {
             result_log.changed.notify_waiters();
         }
-        self.batch_ids.borrow_mut().clear();
-        self.ended_batches.borrow_mut().clear();
         // The actions that are left cancel runs, whose tasks are aborted above.
         drop(self.scheduler.borrow_mut().close(now()));
         self.lease_changed.notify_waiters();
     }
 
-    /// Ends a batch that this process schedules.
+    /// Ends a batch whose end is in the store, if this process schedules. Another process reads the end
+    /// from the store.
     pub(super) fn end_batch(&self, id: &str) {
-        // It may still be in the process of being read from the store.
-        self.ended_batches.borrow_mut().insert(id.to_owned());
-        let batch = match self.result_logs.borrow_mut().get_mut(id) {
-            Some(result_log) => {
-                result_log.changed.notify_waiters();
-                result_log.batch.take()
-            }
-            None => None,
+        if self.is_scheduling.get() {
+            let key = self.batches.borrow_mut().end(id);
+            self.end_scheduled(id, key);
+        }
+    }
+
+    /// Adds the log of an ended batch that was read from the store.
+    pub(super) fn restore_batch(&self, id: &str, result_log: ResultLog) {
+        let key = self.batches.borrow_mut().restore(id, result_log);
+        self.end_scheduled(id, key);
+    }
+
+    /// Removes a batch that was removed from the store.
+    pub(super) fn forget_batch(&self, id: &str) {
+        let key = self.batches.borrow_mut().forget(id);
+        self.end_scheduled(id, key);
+    }
+
+    /// Ends a batch in the scheduler that was open under `key`.
+    fn end_scheduled(&self, id: &str, key: Option<BatchKey>) {
+        let Some(key) = key else {
+            return;
         };
-        if let Some(batch) = batch {
-            log::info!(batch = id; "batch ended");
-            self.batch_ids.borrow_mut().remove(&batch);
-            self.scheduler.borrow_mut().end_batch(now(), batch);
-            self.wake_scheduler();
+        log::info!(batch = id; "batch ended");
+        if let Some(result_log) = self.batches.borrow().log(id) {
+            result_log.changed.notify_waiters();
         }
+        self.scheduler.borrow_mut().end_batch(now(), key);
+        self.wake_scheduler();
     }
 }
 
@@ -441,10 +447,8 @@
                 return;
             };
             use_permit(gateway, &registration);
-            let batch_ids = coordinator.batch_ids.borrow();
-            let batch = batch
-                .and_then(|batch| batch_ids.get(&batch))
-                .map(String::as_str);
+            let batches = coordinator.batches.borrow();
+            let batch = batch.and_then(|batch| batches.id(batch));
             let software = registration.software.as_str();
             let began_at = began_at.as_deref().filter(|_| after.is_some());
             if after.is_some() {
@@ -455,7 +459,7 @@
                 software, began_at;
                 "item sent"
             );
-            drop(batch_ids);
+            drop(batches);
             let task = actix_rt::spawn(item_run::run(
                 Rc::clone(gateway),
                 run,
@@ -482,7 +486,7 @@
             }
         }
         Action::WriteResults { batch, results } => {
-            let id = coordinator.batch_ids.borrow().get(&batch).cloned();
+            let id = coordinator.batches.borrow().id(batch).map(str::to_owned);
             if let Some(id) = id {
                 actix_rt::spawn(result_writer::write(Rc::clone(gateway), batch, id, results));
             }
--- a/crates/gateway/src/batches/lease_loop.rs
+++ b/crates/gateway/src/batches/lease_loop.rs
@@ -85,7 +85,7 @@
         coordinator.stop_scheduling("the lease was lost");
     }
     let is_wanted =
-        coordinator.wanted_until.get() > now() || !coordinator.batch_ids.borrow().is_empty();
+        coordinator.wanted_until.get() > now() || coordinator.batches.borrow().has_open();
     if !is_wanted || gateway.stop.get().is_some() {
         return CHECK_INTERVAL;
     }
--- a/crates/gateway/src/batches/read.rs
+++ b/crates/gateway/src/batches/read.rs
@@ -100,8 +100,8 @@
 /// # Errors
 /// [`Error::Missing`] if the caller may not.
 fn check_loaded(gateway: &Gateway, caller: &Caller, id: &str) -> Result<(), Error> {
-    let result_logs = gateway.coordinator.result_logs.borrow();
-    match result_logs.get(id) {
+    let batches = gateway.coordinator.batches.borrow();
+    match batches.log(id) {
         Some(found) if !caller.may_use(found.account.as_deref()) => {
             log::info!(batch = id, account = caller.account(); "batch of another account requested");
             Err(owner::missing(id))
@@ -116,7 +116,8 @@
     let coordinator = &gateway.coordinator;
     let is_holder =
         coordinator.is_scheduling.get() && coordinator.lease.borrow().fence(now()).is_some();
-    if !is_holder || coordinator.result_logs.borrow().contains_key(id) {
+    let has_log = || coordinator.batches.borrow().log(id).is_some();
+    if !is_holder || has_log() {
         return is_holder;
     }
     let lock = Rc::clone(
@@ -127,7 +128,7 @@
             .or_default(),
     );
     let _guard = lock.lock().await;
-    if coordinator.result_logs.borrow().contains_key(id) {
+    if has_log() {
         return coordinator.is_scheduling.get();
     }
     let outcome = takeover::reload(gateway, id).await;
@@ -200,9 +201,9 @@
             return None;
         }
         let changed = {
-            let result_logs = coordinator.result_logs.borrow();
-            let result_log = result_logs.get(id)?;
-            let is_ended = result_log.batch.is_none();
+            let batches = coordinator.batches.borrow();
+            let result_log = batches.log(id)?;
+            let is_ended = !batches.is_open(id);
             let left = deadline.since(now());
             let has_results = result_log.results.len() > from;
             if (is_ended || left.is_zero()) && !has_results && result_log.is_writing {
@@ -392,8 +393,8 @@
         return Ok(None);
     }
     check_loaded(gateway, caller, id)?;
-    let result_logs = gateway.coordinator.result_logs.borrow();
-    let Some(result_log) = result_logs.get(id) else {
+    let batches = gateway.coordinator.batches.borrow();
+    let Some(result_log) = batches.log(id) else {
         return Ok(None);
     };
     let found = result_log.item_bodies.iter().find(|(name, _)| name == item);
--- a/crates/gateway/src/batches/result_log.rs
+++ b/crates/gateway/src/batches/result_log.rs
@@ -3,7 +3,6 @@
 use std::rc::Rc;
 
 use tamaracksail_model::batch::ItemResult;
-use tamaracksail_policy::batch::BatchKey;
 use tokio::sync::Notify;
 
 /// The durable results of a batch, and the bodies of its items.
@@ -21,8 +20,6 @@
     pub next_chunk: usize,
     /// Notified when results are added, the batch ends, or scheduling stops here.
     pub changed: Rc<Notify>,
-    /// The scheduler's key of the batch; `None` once the batch has ended.
-    pub batch: Option<BatchKey>,
     /// The position in the order in which logs came into memory, for eviction of the oldest.
     pub sequence: u64,
     /// The total length of result texts and item bodies.
--- a/crates/gateway/src/batches/result_writer.rs
+++ b/crates/gateway/src/batches/result_writer.rs
@@ -19,14 +19,10 @@
 pub async fn write(gateway: Rc<Gateway>, batch: BatchKey, id: String, results: Vec<ItemResult>) {
     let coordinator = &gateway.coordinator;
     let term = coordinator.term();
-    let position = coordinator
-        .result_logs
-        .borrow_mut()
-        .get_mut(&id)
-        .map(|log| {
-            log.is_writing = true;
-            (log.next_chunk, log.results.len(), log.total)
-        });
+    let position = coordinator.batches.borrow_mut().log_mut(&id).map(|log| {
+        log.is_writing = true;
+        (log.next_chunk, log.results.len(), log.total)
+    });
     let Some((mut number, first, total)) = position else {
         return;
     };
@@ -40,11 +36,16 @@
     let mut is_unknown = false;
     loop {
         let is_held = coordinator.lease.borrow().fence(now()).is_some();
-        if coordinator.term() != term || !coordinator.batch_ids.borrow().contains_key(&batch) {
+        if coordinator.term() != term {
+            // A result log belongs to a later term and was read from the store.
+            return;
+        }
+        if coordinator.batches.borrow().id(batch).is_none() {
+            let mut batches = coordinator.batches.borrow_mut();
             if is_unknown {
                 // The store may have more results than memory, so reads must go there.
-                coordinator.result_logs.borrow_mut().remove(&id);
-            } else if let Some(result_log) = coordinator.result_logs.borrow_mut().get_mut(&id) {
+                batches.drop_log(&id);
+            } else if let Some(result_log) = batches.log_mut(&id) {
                 result_log.is_writing = false;
             }
             return;
@@ -121,7 +122,10 @@
         batch = id, chunk = number, first = chunk.first, results = chunk.results.len();
         "results written"
     );
-    if let Some(result_log) = coordinator.result_logs.borrow_mut().get_mut(id) {
+    // The log of an ended batch may have been evicted and read again, with this chunk.
+    if let Some(result_log) = coordinator.batches.borrow_mut().log_mut(id)
+        && result_log.results.len() == chunk.first
+    {
         result_log.bytes += chunk.results.iter().map(|r| r.text.len()).sum::<usize>();
         result_log.results.extend(chunk.results);
         result_log.next_chunk = number + 1;
--- a/crates/gateway/src/batches/retention.rs
+++ b/crates/gateway/src/batches/retention.rs
@@ -74,10 +74,7 @@
         ignore_missing(gateway.store.remove(&kind, &object.name).await)?;
     }
     ignore_missing(gateway.store.remove(schema::MANIFESTS, id).await)?;
-    let coordinator = &gateway.coordinator;
-    coordinator.end_batch(id);
-    coordinator.result_logs.borrow_mut().remove(id);
-    coordinator.ended_batches.borrow_mut().remove(id);
+    gateway.coordinator.forget_batch(id);
     log::info!(batch = id, objects = count; "batch removed");
     Ok(())
 }
@@ -93,13 +90,13 @@
 /// Evicts result logs of ended batches, the oldest first, while all logs together exceed
 /// `max_bytes`. Reads of an evicted batch go to the store.
 pub fn evict(gateway: &Gateway, max_bytes: usize) {
-    let mut result_logs = gateway.coordinator.result_logs.borrow_mut();
+    let mut batches = gateway.coordinator.batches.borrow_mut();
     let mut ended: BTreeMap<u64, (String, usize)> = BTreeMap::new();
     let mut total = 0;
-    for (id, result_log) in result_logs.iter() {
+    for (id, result_log, is_open) in batches.logs() {
         total += result_log.bytes;
-        if result_log.batch.is_none() {
-            ended.insert(result_log.sequence, (id.clone(), result_log.bytes));
+        if !is_open {
+            ended.insert(result_log.sequence, (id.to_owned(), result_log.bytes));
         }
     }
     for (id, bytes) in ended.into_values() {
@@ -108,6 +105,6 @@
         }
         total -= bytes;
         log::info!(batch = id.as_str(), bytes; "results evicted from memory");
-        result_logs.remove(&id);
+        batches.drop_log(&id);
     }
 }
--- a/crates/gateway/src/batches/reward_calls.rs
+++ b/crates/gateway/src/batches/reward_calls.rs
@@ -105,8 +105,8 @@
     let Some((item, batch, since)) = scheduler.scored_item(key) else {
         return;
     };
-    let batch_ids = coordinator.batch_ids.borrow();
-    let batch = batch_ids.get(&batch).map(String::as_str);
+    let batches = coordinator.batches.borrow();
+    let batch = batches.id(batch);
     let fleet = gateway.fleet.borrow();
     let instance = fleet
         .registration(server)
--- a/crates/gateway/src/batches/takeover.rs
+++ b/crates/gateway/src/batches/takeover.rs
@@ -10,20 +10,25 @@
 use tamaracksail_adapter::store::{Error, Object};
 use tamaracksail_adapter::{batch, names};
 use tamaracksail_model::batch::ItemResult;
-use tamaracksail_policy::batch::{BatchKey, Submission, item_expiry};
+use tamaracksail_model::time::Instant;
+use tamaracksail_policy::batch::{Submission, item_expiry};
 use tamaracksail_policy::freshness::Fact;
 use tokio::sync::Notify;
 
 use super::result_log::ResultLog;
 use super::schema::{self, BatchStatus, Chunk, Manifest, Part};
 use super::service::resolve_service;
-use super::{partial_texts, retention};
+use super::{lease_loop, partial_texts, retention};
 use crate::gateway::{Gateway, now};
 use crate::store::{self, Event, Watched};
 
 /// The delay before a failed read of a batch is repeated.
 const READ_RETRY_DELAY: Duration = Duration::from_millis(300);
 
+/// How old a manifest may be when its batch is added to the scheduler without another look at it. Loads
+/// take milliseconds unless connections to the store have gone silent, and then the watch is silent too.
+const MAX_MANIFEST_AGE: Duration = Duration::from_millis(250);
+
 /// The divisor of the process's memory that limits the result logs.
 const MEMORY_DIVISOR: usize = 4;
 
@@ -121,7 +126,7 @@
                 .iter()
                 .for_each(|object| apply_manifest(&gateway, object, EarlierScheduler::Possible)),
             Event::Changed(object) => apply_manifest(&gateway, object, EarlierScheduler::None),
-            Event::Removed(object) => gateway.coordinator.end_batch(&object.name),
+            Event::Removed(object) => gateway.coordinator.forget_batch(&object.name),
             Event::Answered(_) | Event::WatchLost | Event::StoreFailed | Event::Overdue => {}
         },
     )
@@ -150,7 +155,7 @@
         gateway.coordinator.end_batch(&id);
         return;
     }
-    if gateway.coordinator.result_logs.borrow().contains_key(&id) {
+    if !gateway.coordinator.batches.borrow().may_open(&id) {
         return;
     }
     match object.spec::<Manifest>() {
@@ -176,11 +181,9 @@
     let coordinator = &gateway.coordinator;
     let term = coordinator.term();
     let is_wanted = || {
-        term.is_some()
-            && coordinator.term() == term
-            && !coordinator.result_logs.borrow().contains_key(&id)
-            && !coordinator.ended_batches.borrow().contains(&id)
+        term.is_some() && coordinator.term() == term && coordinator.batches.borrow().may_open(&id)
     };
+    let _load = Load::begin(&gateway, &id);
     if !gateway.configuration.has(manifest.routes_version) {
         log::info!(
             batch = id.as_str(), accepted_under = manifest.routes_version,
@@ -198,6 +201,7 @@
             .await;
     }
     loop {
+        let begin = now();
         let reading = coordinator.reads.begin(manifest.parts).await;
         if !is_wanted() {
             return;
@@ -206,6 +210,9 @@
             Ok((body, results, chunks)) => {
                 // The read ends with the term: others wait for it.
                 coordinator.partial_texts.wait_while(is_wanted).await;
+                if now().since(begin) >= MAX_MANIFEST_AGE {
+                    end_if_stored(&gateway, &id, begin).await;
+                }
                 if is_wanted() {
                     schedule(&gateway, &id, &manifest, &body, results, chunks);
                 }
@@ -220,6 +227,25 @@
     }
 }
 
+/// Ends a batch whose end the store has, although the watch of manifests does not show it. `since` is
+/// when the load of the batch began.
+async fn end_if_stored(gateway: &Gateway, id: &str, since: Instant) {
+    let age_ms = now().since(since).as_millis();
+    match lease_loop::with_timeout(gateway.store.get(schema::MANIFESTS, id)).await {
+        Ok(object) => {
+            let status = object.status::<BatchStatus>().unwrap_or_default();
+            let is_ended = status.is_some_and(|status| status.is_ended);
+            log::info!(batch = id, age_ms, is_ended; "manifest read again after a long load");
+            if is_ended {
+                gateway.coordinator.end_batch(id);
+            }
+        }
+        Err(Error::Missing { .. }) => gateway.coordinator.forget_batch(id),
+        // The watch will show the end.
+        Err(error) => log::info!(batch = id, age_ms, error:%; "manifest not read again"),
+    }
+}
+
 /// Loads an ended batch into memory, so that reads at any gateway need no calls to the store.
 /// Returns `false` if the batch is open, since it is then being loaded already.
 ///
@@ -239,6 +265,12 @@
             return Ok(false);
         }
     };
+    if gateway.coordinator.term() != term {
+        return Ok(false);
+    }
+    // It may be open here, or about to be, if the watch of manifests does not show its end yet.
+    gateway.coordinator.end_batch(id);
+    let _load = Load::begin(gateway, id);
     let _reading = gateway.coordinator.reads.begin(manifest.parts).await;
     let (body, results, chunks) =
         read_batch(gateway, id, &manifest, EarlierScheduler::Possible).await?;
@@ -253,49 +285,62 @@
         }
     };
     let item_bodies = items.into_iter().map(|item| (item.id, item.body)).collect();
-    insert_result_log(gateway, id, None, &manifest, (results, chunks), item_bodies);
+    let result_log = result_log(gateway, &manifest, (results, chunks), item_bodies);
+    gateway.coordinator.restore_batch(id, result_log);
+    evict(gateway);
     Ok(true)
 }
 
-/// Adds a batch to the result logs, and evicts old ones beyond the memory limit.
-fn insert_result_log(
+/// Returns the log of a batch that was read from the store.
+fn result_log(
     gateway: &Gateway,
-    id: &str,
-    batch: Option<BatchKey>,
     manifest: &Manifest,
     (results, next_chunk): (Vec<ItemResult>, usize),
     item_bodies: Vec<(String, Bytes)>,
-) {
-    let coordinator = &gateway.coordinator;
-    let bytes = item_bodies
-        .iter()
-        .map(|(_, body)| body.len())
-        .sum::<usize>()
-        + results
-            .iter()
-            .map(|result| result.text.len())
-            .sum::<usize>();
-    let result_log = ResultLog {
+) -> ResultLog {
+    let bodies = item_bodies.iter().map(|(_, body)| body.len());
+    let texts = results.iter().map(|result| result.text.len());
+    let bytes = bodies.chain(texts).sum();
+    ResultLog {
         account: manifest.account.clone(),
         total: manifest.total,
         results,
         is_writing: false,
         next_chunk,
         changed: Notify::new().into(),
-        batch,
-        sequence: coordinator.next_sequence(),
+        sequence: gateway.coordinator.next_sequence(),
         bytes,
         item_bodies,
-    };
-    coordinator
-        .result_logs
-        .borrow_mut()
-        .insert(id.to_owned(), result_log);
+    }
+}
+
+/// Evicts old result logs beyond the memory limit.
+fn evict(gateway: &Gateway) {
     let memory_bytes =
         usize::try_from(gateway.settings.borrow().memory_bytes).unwrap_or(usize::MAX);
     retention::evict(gateway, memory_bytes / MEMORY_DIVISOR);
 }
 
+/// A load of a batch from the store, which ends when it is dropped.
+struct Load<'a> {
+    gateway: &'a Gateway,
+    id: &'a str,
+}
+
+impl<'a> Load<'a> {
+    fn begin(gateway: &'a Gateway, id: &'a str) -> Self {
+        gateway.coordinator.batches.borrow_mut().begin_load(id);
+        Self { gateway, id }
+    }
+}
+
+impl Drop for Load<'_> {
+    fn drop(&mut self) {
+        let coordinator = &self.gateway.coordinator;
+        coordinator.batches.borrow_mut().end_load(self.id);
+    }
+}
+
 /// Reads a batch from the store, and seals its results if an earlier scheduler may still write
 /// some. Returns its body, its results and the number of the next chunk.
 async fn read_batch(
@@ -384,10 +429,9 @@
     chunks: usize,
 ) {
     let coordinator = &gateway.coordinator;
-    let is_known = coordinator.result_logs.borrow().contains_key(id)
-        || coordinator.ended_batches.borrow().contains(id);
+    let is_wanted = coordinator.batches.borrow().may_open(id);
     // Until the partial texts are loaded, batches are only added by the watch of manifests.
-    if !coordinator.is_scheduling.get() || is_known || !coordinator.partial_texts.is_ready() {
+    if !coordinator.is_scheduling.get() || !is_wanted || !coordinator.partial_texts.is_ready() {
         return;
     }
     let table = gateway.table();
@@ -433,22 +477,15 @@
         left_ms = expires.since(at).as_millis(), time_error_ms = time.map(|time| time.error_ms);
         "batch added to the scheduler"
     );
-    let batch = coordinator.scheduler.borrow_mut().submit(
-        now(),
-        scheduler_submission,
-        |route, preferred| resolve_service(&table, route, preferred),
-    );
-    coordinator
-        .batch_ids
-        .borrow_mut()
-        .insert(batch, id.to_owned());
-    insert_result_log(
-        gateway,
-        id,
-        Some(batch),
-        manifest,
-        (results, chunks),
-        item_bodies,
-    );
+    let submit = || {
+        let mut scheduler = coordinator.scheduler.borrow_mut();
+        let batch = scheduler.submit(now(), scheduler_submission, |route, preferred| {
+            resolve_service(&table, route, preferred)
+        });
+        let result_log = result_log(gateway, manifest, (results, chunks), item_bodies);
+        (batch, result_log)
+    };
+    coordinator.batches.borrow_mut().open(id, submit);
+    evict(gateway);
     coordinator.wake_scheduler();
 }
