Plan loads of weights for each service by itself

Cause: plan_loads stopped when as many engines as a step can use held the newest version, whatever their service, so engines of the second service were never commanded to load.

Change: loads are planned for each model at each service, with the items that run there. Where items wait that no engine can take, coverage::need names the engines that could if they loaded: at once if none can take them, after a second if those that can are full, whatever model they follow. A text whose software is left only at an idle outdated engine waits for that engine's load rather than start over, if it has 24 events or more, for 3.5 s at most.

Why it works: what an item requires is counted over the engines that may run it, and an item without any makes the order.

--- a/crates/policy/src/batch/coverage.rs
+++ b/crates/policy/src/batch/coverage.rs
@@ -5,17 +5,19 @@
 //! which its batch and its text allow. Each of these may be met by another engine and all by none, so
 //! they are never asked one by one.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use tamaracksail_model::backend::State;
 use tamaracksail_model::time::Instant;
 
-use super::action::{Action, Wait};
+use super::action::{Action, Requirement, Wait};
 use super::dispatch;
-use super::engine::Engine;
+use super::engine::{Engine, EngineKey};
 use super::pool::{Pool, Requirements};
 use super::scheduler::Scheduler;
+use super::task::Task;
 
 /// How long items wait before that is logged, and the time between two such log lines.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
@@ -23,6 +25,18 @@
 /// The number of log lines about waiting items at a time.
 const MAX_REPORTS: usize = 8;
 
+/// How long items wait for a slot of engines that meet their requirements before further engines load
+/// for them. Loads beyond a trainer's share of the engines cost extra.
+const SLOT_PATIENCE: Duration = Duration::from_secs(1);
+
+/// The number of events from which on a text takes longer to generate than a load of weights: they are
+/// about 50 ms apart.
+const LOAD_EVENTS: u64 = 24;
+
+/// How long an item with such a text waits for a load before it starts over. Load commands may not be
+/// sent for up to three seconds after a takeover.
+const LOAD_PATIENCE: Duration = Duration::from_millis(3500);
+
 /// How far an engine meets the requirements of an item, other than a free slot.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Fit {
@@ -30,7 +44,9 @@
     Ready,
     /// It will once the load in progress is complete.
     Loading,
-    /// It would if it loaded the announced version.
+    /// It would if it loaded the announced version, and it is idle.
+    Idle,
+    /// It would if it loaded the announced version after its runs.
     Outdated,
     /// It does not, whatever it loads.
     None,
@@ -63,16 +79,18 @@
 
 /// The waiting items with the same requirements.
 #[derive(Debug)]
-pub(super) struct Class<'a> {
-    pub(super) requirements: Requirements<'a>,
+struct Class<'a> {
+    requirements: Requirements<'a>,
+    /// Whether their texts are worth a load.
+    is_worth_load: bool,
     /// Their number.
-    pub(super) items: usize,
+    items: usize,
     /// Since when the first of them waits.
-    pub(super) since: Instant,
+    since: Instant,
 }
 
 /// Returns the items that wait for an engine by their requirements, without their preferences.
-pub(super) fn classes(scheduler: &Scheduler) -> Vec<Class<'_>> {
+fn classes(scheduler: &Scheduler, now: Instant) -> Vec<Class<'_>> {
     let mut classes: Vec<Class<'_>> = Vec::new();
     let mut last = 0;
     for (_, key) in &scheduler.queue {
@@ -81,12 +99,16 @@
             continue;
         }
         let requirements = dispatch::least_requirements(scheduler, *key);
-        let is_same = |class: &Class<'_>| class.requirements == requirements;
+        let is_worth_load = is_worth_load(now, task);
+        let is_same = |class: &Class<'_>| {
+            class.requirements == requirements && class.is_worth_load == is_worth_load
+        };
         // Most items have the requirements of the one before them.
         if !classes.get(last).is_some_and(is_same) {
             last = classes.iter().position(is_same).unwrap_or_else(|| {
                 classes.push(Class {
                     requirements,
+                    is_worth_load,
                     items: 0,
                     since: task.waiting_since,
                 });
@@ -99,6 +121,103 @@
     classes
 }
 
+/// Items that wait with the same requirements, as far as engines can meet these: without those of texts
+/// that no engine can continue.
+#[derive(Clone, Debug)]
+pub(super) struct Waiting {
+    requirement: Requirement,
+    items: usize,
+    since: Instant,
+}
+
+/// Returns the items that wait for an engine of their model.
+pub(super) fn waiting(scheduler: &Scheduler, now: Instant) -> Vec<Waiting> {
+    let announced = &scheduler.announced_versions;
+    let mut found: Vec<Waiting> = Vec::new();
+    for class in classes(scheduler, now) {
+        let required = class.requirements;
+        let pool = &scheduler.pool;
+        let (_, keeps_text) = prospect(pool, &required, announced, class.is_worth_load);
+        let requirement = if keeps_text {
+            required.to_owned()
+        } else {
+            required.without_text().to_owned()
+        };
+        let same = found
+            .iter_mut()
+            .find(|other| other.requirement == requirement);
+        if let Some(same) = same {
+            same.items += class.items;
+            same.since = same.since.min(class.since);
+        } else {
+            found.push(Waiting {
+                requirement,
+                items: class.items,
+                since: class.since,
+            });
+        }
+    }
+    found
+}
+
+/// Items that no engine can take, and the engines that could if they loaded the announced version.
+#[derive(Clone, Debug)]
+pub(super) struct Need {
+    pub(super) model: String,
+    /// The announced version.
+    pub(super) version: u64,
+    /// The engines that may load it now, the best first.
+    pub(super) candidates: Vec<EngineKey>,
+    /// The number of items for which there are no slots.
+    pub(super) items: usize,
+    /// Whether no engine meets their requirements or will after the load in progress.
+    pub(super) is_bare: bool,
+}
+
+/// Returns the need of items for a load, if there is one: at once if no engine meets their requirements,
+/// and after [`SLOT_PATIENCE`] if those which do are full.
+pub(super) fn need(scheduler: &Scheduler, now: Instant, waiting: &Waiting) -> Option<Need> {
+    let required = waiting.requirement.as_requirements();
+    let announced = &scheduler.announced_versions;
+    let model = required.model?;
+    let version = *announced.get(model)?;
+    let (mut is_bare, mut room) = (true, 0);
+    let mut candidates = Vec::new();
+    for (key, engine) in &scheduler.pool.engines {
+        match fit(engine, &required, announced) {
+            Fit::Ready => {
+                is_bare = false;
+                let is_open = engine.accepts_work(now);
+                room += if is_open { engine.free_slots() } else { 0 };
+            }
+            Fit::Loading => {
+                is_bare = false;
+                room += engine.registration.slots;
+            }
+            Fit::Idle | Fit::Outdated if engine.accepts_work(now) => {
+                let is_elsewhere = engine.assigned_model.as_deref() != Some(model);
+                let gap = Reverse(version - engine.version(model).unwrap_or(version));
+                let order = (engine.running, engine.failures, is_elsewhere, gap);
+                candidates.push((order, key));
+            }
+            _ => {}
+        }
+    }
+    let items = waiting.items.saturating_sub(room as usize);
+    let is_due = is_bare || now.since(waiting.since) >= SLOT_PATIENCE;
+    if items == 0 || !is_due || candidates.is_empty() {
+        return None;
+    }
+    candidates.sort_unstable();
+    Some(Need {
+        model: model.to_owned(),
+        version,
+        candidates: candidates.into_iter().map(|(_, key)| key).collect(),
+        items,
+        is_bare,
+    })
+}
+
 /// Has it logged which items wait, and for what, unless it was logged a short time ago.
 pub(super) fn report(scheduler: &mut Scheduler, now: Instant) {
     if now.since(scheduler.waits_reported_at) < REPORT_INTERVAL || scheduler.queue.is_empty() {
@@ -107,7 +226,7 @@
     scheduler.waits_reported_at = now;
     let announced = &scheduler.announced_versions;
     let pool = &scheduler.pool;
-    let late = classes(scheduler)
+    let late = classes(scheduler, now)
         .into_iter()
         .filter(|class| now.since(class.since) >= REPORT_INTERVAL);
     let waits: Vec<Action> = late
@@ -128,9 +247,11 @@
                     .and_then(|model| announced.get(model))
                     .copied(),
                 engines: with_fit(Fit::Ready).count() + with_fit(Fit::Loading).count(),
-                outdated: with_fit(Fit::Outdated).count(),
+                outdated: with_fit(Fit::Idle).count() + with_fit(Fit::Outdated).count(),
                 free_slots: ready.map(Engine::free_slots).sum(),
-                needs: prospect(pool, &required, announced).name(),
+                needs: prospect(pool, &required, announced, class.is_worth_load)
+                    .0
+                    .name(),
             })
         })
         .collect();
@@ -166,7 +287,11 @@
         None if requirements.allow(held) => Fit::Ready,
         Some(next) if requirements.allow(next) => Fit::Loading,
         _ if held.is_some() && held < newest.copied() && requirements.allow(newest.copied()) => {
-            Fit::Outdated
+            if engine.running == 0 && next.is_none() {
+                Fit::Idle
+            } else {
+                Fit::Outdated
+            }
         }
         _ => Fit::None,
     }
@@ -187,16 +312,18 @@
     requirements.model.and_then(|model| engine.version(model))
 }
 
-/// Returns what has to happen before an item with these requirements runs.
+/// Returns what has to happen before an item with these requirements runs, and whether its text is kept.
+/// `is_worth_load` says that its text is worth more than the time for a load.
 pub(crate) fn prospect(
     pool: &Pool,
     requirements: &Requirements,
     announced: &BTreeMap<String, u64>,
-) -> Prospect {
+    is_worth_load: bool,
+) -> (Prospect, bool) {
     let best = |requirements: &Requirements| best_fit(pool, requirements, announced);
     let continued = best(requirements);
-    if continued < Fit::Outdated {
-        return Prospect::Slot;
+    if continued <= Fit::Loading {
+        return (Prospect::Slot, true);
     }
     let restarted = if requirements.depend_on_text() {
         best(&requirements.without_text())
@@ -204,18 +331,25 @@
         Fit::None
     };
     match (continued, restarted) {
-        (_, Fit::Ready | Fit::Loading) => Prospect::Restart,
-        (Fit::None, Fit::None) => Prospect::Engine,
-        _ => Prospect::Load,
+        (Fit::Idle, _) if is_worth_load => (Prospect::Load, true),
+        (_, Fit::Ready | Fit::Loading) => (Prospect::Restart, false),
+        (Fit::None, Fit::None) => (Prospect::Engine, true),
+        (continued, restarted) => (Prospect::Load, continued <= restarted),
     }
 }
 
+/// Whether the text of a waiting item is worth more than the time for a load: it took longer to
+/// generate, and the item does not wait for too long already.
+pub(super) fn is_worth_load(now: Instant, task: &Task) -> bool {
+    task.text.last >= Some(LOAD_EVENTS) && now.since(task.waiting_since) < LOAD_PATIENCE
+}
+
 /// Returns the best fit among the engines. Stops at the first that is or will be ready.
 fn best_fit(pool: &Pool, requirements: &Requirements, announced: &BTreeMap<String, u64>) -> Fit {
     let mut best = Fit::None;
     for engine in pool.engines.values() {
         best = best.min(fit(engine, requirements, announced));
-        if best < Fit::Outdated {
+        if best <= Fit::Loading {
             break;
         }
     }
--- a/crates/policy/src/batch/dispatch.rs
+++ b/crates/policy/src/batch/dispatch.rs
@@ -71,7 +71,9 @@
         return chosen;
     }
     let announced = &scheduler.announced_versions;
-    if coverage::prospect(pool, &required, announced) != Prospect::Restart {
+    let is_worth_load = coverage::is_worth_load(now, &scheduler.tasks[key]);
+    let (prospect, _) = coverage::prospect(pool, &required, announced, is_worth_load);
+    if prospect != Prospect::Restart {
         return None;
     }
     let chosen = pool.choose(now, &required.without_text(), median_ms, None)?;
--- a/crates/policy/src/batch/pool.rs
+++ b/crates/policy/src/batch/pool.rs
@@ -65,6 +65,20 @@
     }
 }
 
+impl Requirement {
+    /// Returns the requirements, without a preference.
+    pub(crate) fn as_requirements(&self) -> Requirements<'_> {
+        Requirements {
+            service: &self.service,
+            model: self.model.as_deref(),
+            min_version: self.min_version,
+            version: self.version,
+            software: self.software.as_deref(),
+            preference: Preference::Any,
+        }
+    }
+}
+
 /// All engines.
 #[derive(Debug, Default)]
 pub(crate) struct Pool {
--- a/crates/policy/src/batch/scheduler.rs
+++ b/crates/policy/src/batch/scheduler.rs
@@ -55,8 +55,8 @@
     pub(super) scoring: BTreeMap<CallKey, TaskKey>,
     /// The newest version that a trainer has announced of each model.
     pub(super) announced_versions: BTreeMap<String, u64>,
-    /// The number of items in the largest step of each model.
-    pub(super) largest_steps: BTreeMap<String, usize>,
+    /// The number of items in the largest step of each model, by the service that runs them.
+    pub(super) largest_steps: BTreeMap<String, BTreeMap<String, usize>>,
     /// Text of items whose task was removed, by item, and since when it is retained.
     pub(super) retained_texts: BTreeMap<Carried, (Instant, PartialText)>,
     /// Groups of earlier and open batches, and when they were last submitted.
@@ -360,16 +360,6 @@
         Some((&task.item.id, task.batch, self.rewards.since(key)?))
     }
 
-    /// Whether any item of a model that its trainer waits for is in the queue.
-    pub(super) fn has_waiting_items(&self, model: &str) -> bool {
-        self.queue.iter().any(|(_, key)| {
-            let task = &self.tasks[*key];
-            let batch = &self.batches[task.batch];
-            let is_for_model = batch.model.as_deref() == Some(model);
-            is_for_model && !task.is_optional && !batch.is_satisfied
-        })
-    }
-
     /// Whether a running item may move to another engine. An item of an ended batch may not, since
     /// no new run starts for it.
     pub(super) fn may_move(&self, key: TaskKey) -> bool {
--- a/crates/policy/src/batch/submission.rs
+++ b/crates/policy/src/batch/submission.rs
@@ -1,6 +1,6 @@
 //! Submission of batches, and changes of their routes.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
 use tamaracksail_model::batch::{Item, SubmissionRoute};
@@ -69,10 +69,6 @@
     for (item, group) in submission.items.iter().zip(&group_of) {
         lengths[*group] = lengths[*group].max(expected_tokens(item));
     }
-    if let Some(model) = &submission.model {
-        let largest = scheduler.largest_steps.entry(model.clone()).or_default();
-        *largest = submission.items.len().max(*largest);
-    }
     let target = submission.target_groups.unwrap_or(names.len());
     let optional = optional_groups(&lengths, &carried_over, target);
     for name in &names {
@@ -129,9 +125,28 @@
             &route,
         );
     }
+    record_size(scheduler, batch_key);
     batch_key
 }
 
+/// Records how many items of a step each service runs, by which it is judged how many engines the steps
+/// of the model can use there.
+fn record_size(scheduler: &mut Scheduler, batch_key: BatchKey) {
+    let batch = &scheduler.batches[batch_key];
+    let Some(model) = &batch.model else {
+        return;
+    };
+    let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
+    for key in &batch.tasks {
+        *counts.entry(&scheduler.tasks[*key].service).or_default() += 1;
+    }
+    let largest = scheduler.largest_steps.entry(model.clone()).or_default();
+    for (service, count) in counts {
+        let known = largest.entry(service.to_owned()).or_default();
+        *known = count.max(*known);
+    }
+}
+
 /// Moves a detached run of the same item into the batch. Returns the item if there is none, or if the
 /// batch may not use its text or the route of the batch does not name the run's service, in which cases
 /// the run is stopped.
@@ -259,4 +274,8 @@
             None => ending::abort_task(scheduler, now, key),
         }
     }
+    let batches: Vec<BatchKey> = scheduler.batches.keys().collect();
+    for batch in batches {
+        record_size(scheduler, batch);
+    }
 }
--- a/crates/policy/src/batch/weights.rs
+++ b/crates/policy/src/batch/weights.rs
@@ -2,16 +2,20 @@
 //!
 //! An engine that loads runs no items, and a trainer that waits is costly too. A step also accepts
 //! the version before the newest, so engines load while they are idle, or when their items can move
-//! to others. While items of a model that a trainer waits for are in the queue, an engine of the
-//! model loads only if it is idle and no open step can use it. The model with the most waiting
+//! to others. While items that a trainer waits for are in the queue of a service, its engines of their
+//! model load only if they are idle and no open step can use them. The model with the most waiting
 //! items goes first, then the engine furthest behind, then the one with the fewest items.
+//!
+//! This keeps as many engines of each service at the newest version as the steps of a model use there.
+//! Where it leaves items without an engine, [`load_for_waiting`] makes one.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use tamaracksail_model::time::Instant;
 
 use super::action::Action;
+use super::coverage::{self, Need};
 use super::dispatch;
 use super::engine::{Engine, EngineKey, Loading};
 use super::scheduler::Scheduler;
@@ -24,79 +28,156 @@
 /// times a step's items: one may be lost and one may be slow.
 const SPARE_ENGINES: usize = 2;
 
-/// Commands engines that hold an older version than the announced one to load it.
+/// The number of engines to keep at the newest version of a model in a service that runs none of its
+/// steps, so that a route which moves there finds one.
+const STANDBY_ENGINES: usize = 1;
+
+/// The loads in progress, and how many there may be.
+#[derive(Clone, Copy, Debug)]
+struct Loads {
+    count: usize,
+    max: usize,
+}
+
+impl Loads {
+    fn new(scheduler: &Scheduler) -> Self {
+        let engines = scheduler.pool.engines.values();
+        let engine_count = engines
+            .clone()
+            .filter(|engine| !engine.registration.models.is_empty());
+        let loading = engines.filter(|engine| engine.loading.is_some());
+        Self {
+            count: loading.count(),
+            max: (engine_count.count() / ENGINES_PER_LOAD).max(2),
+        }
+    }
+
+    fn is_full(self) -> bool {
+        self.count >= self.max
+    }
+}
+
+/// Commands engines to load the announced versions of the models that they follow, and others where
+/// items wait that no engine can take.
 pub(super) fn plan_loads(scheduler: &mut Scheduler, now: Instant) {
-    let engines = &scheduler.pool.engines;
-    let engine_count = engines
-        .values()
-        .filter(|engine| !engine.registration.models.is_empty())
-        .count();
-    let max_loads = (engine_count / ENGINES_PER_LOAD).max(2);
-    let mut load_count = engines
-        .values()
-        .filter(|engine| engine.loading.is_some())
-        .count();
-    let mut outdated = outdated(scheduler, now);
-    if outdated.is_empty() {
+    let mut loads = Loads::new(scheduler);
+    follow_versions(scheduler, now, &mut loads);
+    load_for_waiting(scheduler, now, &mut loads);
+}
+
+/// Commands engines that hold an older version of their assigned model than the announced one to load
+/// it.
+fn follow_versions(scheduler: &mut Scheduler, now: Instant, loads: &mut Loads) {
+    let mut servings = servings(scheduler, now);
+    if servings.iter().all(|serving| serving.outdated.is_empty()) {
         return;
     }
+    count_waiting(scheduler, &mut servings);
     let oldest_allowed = oldest_allowed(scheduler);
-    let mut up_to_date = up_to_date(scheduler);
-    let mut waiting = waiting(scheduler);
-    let awaited: BTreeSet<String> = outdated
-        .keys()
-        .filter(|model| scheduler.has_waiting_items(model))
-        .cloned()
-        .collect();
-    while load_count < max_loads {
-        let Some(Outdated {
-            key,
-            model,
-            version,
-            loaded,
-            ..
-        }) = take_next(&mut outdated, &waiting)
-        else {
+    while !loads.is_full() {
+        let Some((index, outdated)) = take_next(&mut servings) else {
             return;
         };
-        let count = up_to_date.get(&model).copied().unwrap_or(0);
-        if count >= engines_needed(scheduler, &model, key) {
+        let key = outdated.key;
+        let serving = &servings[index];
+        if serving.up_to_date >= engines_needed(scheduler, serving, key) {
             continue;
         }
-        let is_useless = oldest_allowed.get(&model).is_some_and(|min| loaded < *min);
+        let min = oldest_allowed.get(&serving.model);
+        let is_useless = min.is_some_and(|min| outdated.loaded < *min);
         let is_idle = scheduler.pool.engines[key].running == 0;
-        let has_waiting_items = awaited.contains(&model);
-        if !is_idle && (has_waiting_items || !move_runs_away(scheduler, now, key)) {
+        let is_awaited = serving.is_awaited;
+        if !is_idle && (is_awaited || !move_runs_away(scheduler, now, key)) {
             continue;
         }
-        if !is_useless && has_waiting_items {
+        if !is_useless && is_awaited {
             continue;
         }
-        load_count += 1;
-        *up_to_date.entry(model.clone()).or_default() += 1;
-        let engine = &mut scheduler.pool.engines[key];
-        engine.loading = Some(Loading {
-            model: model.clone(),
-            version,
-        });
-        if let Some(items) = waiting.get_mut(&model) {
-            *items = items.saturating_sub(engine.registration.slots as usize);
-        }
-        scheduler.actions.push(Action::LoadWeights {
-            engine: key,
+        let serving = &mut servings[index];
+        serving.up_to_date += 1;
+        let slots = scheduler.pool.engines[key].registration.slots;
+        serving.waiting = serving.waiting.saturating_sub(slots as usize);
+        command(scheduler, key, &serving.model, serving.version, loads);
+    }
+}
+
+/// Commands engines to load where items wait that no engine can take, also engines that follow another
+/// model and those beyond the number that a step needs. The first engine for items that have none may
+/// load beside any number of others, and may have to finish its runs first.
+fn load_for_waiting(scheduler: &mut Scheduler, now: Instant, loads: &mut Loads) {
+    for class in coverage::waiting(scheduler, now) {
+        let Some(need) = coverage::need(scheduler, now, &class) else {
+            continue;
+        };
+        let Need {
             model,
             version,
-        });
+            candidates,
+            mut items,
+            is_bare,
+        } = need;
+        let mut is_first = is_bare;
+        for key in candidates {
+            if items == 0 || (loads.is_full() && !is_first) {
+                break;
+            }
+            let engine = &scheduler.pool.engines[key];
+            let slots = engine.registration.slots;
+            let may_finish_first = is_first || engine.running * 2 < slots;
+            if engine.running > 0 && !move_runs_away(scheduler, now, key) && !may_finish_first {
+                continue;
+            }
+            is_first = false;
+            items = items.saturating_sub(slots as usize);
+            command(scheduler, key, &model, version, loads);
+        }
     }
 }
 
-/// An engine that holds an older version than the announced one.
-#[derive(Clone, Debug)]
-struct Outdated {
+/// Commands an engine to load a version.
+fn command(
+    scheduler: &mut Scheduler,
     key: EngineKey,
+    model: &str,
+    version: u64,
+    loads: &mut Loads,
+) {
+    loads.count += 1;
+    scheduler.pool.engines[key].loading = Some(Loading {
+        model: model.to_owned(),
+        version,
+    });
+    scheduler.actions.push(Action::LoadWeights {
+        engine: key,
+        model: model.to_owned(),
+        version,
+    });
+}
+
+/// A model at the engines of one service.
+#[derive(Clone, Debug)]
+struct Serving {
+    service: String,
     model: String,
     /// The announced version.
     version: u64,
+    /// The engines that follow the model, hold an older version and accept work. In the reverse of the
+    /// order in which they load.
+    outdated: Vec<Outdated>,
+    /// The number of engines that follow the model and hold or load the announced version.
+    up_to_date: usize,
+    /// The number of items in the queue that are not optional.
+    waiting: usize,
+    /// Whether a trainer waits for any of these.
+    is_awaited: bool,
+}
+
+/// An engine that holds an older version than the announced one.
+#[derive(Clone, Copy, Debug)]
+struct Outdated {
+    key: EngineKey,
+    /// The number of versions that it is behind.
+    gap: u64,
     /// The version that the engine holds.
     loaded: u64,
     running: u32,
@@ -106,96 +187,93 @@
     /// The order in which the engines of a model load: the one furthest behind first, then the one with
     /// the fewest runs.
     fn rank(&self) -> (Reverse<u64>, u32, EngineKey) {
-        (Reverse(self.version - self.loaded), self.running, self.key)
+        (Reverse(self.gap), self.running, self.key)
     }
 }
 
-/// Returns the engines with an outdated version of their assigned model that accept work, by model. In
-/// the reverse of the order in which they load: the one furthest behind is the last, and of these the
-/// one with the fewest runs.
-fn outdated(scheduler: &Scheduler, now: Instant) -> BTreeMap<String, Vec<Outdated>> {
-    let mut outdated: BTreeMap<String, Vec<Outdated>> = BTreeMap::new();
-    for (model, version) in &scheduler.announced_versions {
-        for (key, engine) in &scheduler.pool.engines {
-            let is_assigned = engine.assigned_model.as_ref() == Some(model);
-            let loaded = engine.version(model).filter(|loaded| loaded < version);
-            if let Some(loaded) = loaded.filter(|_| is_assigned && engine.accepts_work(now)) {
-                let of_model = outdated.entry(model.clone()).or_default();
-                of_model.push(Outdated {
-                    key,
-                    model: model.clone(),
-                    version: *version,
-                    loaded,
-                    running: engine.running,
-                });
-            }
+/// Returns the models that have an announced version, by the services whose engines follow them.
+fn servings(scheduler: &Scheduler, now: Instant) -> Vec<Serving> {
+    let mut servings: Vec<Serving> = Vec::new();
+    for (key, engine) in &scheduler.pool.engines {
+        let Some(model) = &engine.assigned_model else {
+            continue;
+        };
+        let announced = scheduler.announced_versions.get(model).copied();
+        let (Some(version), Some(loaded)) = (announced, engine.version(model)) else {
+            continue;
+        };
+        let service = &engine.registration.service;
+        let index = position(&servings, service, model).unwrap_or_else(|| {
+            servings.push(Serving {
+                service: service.clone(),
+                model: model.clone(),
+                version,
+                outdated: Vec::new(),
+                up_to_date: 0,
+                waiting: 0,
+                is_awaited: false,
+            });
+            servings.len() - 1
+        });
+        let serving = &mut servings[index];
+        let loading = engine.loading.as_ref();
+        if loaded >= version || loading.is_some_and(|loading| &loading.model == model) {
+            serving.up_to_date += 1;
+        } else if engine.accepts_work(now) {
+            serving.outdated.push(Outdated {
+                key,
+                gap: version - loaded,
+                loaded,
+                running: engine.running,
+            });
         }
     }
-    for engines in outdated.values_mut() {
-        engines.sort_unstable_by_key(|outdated| Reverse(outdated.rank()));
+    for serving in &mut servings {
+        let by_rank = |outdated: &Outdated| Reverse(outdated.rank());
+        serving.outdated.sort_unstable_by_key(by_rank);
     }
-    outdated
+    servings
 }
 
-/// Takes the engine to consider next: of the model with the most waiting items, the one furthest
-/// behind, and of these the one with the fewest runs.
-fn take_next(
-    outdated: &mut BTreeMap<String, Vec<Outdated>>,
-    waiting: &BTreeMap<String, usize>,
-) -> Option<Outdated> {
-    let first = outdated
-        .iter()
-        .filter_map(|(model, engines)| {
-            let items = waiting.get(model).copied().unwrap_or(0);
-            Some((Reverse(items), engines.last()?.rank(), model))
-        })
-        .min();
-    let model = first.map(|(_, _, model)| model.clone())?;
-    outdated.get_mut(&model)?.pop()
+/// Returns the index of a model at a service.
+fn position(servings: &[Serving], service: &str, model: &str) -> Option<usize> {
+    let is_wanted = |serving: &Serving| serving.service == service && serving.model == model;
+    servings.iter().position(is_wanted)
 }
 
-/// Returns the number of items in the queue that a trainer waits for, by model.
-fn waiting(scheduler: &Scheduler) -> BTreeMap<String, usize> {
-    let mut waiting = BTreeMap::new();
+/// Counts the items in the queue that are not optional.
+fn count_waiting(scheduler: &Scheduler, servings: &mut [Serving]) {
     for (_, key) in &scheduler.queue {
         let task = &scheduler.tasks[*key];
         let batch = &scheduler.batches[task.batch];
-        if let Some(model) = batch.model.as_ref().filter(|_| !task.is_optional) {
-            *waiting.entry(model.clone()).or_default() += 1;
+        let model = batch.model.as_deref().filter(|_| !task.is_optional);
+        if let Some(index) = model.and_then(|model| position(servings, &task.service, model)) {
+            servings[index].waiting += 1;
+            servings[index].is_awaited |= !batch.is_satisfied;
         }
     }
-    waiting
 }
 
-/// Returns the number of engines that hold or load the announced version, by model.
-fn up_to_date(scheduler: &Scheduler) -> BTreeMap<String, usize> {
-    let mut up_to_date = BTreeMap::new();
-    for engine in scheduler.pool.engines.values() {
-        let Some(model) = &engine.assigned_model else {
-            continue;
-        };
-        let announced = scheduler.announced_versions.get(model).copied();
-        let is_loading = engine
-            .loading
-            .as_ref()
-            .is_some_and(|loading| &loading.model == model);
-        if !is_loading && (announced.is_none() || engine.version(model) < announced) {
-            continue;
-        }
-        match up_to_date.get_mut(model) {
-            Some(count) => *count += 1,
-            None => drop(up_to_date.insert(model.clone(), 1)),
-        }
-    }
-    up_to_date
+/// Takes the engine to consider next: of the model with the most waiting items at its service, the one
+/// furthest behind, and of these the one with the fewest runs.
+fn take_next(servings: &mut [Serving]) -> Option<(usize, Outdated)> {
+    let next = servings.iter().enumerate().filter_map(|(index, serving)| {
+        let rank = serving.outdated.last()?.rank();
+        Some((Reverse(serving.waiting), rank, index))
+    });
+    let (_, _, index) = next.min()?;
+    Some((index, servings[index].outdated.pop()?))
 }
 
-/// Returns how many engines like `key` the steps of a model can use: no limit before the first
-/// step.
-fn engines_needed(scheduler: &Scheduler, model: &str, key: EngineKey) -> usize {
-    let Some(items) = scheduler.largest_steps.get(model) else {
+/// Returns how many engines like `key` the steps of a model can use at a service: no limit before the
+/// first step of the model.
+fn engines_needed(scheduler: &Scheduler, serving: &Serving, key: EngineKey) -> usize {
+    let Some(steps) = scheduler.largest_steps.get(&serving.model) else {
         return usize::MAX;
     };
+    let Some(items) = steps.get(&serving.service) else {
+        return STANDBY_ENGINES;
+    };
     let slots = scheduler.pool.engines[key].registration.slots.max(1) as usize;
     (items * 3 / 2).div_ceil(slots) + SPARE_ENGINES
 }
@@ -250,6 +328,7 @@
     count == 0
         || others.any(|(other, candidate)| {
             let is_usable = other != key
+                && candidate.registration.service == engine.registration.service
                 && candidate.free_slots() > 0
                 && candidate.accepts_work(now)
                 && candidate.assigned_model.is_some()
--- a/crates/policy/tests/coverage.rs
+++ b/crates/policy/tests/coverage.rs
@@ -78,3 +78,95 @@
         fleet.longest_wait
     );
 }
+
+/// Runs steps of one trainer as long as all are complete, and names the next version after each. Calls
+/// `change` before the third step.
+fn train(fleet: &mut Fleet, path: &str, model: &str, change: impl FnOnce(&mut Fleet)) {
+    let mut change = Some(change);
+    for number in 1..7u64 {
+        if number == 3
+            && let Some(change) = change.take()
+        {
+            change(fleet);
+        }
+        let id = format!("{model}{number}");
+        let min_version = number.saturating_sub(1).max(1);
+        fleet.submit(&Step {
+            path,
+            model,
+            ..step(&id, min_version, 8, 20)
+        });
+        assert!(fleet.run_step(&id), "{id}: {:?}", fleet.longest_wait);
+        fleet.end(&id);
+        fleet.run_for(Duration::from_millis(500));
+        fleet.announce(model);
+        fleet.run_for(Duration::from_secs(2));
+    }
+}
+
+/// Returns two services with six engines each that hold the same model.
+fn two_services() -> Fleet {
+    let mut fleet = Fleet::default();
+    for service in ["pool-a", "pool-b"] {
+        for number in 0..6 {
+            let name = format!("{service}-{number}");
+            fleet.add(&name, service, "v1", 12, &[("m", 1)]);
+        }
+    }
+    fleet.route("/roll/", &["pool-a"]);
+    fleet
+}
+
+// Guards against: items of the second service of a split route wait, since as many engines as the step needs
+// hold the newest version in the first.
+#[test]
+fn items_run_at_each_service_of_a_route_that_is_split() {
+    let mut fleet = two_services();
+    train(&mut fleet, "/roll/", "m", |fleet| {
+        fleet.route("/roll/", &["pool-a", "pool-b"]);
+    });
+    assert!(
+        fleet.longest_wait.0 < WAIT_LIMIT,
+        "{:?}",
+        fleet.longest_wait
+    );
+}
+
+// Guards against: the same, for a route that is split from the start.
+#[test]
+fn items_run_at_each_service_of_a_route_that_was_always_split() {
+    let mut fleet = two_services();
+    fleet.route("/roll/", &["pool-a", "pool-b"]);
+    train(&mut fleet, "/roll/", "m", |_| {});
+    assert!(
+        fleet.longest_wait.0 < WAIT_LIMIT,
+        "{:?}",
+        fleet.longest_wait
+    );
+}
+
+// Guards against: the same, for a route that moves to another service, or is added there, before or during
+// a step.
+#[test]
+fn items_run_at_the_service_to_which_a_route_moves() {
+    for delay_ms in [0, 600] {
+        let mut fleet = two_services();
+        train(&mut fleet, "/roll/", "m", |fleet| {
+            fleet.submit(&step("during", 2, 8, 60));
+            fleet.run_for(Duration::from_millis(delay_ms));
+            fleet.route("/roll/", &["pool-b"]);
+            assert!(fleet.run_step("during"), "{:?}", fleet.longest_wait);
+        });
+        fleet.route("/added/", &["pool-a"]);
+        fleet.submit(&Step {
+            path: "/added/",
+            ..step("added", fleet.newest("m"), 8, 20)
+        });
+        assert!(fleet.run_step("added"), "{:?}", fleet.longest_wait);
+        assert!(
+            fleet.longest_wait.0 < WAIT_LIMIT,
+            "{:?}",
+            fleet.longest_wait
+        );
+    }
+}
--- a/crates/policy/tests/register.rs
+++ b/crates/policy/tests/register.rs
@@ -157,15 +157,12 @@
             // The log of a batch that runs is the one that was opened with it.
             assert_eq!(self.register.log(IDS[*batch]), Some(key));
         }
-        for batch in 0..IDS.len() {
+        for (batch, id) in IDS.iter().enumerate() {
             let of_batch = self.scheduled.values().filter(|found| **found == batch);
             assert!(of_batch.count() <= 1, "{batch} runs twice");
             let is_loading = self.loads.iter().any(|(found, ..)| *found == batch);
             if self.stored[batch] == Stored::Removed && !is_loading {
-                assert!(
-                    self.register.log(IDS[batch]).is_none(),
-                    "a removed batch has a log"
-                );
+                assert!(self.register.log(id).is_none(), "a removed batch has a log");
             }
         }
     }
@@ -202,11 +199,11 @@
         while !process.loads.is_empty() {
             process.handle(Input::FinishLoad);
         }
-        for batch in 0..IDS.len() {
+        for (batch, id) in IDS.iter().enumerate() {
             if process.stored[batch] == Stored::Removed {
                 process.handle(Input::Remove(batch));
                 let logs: Vec<&str> = process.register.logs().map(|(id, ..)| id).collect();
-                prop_assert!(!logs.contains(&IDS[batch]));
+                prop_assert!(!logs.contains(id));
             }
         }
         if process.stored == [Stored::Removed; 2] {
