--- a/crates/policy/src/batch/weights.rs
+++ b/crates/policy/src/batch/weights.rs
@@ -16,9 +16,9 @@
 
 use super::action::Action;
 use super::coverage::{self, Need};
-use super::dispatch;
 use super::engine::{Engine, EngineKey, Loading};
 use super::scheduler::Scheduler;
+use super::{affinity, dispatch};
 
 /// One in this many engines may load at a time, and at least two. More loads at once slow each
 /// other down.
@@ -65,8 +65,8 @@
     load_for_waiting(scheduler, now, &mut loads);
 }
 
-/// Commands engines that hold an older version of their assigned model than the announced one to load
-/// it.
+/// Commands engines that hold an older version of a model that they follow than the announced one to
+/// load it.
 fn follow_versions(scheduler: &mut Scheduler, now: Instant, loads: &mut Loads) {
     let mut servings = servings(scheduler, now);
     if servings.iter().all(|serving| serving.outdated.is_empty()) {
@@ -80,6 +80,10 @@
         };
         let key = outdated.key;
         let serving = &servings[index];
+        if scheduler.pool.engines[key].loading.is_some() {
+            // It loads another model that it follows.
+            continue;
+        }
         if serving.up_to_date >= engines_needed(scheduler, serving, key) {
             continue;
         }
@@ -170,6 +174,23 @@
     waiting: usize,
     /// Whether a trainer waits for any of these.
     is_awaited: bool,
+    /// Whether any engine of the service is assigned to the model.
+    has_assigned: bool,
+}
+
+impl Serving {
+    fn new(service: &str, model: &str, version: u64) -> Self {
+        Self {
+            service: service.to_owned(),
+            model: model.to_owned(),
+            version,
+            outdated: Vec::new(),
+            up_to_date: 0,
+            waiting: 0,
+            is_awaited: false,
+            has_assigned: false,
+        }
+    }
 }
 
 /// An engine that holds an older version than the announced one.
@@ -191,41 +212,44 @@
     }
 }
 
-/// Returns the models that have an announced version, by the services whose engines follow them.
+/// Returns the models that have an announced version, by the services whose engines follow them: those
+/// assigned to the model, or all that hold it if none is.
 fn servings(scheduler: &Scheduler, now: Instant) -> Vec<Serving> {
     let mut servings: Vec<Serving> = Vec::new();
-    for (key, engine) in &scheduler.pool.engines {
-        let Some(model) = &engine.assigned_model else {
-            continue;
-        };
-        let announced = scheduler.announced_versions.get(model).copied();
-        let (Some(version), Some(loaded)) = (announced, engine.version(model)) else {
-            continue;
-        };
+    let engines = &scheduler.pool.engines;
+    for engine in engines.values() {
         let service = &engine.registration.service;
-        let index = position(&servings, service, model).unwrap_or_else(|| {
-            servings.push(Serving {
-                service: service.clone(),
-                model: model.clone(),
-                version,
-                outdated: Vec::new(),
-                up_to_date: 0,
-                waiting: 0,
-                is_awaited: false,
-            });
-            servings.len() - 1
-        });
-        let serving = &mut servings[index];
-        let loading = engine.loading.as_ref();
-        if loaded >= version || loading.is_some_and(|loading| &loading.model == model) {
-            serving.up_to_date += 1;
-        } else if engine.accepts_work(now) {
-            serving.outdated.push(Outdated {
-                key,
-                gap: version - loaded,
-                loaded,
-                running: engine.running,
+        for model in engine.registration.models.keys() {
+            let Some(version) = scheduler.announced_versions.get(model) else {
+                continue;
+            };
+            let index = position(&servings, service, model).unwrap_or_else(|| {
+                servings.push(Serving::new(service, model, *version));
+                servings.len() - 1
             });
+            servings[index].has_assigned |= affinity::is_assigned(engine, model);
+        }
+    }
+    for (key, engine) in engines {
+        for (model, loaded) in &engine.registration.models {
+            let found = position(&servings, &engine.registration.service, model);
+            let Some(serving) = found.map(|index| &mut servings[index]) else {
+                continue;
+            };
+            if serving.has_assigned && !affinity::is_assigned(engine, model) {
+                continue;
+            }
+            let loading = engine.loading.as_ref();
+            if *loaded >= serving.version || loading.is_some_and(|found| &found.model == model) {
+                serving.up_to_date += 1;
+            } else if engine.accepts_work(now) {
+                serving.outdated.push(Outdated {
+                    key,
+                    gap: serving.version - loaded,
+                    loaded: *loaded,
+                    running: engine.running,
+                });
+            }
         }
     }
     for serving in &mut servings {
--- a/crates/policy/tests/common/fleets.rs
+++ b/crates/policy/tests/common/fleets.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use tamaracksail_model::backend::{Registration, State};
-use tamaracksail_model::batch::{Item, SubmissionRoute};
+use tamaracksail_model::batch::{Ending, Item, ItemResult, SubmissionRoute};
 use tamaracksail_model::carried::Carried;
 use tamaracksail_model::time::Instant;
 use tamaracksail_policy::batch::{Action, BatchKey, EngineKey, Failure, Scheduler, Submission};
@@ -22,7 +22,8 @@
 /// A load of weights that an engine was commanded to make.
 #[derive(Clone, Debug)]
 struct Loading {
-    key: EngineKey,
+    /// The engine's key in the scheduler that commanded it; `None` after a takeover.
+    key: Option<EngineKey>,
     model: String,
     version: u64,
     /// When it is complete; `None` while runs of the engine go on.
@@ -193,8 +194,8 @@
         }
         let engine = self.engines.remove(name)?;
         self.scheduler.remove_engine(self.now, name);
-        if let Some(loading) = &engine.loading {
-            self.scheduler.command_failed(self.now, loading.key);
+        if let Some(key) = engine.loading.as_ref().and_then(|loading| loading.key) {
+            self.scheduler.command_failed(self.now, key);
         }
         Some(engine)
     }
@@ -309,6 +310,11 @@
             let item: Carried = item;
             self.scheduler.restore_partial_text(self.now, item, text);
         }
+        for engine in self.engines.values_mut() {
+            if let Some(loading) = &mut engine.loading {
+                loading.key = None;
+            }
+        }
         let names: Vec<String> = self.engines.keys().cloned().collect();
         for name in names {
             self.register(&name);
@@ -358,6 +364,7 @@
 
     fn continue_loads(&mut self) {
         let busy: BTreeSet<String> = self.runs.values().map(|run| run.engine.clone()).collect();
+        let mut loaded = Vec::new();
         for (name, engine) in &mut self.engines {
             let Some(loading) = &mut engine.loading else {
                 continue;
@@ -366,13 +373,21 @@
                 None if !busy.contains(name) => loading.due = Some(self.now.after(LOAD_TIME)),
                 Some(due) if due <= self.now => {
                     engine.models.insert(loading.model.clone(), loading.version);
-                    self.scheduler
-                        .weights_loaded(loading.key, &loading.model, loading.version);
+                    match loading.key {
+                        Some(key) => {
+                            let (model, version) = (&loading.model, loading.version);
+                            self.scheduler.weights_loaded(key, model, version);
+                        }
+                        None => loaded.push(name.clone()),
+                    }
                     engine.loading = None;
                 }
                 _ => {}
             }
         }
+        for name in loaded {
+            self.register(&name);
+        }
     }
 
     fn continue_runs(&mut self) {
@@ -380,14 +395,10 @@
         for number in numbers {
             let run = self.runs.get_mut(&number).expect("the run exists");
             let engine = &self.engines[&run.engine];
-            let length = self
-                .unfinished
-                .get(&run.item)
-                .map(|progress| progress.length);
-            if length.is_none_or(|length| run.next > length) {
-                let run = self.runs.remove(&number).expect("the run exists");
+            let progress = self.unfinished.get(&run.item);
+            if progress.is_none_or(|progress| run.next > progress.length) {
+                self.runs.remove(&number);
                 self.scheduler.run_finished(self.now, number);
-                self.finish(&run.item);
                 continue;
             }
             let batch = &self.unfinished[&run.item].batch;
@@ -408,22 +419,21 @@
         }
     }
 
-    /// Checks the complete text of an item, and removes the item from those that are unfinished.
-    fn finish(&mut self, item: &str) {
-        let Some(progress) = self.unfinished.remove(item) else {
+    /// Checks the result of an item, and removes the item from those that are unfinished.
+    fn finish(&mut self, result: &ItemResult) {
+        let Some(progress) = self.unfinished.remove(&result.item) else {
             return;
         };
+        if result.ending == Ending::Aborted {
+            return;
+        }
         let submission = &self.submissions[&progress.batch];
-        let versions = &self.versions[item];
+        let versions: Vec<u64> = self.versions[&result.item].iter().copied().collect();
+        assert_eq!(result.versions, versions, "{}", result.item);
         let min = submission.min_version.unwrap_or(0);
-        assert!(
-            versions.iter().all(|version| *version >= min),
-            "{item}: {versions:?}, {min}"
-        );
-        assert!(
-            !submission.is_single_version || versions.len() == 1,
-            "{item}: {versions:?}"
-        );
+        assert!(versions[0] >= min, "{}: {versions:?}, {min}", result.item);
+        let is_allowed = !submission.is_single_version || versions.len() == 1;
+        assert!(is_allowed, "{}: {versions:?}", result.item);
     }
 
     fn perform(&mut self, action: Action) {
@@ -456,7 +466,12 @@
             Action::Stop { run, .. } => {
                 self.runs.remove(&run);
             }
-            Action::WriteResults { batch, .. } => self.scheduler.results_written(self.now, batch),
+            Action::WriteResults { batch, results } => {
+                for result in &results {
+                    self.finish(result);
+                }
+                self.scheduler.results_written(self.now, batch);
+            }
             Action::LoadWeights {
                 engine: key,
                 model,
@@ -472,8 +487,13 @@
                     engine.models.contains_key(&model),
                     "a load of a model that the engine does not hold"
                 );
+                if engine.loading.is_some() {
+                    // It executes a command of the scheduler before.
+                    self.scheduler.command_failed(self.now, key);
+                    return;
+                }
                 engine.loading = Some(Loading {
-                    key,
+                    key: Some(key),
                     model,
                     version,
                     due: None,
--- a/crates/policy/tests/coverage.rs
+++ b/crates/policy/tests/coverage.rs
@@ -170,3 +170,99 @@
         );
     }
 }
+
+/// Returns the lowest version of a model that engines of a service hold.
+fn lowest_version(fleet: &Fleet, service: &str, model: &str) -> Option<u64> {
+    let engines = fleet.engines.values();
+    let of_service = engines.filter(|engine| engine.service == service);
+    of_service
+        .filter_map(|engine| engine.models.get(model).copied())
+        .min()
+}
+
+// Guards against: engines are assigned models that they do not hold, and follow no model that they hold.
+#[test]
+fn all_engines_of_a_service_follow_its_model_beside_other_services() {
+    let mut fleet = Fleet::default();
+    for service in ["a", "b", "c"] {
+        for number in 0..if service == "c" { 1 } else { 6 } {
+            fleet.add(
+                &format!("{service}{number}"),
+                service,
+                "v1",
+                12,
+                &[(service, 1)],
+            );
+        }
+    }
+    fleet.route("/roll/", &["b"]);
+    for number in 1..4u64 {
+        let id = format!("s{number}");
+        fleet.submit(&Step {
+            model: "b",
+            ..step(&id, number.saturating_sub(1).max(1), 36, 20)
+        });
+        assert!(fleet.run_step(&id), "{:?}", fleet.longest_wait);
+        fleet.end(&id);
+        // Servers of a further service come and leave again.
+        fleet.add("c1", "c", "v1", 12, &[("c", 1)]);
+        let version = fleet.announce("b");
+        fleet.run_for(Duration::from_secs(4));
+        drop(fleet.end_engine("c1"));
+        assert_eq!(lowest_version(&fleet, "b", "b"), Some(version));
+    }
+    assert!(
+        fleet.longest_wait.0 < Duration::from_secs(2),
+        "{:?}",
+        fleet.longest_wait
+    );
+}
+
+// Guards against: models that two services share are followed only in the service to which no route leads.
+#[test]
+fn each_service_follows_each_of_the_models_that_it_shares() {
+    let mut fleet = Fleet::default();
+    for service in ["a", "b"] {
+        for number in 0..3 {
+            let name = format!("{service}{number}");
+            fleet.add(&name, service, "v1", 12, &[("x", 1), ("y", 1)]);
+        }
+    }
+    fleet.route("/x/", &["a"]);
+    fleet.route("/y/", &["a"]);
+    for (path, model) in [("/x/", "x"), ("/y/", "y")] {
+        train(&mut fleet, path, model, |fleet| fleet.route(path, &["b"]));
+    }
+    assert!(
+        fleet.longest_wait.0 < Duration::from_secs(2),
+        "{:?}",
+        fleet.longest_wait
+    );
+}
+
+// Guards against: of more models than engines some are followed by none, and their trainers get nothing.
+#[test]
+fn models_for_which_no_engine_can_be_spared_are_followed_by_all() {
+    let mut fleet = Fleet::default();
+    for number in 0..2 {
+        let models = [("x", 1), ("y", 1), ("z", 1)];
+        fleet.add(&format!("e{number}"), "pool", "v1", 12, &models);
+    }
+    fleet.route("/roll/", &["pool"]);
+    for model in ["x", "y", "z"] {
+        train(&mut fleet, "/roll/", model, |_| {});
+    }
+    for model in ["x", "y", "z"] {
+        let newest = fleet.newest(model);
+        let engines = fleet.engines.values();
+        assert!(
+            engines.clone().any(|engine| engine.models[model] == newest),
+            "{model}"
+        );
+    }
+    assert!(
+        fleet.longest_wait.0 < Duration::from_secs(2),
+        "{:?}",
+        fleet.longest_wait
+    );
+}
