Bound what an order for waiting items stands behind

Items were at no engine for 5 to 12 s beside engines of their service that were less than half full.

Cause: a load for items that wait stood behind the runs of its engine, the limit on loads at a time (used up by engines that follow other models), or loads of other models on the same engine. Optional items waited for the newest version without a limit.

Change: long runs of an engine that loads for items without any stop, and continue there after the load, if their version and software allow it. The first engine that loads for items is exempt from the limit. An engine with a free slot for items that have waited for 2 s takes them before it loads. Optional items insist on the newest version for 3 s.

Why it works: each thing that the order stood behind has a bound below the 5 s for which an item may be at no server.

--- a/crates/policy/src/batch/coverage.rs
+++ b/crates/policy/src/batch/coverage.rs
@@ -29,9 +29,12 @@
 /// for them. Loads beyond a trainer's share of the engines cost extra.
 const SLOT_PATIENCE: Duration = Duration::from_secs(1);
 
-/// The number of events from which on a text takes longer to generate than a load of weights: they are
-/// about 50 ms apart.
-const LOAD_EVENTS: u64 = 24;
+/// How long items have waited that go before a load of an engine with a free slot for them.
+const LONG_WAIT: Duration = Duration::from_secs(2);
+
+/// The number of events that take longer to generate than a load of weights: they are about 50 ms
+/// apart.
+pub(super) const LOAD_EVENTS: u64 = 24;
 
 /// How long an item with such a text waits for a load before it starts over. Load commands may not be
 /// sent for up to three seconds after a takeover.
@@ -160,6 +163,15 @@
     found
 }
 
+/// Whether an engine has a free slot for items that have waited for so long that they go before a load.
+pub(super) fn is_awaited(engine: &Engine, now: Instant, waiting: &[Waiting]) -> bool {
+    engine.free_slots() > 0
+        && waiting.iter().any(|waiting| {
+            now.since(waiting.since) >= LONG_WAIT
+                && can_run(engine, &waiting.requirement.as_requirements())
+        })
+}
+
 /// Items that no engine can take, and the engines that could if they loaded the announced version.
 #[derive(Clone, Debug)]
 pub(super) struct Need {
@@ -172,6 +184,8 @@
     pub(super) items: usize,
     /// Whether no engine meets their requirements or will after the load in progress.
     pub(super) is_bare: bool,
+    /// Whether no engine loads what they require.
+    pub(super) is_first: bool,
 }
 
 /// Returns the need of items for a load, if there is one: at once if no engine meets their requirements,
@@ -181,7 +195,7 @@
     let announced = &scheduler.announced_versions;
     let model = required.model?;
     let version = *announced.get(model)?;
-    let (mut is_bare, mut room) = (true, 0);
+    let (mut is_bare, mut is_first, mut room) = (true, true, 0);
     let mut candidates = Vec::new();
     for (key, engine) in &scheduler.pool.engines {
         match fit(engine, &required, announced) {
@@ -191,7 +205,7 @@
                 room += if is_open { engine.free_slots() } else { 0 };
             }
             Fit::Loading => {
-                is_bare = false;
+                (is_bare, is_first) = (false, false);
                 room += engine.registration.slots;
             }
             Fit::Idle | Fit::Outdated if engine.accepts_work(now) => {
@@ -215,6 +229,7 @@
         candidates: candidates.into_iter().map(|(_, key)| key).collect(),
         items,
         is_bare,
+        is_first,
     })
 }
 
--- a/crates/policy/src/batch/dispatch.rs
+++ b/crates/policy/src/batch/dispatch.rs
@@ -1,6 +1,7 @@
 //! Starts, stops and moves runs.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use tamaracksail_model::time::Instant;
 
@@ -16,6 +17,10 @@
 use super::sharing::Order;
 use super::task::{Stage, TaskKey};
 
+/// How long an optional item waits for an engine with the newest version before it runs on any that its
+/// batch accepts.
+const NEWEST_PATIENCE: Duration = Duration::from_secs(3);
+
 /// Starts waiting items on engines with free slots.
 pub(super) fn dispatch(scheduler: &mut Scheduler, now: Instant) {
     let median_ms = scheduler.pool.median_interval_ms();
@@ -64,7 +69,7 @@
     key: TaskKey,
     median_ms: Option<f64>,
 ) -> Option<EngineKey> {
-    let required = requirements(scheduler, key);
+    let required = waiting_requirements(scheduler, now, key);
     let pool = &scheduler.pool;
     let chosen = pool.choose(now, &required, median_ms, None);
     if chosen.is_some() || !required.depend_on_text() {
@@ -109,6 +114,21 @@
     }
 }
 
+/// Returns what a waiting item requires of an engine. An optional one no longer insists on the newest
+/// version once it has waited for [`NEWEST_PATIENCE`].
+fn waiting_requirements(scheduler: &Scheduler, now: Instant, key: TaskKey) -> Requirements<'_> {
+    let task = &scheduler.tasks[key];
+    let required = requirements(scheduler, key);
+    if task.is_optional && now.since(task.waiting_since) >= NEWEST_PATIENCE {
+        let min_version = scheduler.batches[task.batch].min_version;
+        return Requirements {
+            min_version,
+            ..required
+        };
+    }
+    required
+}
+
 /// Returns what every engine that runs an item has to meet, without what is only preferred.
 pub(super) fn least_requirements(scheduler: &Scheduler, key: TaskKey) -> Requirements<'_> {
     let task = &scheduler.tasks[key];
--- a/crates/policy/src/batch/placement.rs
+++ b/crates/policy/src/batch/placement.rs
@@ -59,7 +59,7 @@
 }
 
 /// Returns how many events an item is expected to have yet.
-fn remaining_events(task: &Task) -> u64 {
+pub(super) fn remaining_events(task: &Task) -> u64 {
     let expected = task.item.hint.unwrap_or(task.item.tokens);
     expected.saturating_sub(task.text.last.unwrap_or(0))
 }
--- a/crates/policy/src/batch/weights.rs
+++ b/crates/policy/src/batch/weights.rs
@@ -18,7 +18,7 @@
 use super::coverage::{self, Need};
 use super::engine::{Engine, EngineKey, Loading};
 use super::scheduler::Scheduler;
-use super::{affinity, dispatch};
+use super::{affinity, dispatch, placement};
 
 /// One in this many engines may load at a time, and at least two. More loads at once slow each
 /// other down.
@@ -73,6 +73,7 @@
         return;
     }
     count_waiting(scheduler, &mut servings);
+    let waiting = coverage::waiting(scheduler, now);
     let oldest_allowed = oldest_allowed(scheduler);
     while !loads.is_full() {
         let Some((index, outdated)) = take_next(&mut servings) else {
@@ -80,8 +81,9 @@
         };
         let key = outdated.key;
         let serving = &servings[index];
-        if scheduler.pool.engines[key].loading.is_some() {
-            // It loads another model that it follows.
+        let engine = &scheduler.pool.engines[key];
+        // It may load another model that it follows.
+        if engine.loading.is_some() || coverage::is_awaited(engine, now, &waiting) {
             continue;
         }
         if serving.up_to_date >= engines_needed(scheduler, serving, key) {
@@ -106,11 +108,12 @@
 }
 
 /// Commands engines to load where items wait that no engine can take, also engines that follow another
-/// model and those beyond the number that a step needs. The first engine for items that have none may
-/// load beside any number of others, and may have to finish its runs first.
+/// model and those beyond the number that a step needs. The first engine for the items may load
+/// beside any number of others. Long runs of an engine that loads continue afterwards.
 fn load_for_waiting(scheduler: &mut Scheduler, now: Instant, loads: &mut Loads) {
-    for class in coverage::waiting(scheduler, now) {
-        let Some(need) = coverage::need(scheduler, now, &class) else {
+    let waiting = coverage::waiting(scheduler, now);
+    for items in &waiting {
+        let Some(need) = coverage::need(scheduler, now, items) else {
             continue;
         };
         let Need {
@@ -119,18 +122,25 @@
             candidates,
             mut items,
             is_bare,
+            mut is_first,
         } = need;
-        let mut is_first = is_bare;
         for key in candidates {
             if items == 0 || (loads.is_full() && !is_first) {
                 break;
             }
             let engine = &scheduler.pool.engines[key];
             let slots = engine.registration.slots;
-            let may_finish_first = is_first || engine.running * 2 < slots;
-            if engine.running > 0 && !move_runs_away(scheduler, now, key) && !may_finish_first {
+            let is_only = is_bare && is_first;
+            if !is_only && coverage::is_awaited(engine, now, &waiting) {
                 continue;
             }
+            let may_interrupt = is_only || engine.running * 2 < slots;
+            if engine.running > 0 && !move_runs_away(scheduler, now, key) {
+                if !may_interrupt {
+                    continue;
+                }
+                interrupt_runs(scheduler, now, key, (&model, version));
+            }
             is_first = false;
             items = items.saturating_sub(slots as usize);
             command(scheduler, key, &model, version, loads);
@@ -344,6 +354,28 @@
     true
 }
 
+/// Stops the runs of an engine that would delay its load, and can continue there after it.
+fn interrupt_runs(
+    scheduler: &mut Scheduler,
+    now: Instant,
+    key: EngineKey,
+    (model, version): (&str, u64),
+) {
+    let runs = scheduler.runs.iter().filter(|(_, run)| run.engine == key);
+    let long: Vec<u64> = runs
+        .filter(|(_, run)| {
+            let required = dispatch::requirements(scheduler, run.task);
+            let can_continue = required.model != Some(model) || required.allow(Some(version));
+            let events = placement::remaining_events(&scheduler.tasks[run.task]);
+            can_continue && events > coverage::LOAD_EVENTS && scheduler.may_move(run.task)
+        })
+        .map(|(number, _)| *number)
+        .collect();
+    for number in long {
+        dispatch::preempt(scheduler, now, number, "the engine loads weights");
+    }
+}
+
 /// Whether other engines have slots for `count` items of an engine. Stops at the first that suffice.
 fn has_room_elsewhere(scheduler: &Scheduler, now: Instant, key: EngineKey, count: usize) -> bool {
     let engine = &scheduler.pool.engines[key];
