Read an ended batch from the store while its load takes long

Cause: at the gateway that schedules, a read waits until the batch is in memory, items included. The load had no limit in time and ended with the client of the read, so where it takes longer than clients wait no read ever succeeded.

Change: the load goes on without its reader, once for all of them.

Measured: gateway: confirmed_ends, an_ended_batch_is_read_while_its_load_takes_longer_than_clients_wait fails on (no response in 2.5 s) and passes.

--- a/crates/gateway/src/batches/coordinator.rs
+++ b/crates/gateway/src/batches/coordinator.rs
@@ -20,6 +20,7 @@
 use super::owner::Owners;
 use super::readiness::Readiness;
 use super::reads::Reads;
+use super::reload::Reloads;
 use super::result_log::ResultLog;
 use super::schema;
 use super::service::resolve_service;
@@ -86,9 +87,8 @@
     next_sequence: Cell<u64>,
     /// The accounts of batches that clients used at this process.
     pub(super) owners: RefCell<Owners>,
-    /// Locks that are held while an ended batch is reloaded into memory, so that concurrent readers
-    /// load it once.
-    pub(super) reloads: RefCell<BTreeMap<String, Rc<Mutex<()>>>>,
+    /// The loads of ended batches in progress.
+    pub(super) reloads: Reloads,
     /// Held while the lease is written, so that a release waits for a renewal in flight.
     pub(super) lease_write: Mutex<()>,
     /// When calls to the store on behalf of the scheduler began to fail; `None` while they succeed.
@@ -134,7 +134,7 @@
             reward_handles: RefCell::default(),
             next_sequence: Cell::new(0),
             owners: RefCell::default(),
-            reloads: RefCell::default(),
+            reloads: Reloads::default(),
             lease_write: Mutex::new(()),
             store_failing_since: Cell::new(None),
             last_command: Cell::new(now()),
@@ -336,8 +336,7 @@
         self.lease_changed.notify_waiters();
     }
 
-    /// Ends a batch whose end is in the store, if this process schedules. Another process reads the end
-    /// from the store.
+    /// Ends a batch whose end is in the store. A process that schedules later reads it there.
     pub(super) fn end_batch(&self, id: &str) {
         if self.is_scheduling.get() {
             let key = self.batches.borrow_mut().end(id);
@@ -359,9 +358,7 @@
 
     /// Ends a batch in the scheduler that was open under `key`.
     fn end_scheduled(&self, id: &str, key: Option<BatchKey>) {
-        let Some(key) = key else {
-            return;
-        };
+        let Some(key) = key else { return };
         log::info!(batch = id; "batch ended");
         if let Some(result_log) = self.batches.borrow().log(id) {
             result_log.changed.notify_waiters();
--- a/crates/gateway/src/batches/mod.rs
+++ b/crates/gateway/src/batches/mod.rs
@@ -13,6 +13,7 @@
 mod read;
 mod readiness;
 mod reads;
+mod reload;
 mod result_log;
 mod result_writer;
 mod retention;
--- a/crates/gateway/src/batches/read.rs
+++ b/crates/gateway/src/batches/read.rs
@@ -12,7 +12,7 @@
 use tamaracksail_wire::peer::{Request as PeerRequest, Response as PeerResponse};
 
 use super::schema::{self, BatchStatus, Chunk, Manifest, Part};
-use super::{lease_loop, owner, takeover};
+use super::{lease_loop, owner, reload};
 use crate::connection::Body;
 use crate::gateway::{Gateway, now};
 use crate::peer;
@@ -82,13 +82,13 @@
 /// # Errors
 /// [`Error::Missing`] if the caller may not use the batch.
 async fn loaded_results(
-    gateway: &Gateway,
+    gateway: &Rc<Gateway>,
     caller: &Caller,
     id: &str,
     from: usize,
     wait: Duration,
 ) -> Result<Option<(usize, Vec<ItemResult>)>, Error> {
-    if !ensure_loaded(gateway, id).await {
+    if !reload::ensure_loaded(gateway, id).await {
         return Ok(None);
     }
     check_loaded(gateway, caller, id)?;
@@ -110,38 +110,6 @@
     }
 }
 
-/// Returns whether this process schedules and has a batch in memory. An ended batch is reloaded if
-/// necessary.
-async fn ensure_loaded(gateway: &Gateway, id: &str) -> bool {
-    let coordinator = &gateway.coordinator;
-    let is_holder =
-        coordinator.is_scheduling.get() && coordinator.lease.borrow().fence(now()).is_some();
-    let has_log = || coordinator.batches.borrow().log(id).is_some();
-    if !is_holder || has_log() {
-        return is_holder;
-    }
-    let lock = Rc::clone(
-        coordinator
-            .reloads
-            .borrow_mut()
-            .entry(id.to_owned())
-            .or_default(),
-    );
-    let _guard = lock.lock().await;
-    if has_log() {
-        return coordinator.is_scheduling.get();
-    }
-    let outcome = takeover::reload(gateway, id).await;
-    coordinator.reloads.borrow_mut().remove(id);
-    match outcome {
-        Ok(is_reloaded) => is_reloaded,
-        Err(error) => {
-            log::info!(batch = id, error:%; "batch not reloaded");
-            false
-        }
-    }
-}
-
 /// Requests results from peers that may be the scheduling gateway.
 ///
 /// # Errors
@@ -384,12 +352,12 @@
 /// # Errors
 /// [`Error::Missing`] if the caller may not use the batch.
 async fn loaded_item_body(
-    gateway: &Gateway,
+    gateway: &Rc<Gateway>,
     caller: &Caller,
     id: &str,
     item: &str,
 ) -> Result<Option<Option<Bytes>>, Error> {
-    if !ensure_loaded(gateway, id).await {
+    if !reload::ensure_loaded(gateway, id).await {
         return Ok(None);
     }
     check_loaded(gateway, caller, id)?;
--- a/crates/gateway/src/batches/takeover.rs
+++ b/crates/gateway/src/batches/takeover.rs
@@ -140,7 +140,7 @@
 
 /// Whether another process may have scheduled a batch before.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum EarlierScheduler {
+pub(super) enum EarlierScheduler {
     /// Writes of its results may still be in flight.
     Possible,
     /// The batch was accepted after this process acquired the lease.
@@ -246,53 +246,8 @@
     }
 }
 
-/// Loads an ended batch into memory, so that reads at any gateway need no calls to the store.
-/// Returns `false` if the batch is open, since it is then being loaded already.
-///
-/// # Errors
-/// If the batch cannot be read: [`Error::Missing`] if there is none with this id.
-pub async fn reload(gateway: &Gateway, id: &str) -> Result<bool, Error> {
-    let term = gateway.coordinator.term();
-    let object = gateway.store.get(schema::MANIFESTS, id).await?;
-    let status = object.status::<BatchStatus>().unwrap_or_default();
-    if !status.is_some_and(|status| status.is_ended) {
-        return Ok(false);
-    }
-    let manifest = match object.spec::<Manifest>() {
-        Ok(manifest) => manifest,
-        Err(error) => {
-            log::error!(batch = id, error:%; "stored batch is malformed");
-            return Ok(false);
-        }
-    };
-    if gateway.coordinator.term() != term {
-        return Ok(false);
-    }
-    // It may be open here, or about to be, if the watch of manifests does not show its end yet.
-    gateway.coordinator.end_batch(id);
-    let _load = Load::begin(gateway, id);
-    let _reading = gateway.coordinator.reads.begin(manifest.parts).await;
-    let (body, results, chunks) =
-        read_batch(gateway, id, &manifest, EarlierScheduler::Possible).await?;
-    if gateway.coordinator.term() != term {
-        return Ok(false);
-    }
-    let items = match batch::parse(&body) {
-        Ok(submission) => submission.items,
-        Err(error) => {
-            log::error!(batch = id, error:%; "stored batch is malformed");
-            return Ok(false);
-        }
-    };
-    let item_bodies = items.into_iter().map(|item| (item.id, item.body)).collect();
-    let result_log = result_log(gateway, &manifest, (results, chunks), item_bodies);
-    gateway.coordinator.restore_batch(id, result_log);
-    evict(gateway);
-    Ok(true)
-}
-
 /// Returns the log of a batch that was read from the store.
-fn result_log(
+pub(super) fn result_log(
     gateway: &Gateway,
     manifest: &Manifest,
     (results, next_chunk): (Vec<ItemResult>, usize),
@@ -315,20 +270,20 @@
 }
 
 /// Evicts old result logs beyond the memory limit.
-fn evict(gateway: &Gateway) {
+pub(super) fn evict(gateway: &Gateway) {
     let memory_bytes =
         usize::try_from(gateway.settings.borrow().memory_bytes).unwrap_or(usize::MAX);
     retention::evict(gateway, memory_bytes / MEMORY_DIVISOR);
 }
 
 /// A load of a batch from the store, which ends when it is dropped.
-struct Load<'a> {
+pub(super) struct Load<'a> {
     gateway: &'a Gateway,
     id: &'a str,
 }
 
 impl<'a> Load<'a> {
-    fn begin(gateway: &'a Gateway, id: &'a str) -> Self {
+    pub(super) fn begin(gateway: &'a Gateway, id: &'a str) -> Self {
         gateway.coordinator.batches.borrow_mut().begin_load(id);
         Self { gateway, id }
     }
@@ -343,7 +298,7 @@
 
 /// Reads a batch from the store, and seals its results if an earlier scheduler may still write
 /// some. Returns its body, its results and the number of the next chunk.
-async fn read_batch(
+pub(super) async fn read_batch(
     gateway: &Gateway,
     id: &str,
     manifest: &Manifest,
--- a/crates/gateway/tests/confirmed_ends.rs
+++ b/crates/gateway/tests/confirmed_ends.rs
@@ -6,9 +6,9 @@
 use std::time::Duration;
 
 use common::{Gateway, World, read_results, run, wait_until};
-use tamaracksail_adapter_standins::Store;
 use tamaracksail_adapter_standins::loopback::address;
 use tamaracksail_adapter_standins::store::Fault;
+use tamaracksail_adapter_standins::{Store, settings};
 
 const EVENT_INTERVAL: Duration = Duration::from_millis(5);
 const ITEMS: [&str; 4] = ["i0", "i1", "i2", "i3"];
@@ -100,3 +100,42 @@
         setup.check_nothing_runs().await;
     });
 }
+
+/// How long a call of the store takes that is slow. A load of the batch takes several.
+const CALL_TIME: Duration = Duration::from_millis(400);
+
+/// How long a client waits for results at most: the wait that it asks for, and 1.5 s.
+const READ_LIMIT: Duration = Duration::from_millis(2500);
+
+// Guards against: an ended batch cannot be read, since each read waits for a load of the whole batch, and
+// takes the load with it when its client gives up.
+#[test]
+fn an_ended_batch_is_read_while_its_load_takes_longer_than_clients_wait() {
+    run(async {
+        let world = World::start(2, 5, EVENT_INTERVAL).await;
+        let mut routes = settings::routes(2);
+        routes["limits"]["max-body-bytes"] = (16 << 20).into();
+        world.store.put_routes(routes);
+        let mut gateway = Gateway::start("front-0", &world.store);
+        gateway.wait_until_ready().await;
+        let response = gateway.client().submit_large("b1", &ITEMS, 2 << 20).await;
+        assert_eq!(response.expect("a response").status, 202);
+        let results = read_results(&gateway.client(), "b1", ITEMS.len()).await;
+        let ended = gateway.client().end("b1").await;
+        assert_eq!(ended.expect("a response").status, 200);
+        gateway.kill();
+        gateway.restart();
+        gateway.wait_until_ready().await;
+        let client = gateway.client();
+        client.submit("b2", &["j0"], 1).await.expect("a response");
+        read_results(&client, "b2", 1).await;
+        let slow = Fault::Slow("batch-b1".to_owned(), CALL_TIME);
+        world.store.set_fault(slow);
+        for _ in 0..3 {
+            let read = tokio::time::timeout(READ_LIMIT, client.results("b1", 0)).await;
+            let response = read.expect("a response in time").expect("a response");
+            assert_eq!(response.status, 200);
+            assert_eq!(response.results(), results);
+        }
+    });
+}
