Compare waiting items with the engines once for all that are alike

What callers saw: nothing yet; found by a test of the size in two years.

Cause: each waiting item was compared with each engine, and the median of the engines' paces was worked out for each.

Change: requirements that no engine meets are remembered for the rest of the pass, in which engines only fill up. The classes of waiting items are worked out once for all plans of loads. The assignment of models asks coverage which models an engine holds, and engines that leave count for no model.

--- a/crates/policy/src/batch/affinity.rs
+++ b/crates/policy/src/batch/affinity.rs
@@ -8,6 +8,7 @@
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
+use super::coverage;
 use super::engine::{Engine, EngineKey};
 use super::pool::Pool;
 use super::scheduler::Scheduler;
@@ -26,7 +27,7 @@
 
 /// Whether an engine is assigned to a model that it holds.
 pub(super) fn is_assigned(engine: &Engine, model: &str) -> bool {
-    engine.assigned_model.as_deref() == Some(model) && engine.version(model).is_some()
+    engine.assigned_model.as_deref() == Some(model) && coverage::holds(engine, model)
 }
 
 /// Assigns a model to each engine without one, and reassigns one engine of each service where a model
@@ -52,7 +53,7 @@
         let share = share_of(&mut shares, engine);
         let held = share
             .iter_mut()
-            .filter(|(model, _)| engine.registration.models.contains_key(*model));
+            .filter(|(model, _)| coverage::holds(engine, model));
         let fewest = held.min_by_key(|(_, engines)| engines.len());
         engine.assigned_model = fewest.map(|(model, engines)| {
             engines.push(key);
@@ -91,7 +92,7 @@
     receivers.into_iter().find_map(|(model, few)| {
         let givers = givers.iter().filter(|engines| engines.len() >= few + 2);
         let mut engines = givers.flat_map(|engines| engines.iter().rev());
-        let holds = |key: &&EngineKey| pool.engines[**key].version(model).is_some();
+        let holds = |key: &&EngineKey| coverage::holds(&pool.engines[**key], model);
         engines.find(holds).map(|key| (*key, model.as_str()))
     })
 }
--- a/crates/policy/src/batch/coverage.rs
+++ b/crates/policy/src/batch/coverage.rs
@@ -278,6 +278,11 @@
     is_admissible(engine, requirements) && requirements.allow(version(engine, requirements))
 }
 
+/// Whether an engine can be commanded to load versions of a model, and so may run items of it.
+pub(crate) fn holds(engine: &Engine, model: &str) -> bool {
+    engine.version(model).is_some()
+}
+
 /// Returns how far an engine meets the requirements of an item. `announced` has the newest version of
 /// each model, which is the only one that engines load.
 pub(crate) fn fit(
@@ -301,7 +306,10 @@
     match next {
         None if requirements.allow(held) => Fit::Ready,
         Some(next) if requirements.allow(next) => Fit::Loading,
-        _ if held.is_some() && held < newest.copied() && requirements.allow(newest.copied()) => {
+        _ if requirements.model.is_some_and(|model| holds(engine, model))
+            && held < newest.copied()
+            && requirements.allow(newest.copied()) =>
+        {
             if engine.running == 0 && next.is_none() {
                 Fit::Idle
             } else {
--- a/crates/policy/src/batch/dispatch.rs
+++ b/crates/policy/src/batch/dispatch.rs
@@ -5,7 +5,7 @@
 
 use tamaracksail_model::time::Instant;
 
-use super::action::Action;
+use super::action::{Action, Requirement};
 use super::coverage::{self, Prospect};
 use super::ending;
 use super::engine::{Engine, EngineKey};
@@ -34,6 +34,8 @@
         return;
     }
     let mut order = Order::new(scheduler);
+    // What no engine meets, which holds for the rest of the pass: engines only fill up.
+    let mut unmet: Vec<(Requirement, bool)> = Vec::new();
     while let Some((rank, key)) = order.take_next() {
         if free_slots == 0 {
             return;
@@ -52,12 +54,23 @@
         if scheduler.tasks[key].text.is_of_unknown_software() {
             scheduler.tasks[key].discard_text();
         }
-        if let Some(engine) = choose(scheduler, now, key, median_ms) {
-            scheduler.queue.remove(&(rank, key));
-            start_run(scheduler, now, key, engine);
-            order.record_start();
-            free_slots -= 1;
+        let is_worth_load = coverage::is_worth_load(now, &scheduler.tasks[key]);
+        let required = waiting_requirements(scheduler, now, key).without_preference();
+        let is_unmet = |(unmet, is_worth): &(Requirement, bool)| {
+            *is_worth == is_worth_load && unmet.as_requirements() == required
+        };
+        if unmet.iter().any(is_unmet) {
+            continue;
         }
+        let requirement = required.to_owned();
+        let Some(engine) = choose(scheduler, now, key, median_ms) else {
+            unmet.push((requirement, is_worth_load));
+            continue;
+        };
+        scheduler.queue.remove(&(rank, key));
+        start_run(scheduler, now, key, engine);
+        order.record_start();
+        free_slots -= 1;
     }
 }
 
--- a/crates/policy/src/batch/pool.rs
+++ b/crates/policy/src/batch/pool.rs
@@ -39,6 +39,14 @@
         is_new_enough && is_exact
     }
 
+    /// Returns what an engine must meet, without what is only preferred.
+    pub(crate) fn without_preference(self) -> Self {
+        Self {
+            preference: Preference::Any,
+            ..self
+        }
+    }
+
     /// Returns what remains if the text of the item is discarded.
     pub(crate) fn without_text(self) -> Self {
         Self {
--- a/crates/policy/src/batch/weights.rs
+++ b/crates/policy/src/batch/weights.rs
@@ -12,10 +12,11 @@
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
+use tamaracksail_model::backend::State;
 use tamaracksail_model::time::Instant;
 
 use super::action::Action;
-use super::coverage::{self, Need};
+use super::coverage::{self, Need, Waiting};
 use super::engine::{Engine, EngineKey, Loading};
 use super::scheduler::Scheduler;
 use super::{affinity, dispatch, placement};
@@ -61,19 +62,24 @@
 /// items wait that no engine can take.
 pub(super) fn plan_loads(scheduler: &mut Scheduler, now: Instant) {
     let mut loads = Loads::new(scheduler);
-    follow_versions(scheduler, now, &mut loads);
-    load_for_waiting(scheduler, now, &mut loads);
+    let waiting = coverage::waiting(scheduler, now);
+    follow_versions(scheduler, now, &waiting, &mut loads);
+    load_for_waiting(scheduler, now, &waiting, &mut loads);
 }
 
 /// Commands engines that hold an older version of a model that they follow than the announced one to
 /// load it.
-fn follow_versions(scheduler: &mut Scheduler, now: Instant, loads: &mut Loads) {
+fn follow_versions(
+    scheduler: &mut Scheduler,
+    now: Instant,
+    waiting: &[Waiting],
+    loads: &mut Loads,
+) {
     let mut servings = servings(scheduler, now);
     if servings.iter().all(|serving| serving.outdated.is_empty()) {
         return;
     }
     count_waiting(scheduler, &mut servings);
-    let waiting = coverage::waiting(scheduler, now);
     let oldest_allowed = oldest_allowed(scheduler);
     while !loads.is_full() {
         let Some((index, outdated)) = take_next(&mut servings) else {
@@ -83,7 +89,7 @@
         let serving = &servings[index];
         let engine = &scheduler.pool.engines[key];
         // It may load another model that it follows.
-        if engine.loading.is_some() || coverage::is_awaited(engine, now, &waiting) {
+        if engine.loading.is_some() || coverage::is_awaited(engine, now, waiting) {
             continue;
         }
         if serving.up_to_date >= engines_needed(scheduler, serving, key) {
@@ -110,9 +116,13 @@
 /// Commands engines to load where items wait that no engine can take, also engines that follow another
 /// model and those beyond the number that a step needs. The first engine for the items may load
 /// beside any number of others. Long runs of an engine that loads continue afterwards.
-fn load_for_waiting(scheduler: &mut Scheduler, now: Instant, loads: &mut Loads) {
-    let waiting = coverage::waiting(scheduler, now);
-    for items in &waiting {
+fn load_for_waiting(
+    scheduler: &mut Scheduler,
+    now: Instant,
+    waiting: &[Waiting],
+    loads: &mut Loads,
+) {
+    for items in waiting {
         let Some(need) = coverage::need(scheduler, now, items) else {
             continue;
         };
@@ -131,7 +141,7 @@
             let engine = &scheduler.pool.engines[key];
             let slots = engine.registration.slots;
             let is_only = is_bare && is_first;
-            if !is_only && coverage::is_awaited(engine, now, &waiting) {
+            if !is_only && coverage::is_awaited(engine, now, waiting) {
                 continue;
             }
             let may_interrupt = is_only || engine.running * 2 < slots;
@@ -184,7 +194,7 @@
     waiting: usize,
     /// Whether a trainer waits for any of these.
     is_awaited: bool,
-    /// Whether any engine of the service is assigned to the model.
+    /// Whether any engine of the service that does not leave is assigned to the model.
     has_assigned: bool,
 }
 
@@ -237,7 +247,8 @@
                 servings.push(Serving::new(service, model, *version));
                 servings.len() - 1
             });
-            servings[index].has_assigned |= affinity::is_assigned(engine, model);
+            servings[index].has_assigned |=
+                engine.registration.state == State::Ready && affinity::is_assigned(engine, model);
         }
     }
     for (key, engine) in engines {
--- a/crates/policy/tests/weights.rs
+++ b/crates/policy/tests/weights.rs
@@ -160,3 +160,22 @@
     let took = start.elapsed();
     assert!(took < Duration::from_millis(200), "{took:?}");
 }
+
+/// The load: the fleet of two years, 600 engines, with two steps of 2,048 items, none of which has an
+/// engine of its version yet. A node may spend 3.7% of a core, and a poll comes each 50 ms.
+#[test]
+fn a_poll_with_a_full_queue_takes_less_than_its_share_of_a_core() {
+    let mut scheduler = scheduler_with(600);
+    scheduler.version_announced("a", 9);
+    scheduler.version_announced("b", 3);
+    submit(&mut scheduler, step("a", 9, 2048));
+    submit(&mut scheduler, step("b", 3, 2048));
+    let poll = || {
+        let start = std::time::Instant::now();
+        drop(scheduler.poll(NOW, true));
+        start.elapsed()
+    };
+    // The least, since other processes take the processor at times.
+    let took = std::iter::repeat_with(poll).take(20).min();
+    assert!(took < Some(Duration::from_micros(1850)), "{took:?}");
+}
