Keep one engine current for a model that has none of its own

What callers saw: with three models on two engines, played with real processes, steps of the first two models took up to 4.2 s (1.8 s on, where the third got nothing).

Cause: a model to which no engine is assigned was followed by all engines that hold it, and each load holds up the others' items.

Change: one engine keeps up with such a model; others load when its items wait.

--- a/crates/policy/src/batch/affinity.rs
+++ b/crates/policy/src/batch/affinity.rs
@@ -3,7 +3,7 @@
 //! Loads of weights beyond a trainer's share of the engines cost extra, so an engine follows the
 //! versions of one of the models that it holds. Items of other models may still run on it while the
 //! versions that it holds of them are new enough. The engines of each service are shared among the
-//! models that they hold; a model that none of them can be spared for is followed by all of them.
+//! models that they hold. Of a model for which there is none to spare, one of them keeps up with it.
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
--- a/crates/policy/src/batch/weights.rs
+++ b/crates/policy/src/batch/weights.rs
@@ -30,7 +30,7 @@
 const SPARE_ENGINES: usize = 2;
 
 /// The number of engines to keep at the newest version of a model in a service that runs none of its
-/// steps, so that a route which moves there finds one.
+/// steps, so that a route which moves there finds one, or whose engines are assigned to other models.
 const STANDBY_ENGINES: usize = 1;
 
 /// The loads in progress, and how many there may be.
@@ -313,6 +313,9 @@
 /// Returns how many engines like `key` the steps of a model can use at a service: no limit before the
 /// first step of the model.
 fn engines_needed(scheduler: &Scheduler, serving: &Serving, key: EngineKey) -> usize {
+    if !serving.has_assigned {
+        return STANDBY_ENGINES;
+    }
     let Some(steps) = scheduler.largest_steps.get(&serving.model) else {
         return usize::MAX;
     };
