Give up a text whose engines stay full, and none for a mere preference

After a crash in the middle of a release, items whose text only full engines could continue waited 7 s beside idle engines with newer software.

Cause: a text was kept as long as some ready engine could continue it, full or not; and it was judged by the preferred version.

Change: a text is kept for 3.5 s for engines that are full, then the item starts over at one that is not. It is judged by the versions that the batch accepts.

--- a/crates/policy/src/batch/coverage.rs
+++ b/crates/policy/src/batch/coverage.rs
@@ -36,9 +36,10 @@
 /// apart.
 pub(super) const LOAD_EVENTS: u64 = 24;
 
-/// How long an item with such a text waits for a load before it starts over. Load commands may not be
-/// sent for up to three seconds after a takeover.
-const LOAD_PATIENCE: Duration = Duration::from_millis(3500);
+/// How long an item waits for an engine that can continue its text, or for a load that makes one, before it
+/// starts over at another. Load commands may not be sent for up to three seconds after a takeover, and an
+/// item may be at no engine for five.
+const TEXT_PATIENCE: Duration = Duration::from_millis(3500);
 
 /// How far an engine meets the requirements of an item, other than a free slot.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -361,10 +362,15 @@
     }
 }
 
+/// Whether a waiting item keeps its text for longer, which engines can continue that are full.
+pub(super) fn is_text_kept(now: Instant, task: &Task) -> bool {
+    now.since(task.waiting_since) < TEXT_PATIENCE
+}
+
 /// Whether the text of a waiting item is worth more than the time for a load: it took longer to
 /// generate, and the item does not wait for too long already.
 pub(super) fn is_worth_load(now: Instant, task: &Task) -> bool {
-    task.text.last >= Some(LOAD_EVENTS) && now.since(task.waiting_since) < LOAD_PATIENCE
+    task.text.last >= Some(LOAD_EVENTS) && is_text_kept(now, task)
 }
 
 /// Returns the best fit among the engines. Stops at the first that is or will be ready.
--- a/crates/policy/src/batch/dispatch.rs
+++ b/crates/policy/src/batch/dispatch.rs
@@ -34,8 +34,9 @@
         return;
     }
     let mut order = Order::new(scheduler);
-    // What no engine meets, which holds for the rest of the pass: engines only fill up.
-    let mut unmet: Vec<(Requirement, bool)> = Vec::new();
+    // What no engine meets, which holds for the rest of the pass: engines only fill up. With it, how the
+    // text is judged of the items that require it.
+    let mut unmet: Vec<(Requirement, (bool, bool))> = Vec::new();
     while let Some((rank, key)) = order.take_next() {
         if free_slots == 0 {
             return;
@@ -54,17 +55,21 @@
         if scheduler.tasks[key].text.is_of_unknown_software() {
             scheduler.tasks[key].discard_text();
         }
-        let is_worth_load = coverage::is_worth_load(now, &scheduler.tasks[key]);
+        let task = &scheduler.tasks[key];
+        let text = (
+            coverage::is_text_kept(now, task),
+            coverage::is_worth_load(now, task),
+        );
         let required = waiting_requirements(scheduler, now, key).without_preference();
-        let is_unmet = |(unmet, is_worth): &(Requirement, bool)| {
-            *is_worth == is_worth_load && unmet.as_requirements() == required
+        let is_unmet = |(unmet, judged): &(Requirement, (bool, bool))| {
+            *judged == text && unmet.as_requirements() == required
         };
         if unmet.iter().any(is_unmet) {
             continue;
         }
         let requirement = required.to_owned();
         let Some(engine) = choose(scheduler, now, key, median_ms) else {
-            unmet.push((requirement, is_worth_load));
+            unmet.push((requirement, text));
             continue;
         };
         scheduler.queue.remove(&(rank, key));
@@ -75,7 +80,7 @@
 }
 
 /// Chooses an engine with a free slot for a waiting item. Discards its text if engines can run the item
-/// only from its start, and one of them has a free slot.
+/// only from its start, or those that can continue it are full for too long, and another has a free slot.
 fn choose(
     scheduler: &mut Scheduler,
     now: Instant,
@@ -89,9 +94,16 @@
         return chosen;
     }
     let announced = &scheduler.announced_versions;
-    let is_worth_load = coverage::is_worth_load(now, &scheduler.tasks[key]);
-    let (prospect, _) = coverage::prospect(pool, &required, announced, is_worth_load);
-    if prospect != Prospect::Restart {
+    let task = &scheduler.tasks[key];
+    let is_worth_load = coverage::is_worth_load(now, task);
+    let least = least_requirements(scheduler, key);
+    let (prospect, _) = coverage::prospect(pool, &least, announced, is_worth_load);
+    let is_given_up = match prospect {
+        Prospect::Restart => true,
+        Prospect::Slot => !coverage::is_text_kept(now, task),
+        Prospect::Load | Prospect::Engine => false,
+    };
+    if !is_given_up {
         return None;
     }
     let chosen = pool.choose(now, &required.without_text(), median_ms, None)?;
--- a/crates/policy/tests/coverage.rs
+++ b/crates/policy/tests/coverage.rs
@@ -266,3 +266,50 @@
         fleet.longest_wait
     );
 }
+
+// Guards against: items that wait for a slot of the last engines with their software, which are full, beside
+// idle ones with newer software.
+#[test]
+fn items_start_over_when_the_engines_that_could_continue_them_stay_full() {
+    let mut fleet = Fleet::default();
+    fleet.route("/roll/", &["pool"]);
+    for number in 0..2 {
+        fleet.add(&format!("old-{number}"), "pool", "v1", 12, &[("m", 1)]);
+    }
+    fleet.submit(&step("s", 1, 24, 160));
+    fleet.run_for(Duration::from_secs(1));
+    for number in 0..4 {
+        fleet.add(&format!("new-{number}"), "pool", "v2", 12, &[("m", 1)]);
+    }
+    fleet.end_engine("old-0");
+    fleet.run_for(Duration::from_secs(1));
+    assert_eq!(fleet.discard_count, 0, "texts are given up at once");
+    fleet.run_step("s");
+    assert!(
+        fleet.longest_wait.0 < WAIT_LIMIT,
+        "{:?}",
+        fleet.longest_wait
+    );
+}
+
+// Guards against: the text of an optional item is discarded since no engine with its software has the newest
+// version, which the item only prefers.
+#[test]
+fn the_text_of_an_optional_item_is_kept_for_an_engine_that_its_batch_accepts() {
+    let mut fleet = Fleet::default();
+    fleet.route("/roll/", &["pool"]);
+    for number in 0..2 {
+        fleet.add(&format!("old-{number}"), "pool", "v1", 12, &[("m", 1)]);
+    }
+    fleet.submit(&Step {
+        optional_groups: 4,
+        ..step("s", 1, 10, 60)
+    });
+    fleet.run_for(Duration::from_secs(1));
+    fleet.may_command = false;
+    fleet.add("new", "pool", "v2", 12, &[("m", 2)]);
+    fleet.announce("m");
+    fleet.end_engine("old-0");
+    assert!(fleet.run_step("s"));
+    assert_eq!(fleet.discard_count, 0);
+}
