--- a/crates/gateway/src/batches/takeover.rs
+++ b/crates/gateway/src/batches/takeover.rs
@@ -184,6 +184,7 @@
         term.is_some() && coordinator.term() == term && coordinator.batches.borrow().may_open(&id)
     };
     let _load = Load::begin(&gateway, &id);
+    let begin = now();
     if !gateway.configuration.has(manifest.routes_version) {
         log::info!(
             batch = id.as_str(), accepted_under = manifest.routes_version,
@@ -201,7 +202,6 @@
             .await;
     }
     loop {
-        let begin = now();
         let reading = coordinator.reads.begin(manifest.parts).await;
         if !is_wanted() {
             return;
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -407,6 +407,18 @@
     (world, started)
 }
 
+/// Starts a gateway that schedules batches. Returns it, and the store as only this gateway sees it.
+pub async fn start_scheduling(world: &World) -> (Gateway, Store) {
+    let listener = world.store.add_listener(SocketAddr::new(address(), 7100));
+    let listener = listener.await.expect("a listener");
+    let scheduling = Gateway::start("front-0", &listener);
+    scheduling.wait_until_ready().await;
+    let client = scheduling.client();
+    client.submit("b0", &["j0"], 1).await.expect("a response");
+    read_results(&client, "b0", 1).await;
+    (scheduling, listener)
+}
+
 /// Checks that there is one result for each of these items, and that all are complete.
 pub fn assert_complete(world: &World, results: &[ItemResult], items: &[&str]) {
     let mut found: Vec<&str> = results.iter().map(|r| r.item.as_str()).collect();
--- a/crates/gateway/tests/confirmed_ends.rs
+++ b/crates/gateway/tests/confirmed_ends.rs
@@ -2,11 +2,9 @@
 
 mod common;
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
-use common::{Gateway, World, read_results, run, wait_until};
-use tamaracksail_adapter_standins::loopback::address;
+use common::{Gateway, World, read_results, run, start_scheduling, wait_until};
 use tamaracksail_adapter_standins::store::Fault;
 use tamaracksail_adapter_standins::{Store, settings};
 
@@ -31,13 +29,7 @@
 impl Setup {
     async fn start() -> Self {
         let world = World::start(2, 5, EVENT_INTERVAL).await;
-        let listener = world.store.add_listener(SocketAddr::new(address(), 7100));
-        let listener = listener.await.expect("a listener");
-        let scheduling = Gateway::start("front-0", &listener);
-        scheduling.wait_until_ready().await;
-        let client = scheduling.client();
-        client.submit("b0", &["j0"], 1).await.expect("a response");
-        read_results(&client, "b0", 1).await;
+        let (scheduling, listener) = start_scheduling(&world).await;
         let accepting = Gateway::start("front-1", &world.store);
         accepting.wait_until_ready().await;
         let (hidden, slow) = ("batches".to_owned(), "batch-".to_owned());
--- a/crates/gateway/tests/silent_submissions.rs
+++ b/crates/gateway/tests/silent_submissions.rs
@@ -2,11 +2,11 @@
 
 mod common;
 
-use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use common::{Gateway, World, assert_complete, read_results, run, start, wait_until};
-use tamaracksail_adapter_standins::loopback::address;
+use common::{
+    Gateway, World, assert_complete, read_results, run, start, start_scheduling, wait_until,
+};
 use tamaracksail_adapter_standins::store::Fault;
 
 const EVENT_INTERVAL: Duration = Duration::from_millis(5);
@@ -43,13 +43,7 @@
 fn items_start_in_time_when_the_watch_of_the_scheduling_gateway_does_not_show_their_batch() {
     run(async {
         let world = World::start(2, 5, EVENT_INTERVAL).await;
-        let listener = world.store.add_listener(SocketAddr::new(address(), 7100));
-        let listener = listener.await.expect("a listener");
-        let scheduling = Gateway::start("front-0", &listener);
-        scheduling.wait_until_ready().await;
-        let client = scheduling.client();
-        client.submit("b0", &["j0"], 1).await.expect("a response");
-        read_results(&client, "b0", 1).await;
+        let (_scheduling, listener) = start_scheduling(&world).await;
         let accepting = Gateway::start("front-1", &world.store);
         accepting.wait_until_ready().await;
         listener.set_fault(Fault::HidesChanges("batches".to_owned()));
