--- a/crates/policy/tests/common/fleets.rs
+++ b/crates/policy/tests/common/fleets.rs
@@ -1,14 +1,20 @@
 //! Fleets of several services and models in virtual time, around a real scheduler. The engines leave,
 //! crash and come back with other software, and routes move, while trainers run their steps.
 
+#[path = "fleet_parts.rs"]
+mod parts;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+pub use parts::{Engine, Step};
+use parts::{Loading, Progress, Run, draw};
+
 use tamaracksail_model::backend::{Registration, State};
 use tamaracksail_model::batch::{Ending, Item, ItemResult, SubmissionRoute};
 use tamaracksail_model::carried::Carried;
 use tamaracksail_model::time::Instant;
-use tamaracksail_policy::batch::{Action, BatchKey, EngineKey, Failure, Scheduler, Submission};
+use tamaracksail_policy::batch::{Action, BatchKey, Failure, Scheduler, Submission};
 
 /// The virtual time that passes in one tick, in which each run generates one event.
 pub const TICK: Duration = Duration::from_millis(50);
@@ -19,45 +25,6 @@
 /// How long the last steps of a trainer stay open at most.
 pub const STEP_LIMIT: Duration = Duration::from_secs(12);
 
-/// A load of weights that an engine was commanded to make.
-#[derive(Clone, Debug)]
-struct Loading {
-    /// The engine's key in the scheduler that commanded it; `None` after a takeover.
-    key: Option<EngineKey>,
-    model: String,
-    version: u64,
-    /// When it is complete; `None` while runs of the engine go on.
-    due: Option<Instant>,
-}
-
-/// A simulated engine.
-#[derive(Clone, Debug)]
-pub struct Engine {
-    pub service: String,
-    pub software: String,
-    pub slots: u32,
-    pub models: BTreeMap<String, u64>,
-    pub state: State,
-    started_at_ms: u64,
-    loading: Option<Loading>,
-}
-
-#[derive(Clone, Debug)]
-struct Run {
-    engine: String,
-    item: String,
-    next: u64,
-}
-
-/// What an item still needs.
-#[derive(Clone, Debug)]
-struct Progress {
-    length: u64,
-    batch: String,
-    /// Since when it is at no engine although one could run it.
-    away_since: Option<Instant>,
-}
-
 /// The fleet, its scheduler and the open batches.
 pub struct Fleet {
     pub now: Instant,
@@ -107,28 +74,6 @@
     }
 }
 
-/// A step of `count` items with `length` events each. Groups have two items, and the trainer waits for all
-/// but `optional_groups` of them.
-pub struct Step<'a> {
-    pub id: &'a str,
-    pub path: &'a str,
-    pub model: &'a str,
-    pub min_version: u64,
-    pub count: usize,
-    pub length: u64,
-    pub optional_groups: usize,
-    pub is_single_version: bool,
-}
-
-impl Step<'_> {
-    /// Returns the ids of its items.
-    fn items(&self) -> Vec<String> {
-        (0..self.count)
-            .map(|n| format!("{}.{n}", self.id))
-            .collect()
-    }
-}
-
 impl Fleet {
     /// Adds an engine, or starts one again under its id.
     pub fn add(
@@ -551,21 +496,3 @@
         }
     }
 }
-
-/// Returns the service of a route for a batch: the preferred one if the route names it, or else each in
-/// turn.
-fn draw(
-    routes: &BTreeMap<String, Vec<String>>,
-    draws: &std::cell::Cell<usize>,
-    route: &SubmissionRoute,
-    preferred: Option<&str>,
-) -> Option<String> {
-    let services = routes.get(&route.path)?;
-    let found = services
-        .iter()
-        .find(|service| preferred == Some(service.as_str()));
-    draws.set(draws.get() + 1);
-    found
-        .or_else(|| services.get(draws.get() % services.len()))
-        .cloned()
-}
