--- a/crates/gateway/src/batches/reload.rs
+++ b/crates/gateway/src/batches/reload.rs
@@ -15,9 +15,8 @@
 use crate::gateway::{Gateway, now};
 
 /// How long the reader of an ended batch waits until the batch is in memory, before it reads the results from
-/// the store. The load also reads the items, which may be larger by far, and waits for other loads. Calls
-/// on connections that have gone silent take up to 1.5 s; a reader that makes further ones meanwhile has the
-/// store taken for unavailable.
+/// the store. The load also reads the items, which may be larger by far, and waits for other loads. Less
+/// than the 2.5 s of clients, and long enough that loads on connections that have gone silent end first.
 const RELOAD_WAIT: Duration = Duration::from_millis(1700);
 
 /// Locks that are held while an ended batch is loaded, so that concurrent readers load it once.
